--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# Each goal does its own set-up: a virtual environment with the pinned dependencies.
+VENV ?= .venv
+PYTHON ?= python3
+PACKAGES := bergamotcart bergamotcart-daemon bergamotcart-ctl bergamotcart-testkit
+SOURCES := $(PACKAGES:%=packages/%/src)
+STAMP := $(VENV)/.installed-$(firstword $(shell cat constraints.txt packages/*/pyproject.toml | cksum))
+empty :=
+space := $(empty) $(empty)
+# The sources of this checkout come before an installed copy of another checkout.
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SOURCES)))
+
+.PHONY: install test lint format demo fuzz mutants measure capacity
+
+$(STAMP):
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -c constraints.txt setuptools wheel
+	$(VENV)/bin/pip install --quiet -c constraints.txt pytest hypothesis ruff wemake-python-styleguide
+	$(VENV)/bin/pip install --quiet --no-build-isolation -c constraints.txt \
+		$(foreach package,$(PACKAGES),-e packages/$(package))
+	touch $@
+
+install: $(STAMP)
+
+test: $(STAMP)
+	$(VENV)/bin/python -m pytest packages
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check packages
+	$(VENV)/bin/ruff check packages
+	$(VENV)/bin/flake8 packages
+
+format: $(STAMP)
+	$(VENV)/bin/ruff check --select I --fix packages
+	$(VENV)/bin/ruff format packages
+
+demo: $(STAMP)
+	$(VENV)/bin/python -m bergamotcart_testkit.demo
+
+fuzz: $(STAMP)
+	$(VENV)/bin/python -m bergamotcart_testkit.fuzz
+
+mutants: $(STAMP)
+	$(VENV)/bin/python -m bergamotcart_testkit.mutants
+
+measure: $(STAMP)
+	$(VENV)/bin/python -m bergamotcart_testkit.measure $(ARGS)
+
+capacity: $(STAMP)
+	$(VENV)/bin/python -m bergamotcart_testkit.capacity $(ARGS)
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""bergamotcart_daemon."""
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control engine: replicated state, leases, failover and distribution."""
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_events.py
@@ -0,0 +1,163 @@
+"""Inputs and actions of the control engine."""
+
+import enum
+from dataclasses import dataclass
+
+from bergamotcart import messages
+from bergamotcart.actions import Decision, MessageReceived, Send
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HardState:
+    """Durable scalar state of the replicated log.
+
+    :param incarnation: random identity of the data folder.
+    :param voted_for: member that got this member's vote in ``term``.
+    """
+
+    incarnation: str
+    term: int = 0
+    voted_for: str | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """Control state up to a log index."""
+
+    last_index: int
+    last_term: int
+    members: tuple[messages.LogMember, ...]
+    state: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DurableState:
+    """All that the data folder holds, as loaded at start."""
+
+    hard: HardState
+    snapshot: Snapshot | None
+    records: tuple[messages.LogEntry, ...]
+
+
+# Inputs
+
+
+@dataclass(frozen=True, slots=True)
+class Persisted:
+    """The batch with this identifier, and all before it, are synced to disk."""
+
+    batch_id: int
+
+
+@enum.unique
+class OrderKind(enum.StrEnum):
+    """Orders to the administration address of a target."""
+
+    status = 'status'
+    stop_following = 'stop_following'
+    promote = 'promote'
+    follow = 'follow'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceStatus:
+    """Answer of an instance to any order.
+
+    :param accepted: false when the instance has seen a newer term.
+    """
+
+    group: str
+    instance: str
+    role: messages.TargetRole
+    term: int
+    log_term: int
+    position: int
+    following: str | None
+    accepted: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class OrderFinished:
+    """An order was answered, or failed when ``status`` is ``None``."""
+
+    order_id: int
+    status: InstanceStatus | None
+
+
+@enum.unique
+class OperatorCommand(enum.StrEnum):
+    """What an operator asks."""
+
+    get_document = 'get_document'
+    change = 'change'
+    history = 'history'
+    status = 'status'
+    members = 'members'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorRequest:
+    """An operator's request, with its decoded JSON body.
+
+    :param token: bearer token, or empty.
+    """
+
+    request_id: int
+    command: OperatorCommand
+    token: str
+    body: dict[str, object]
+
+
+ControlInput = MessageReceived | Persisted | OrderFinished | OperatorRequest
+
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Persist:
+    """Write and sync a batch, in order, then answer with ``Persisted``.
+
+    :param hard: new hard state, if it changed.
+    :param snapshot: new snapshot, if any; records up to its index may be deleted.
+    :param truncate_from: delete records from this index on before appending.
+    """
+
+    batch_id: int
+    hard: HardState | None = None
+    snapshot: Snapshot | None = None
+    truncate_from: int | None = None
+    records: tuple[messages.LogEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """Send an order to a target's administration address.
+
+    :param primary: instance to follow, with its addresses, for ``follow``.
+    """
+
+    order_id: int
+    kind: OrderKind
+    group: str
+    instance: str
+    admin_address: str
+    term: int
+    primary: str | None = None
+    primary_address: str | None = None
+    primary_admin_address: str | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorReply:
+    """Answer to an operator.
+
+    :param status: HTTP status; 421 means that ``leader_address`` must be asked instead.
+    """
+
+    request_id: int
+    status: int
+    body: dict[str, object]
+
+
+ControlAction = Send | Persist | Order | OperatorReply | Decision
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry engine: sessions, requests, leases held and transactions."""
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_actions.py
@@ -0,0 +1,75 @@
+"""Actions of the entry engine."""
+
+from dataclasses import dataclass
+
+from bergamotcart.actions import Decision, Send
+from bergamotcart.discovery import Position, TargetKey
+from bergamotcart.entry._execution import ConnectionUse, LedgerKey, Step
+from bergamotcart.outcomes import Outcome
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Execute:
+    """Run the steps in order on one connection to a target.
+
+    The adapter stops at the first failing step. If ``ledger_insert`` fails because
+    the row exists, it rolls back, reads the row and reports ``duplicate``.
+
+    :param timeout_s: seconds until the adapter closes the connection and reports ``lost``.
+    """
+
+    execution_id: int
+    request_id: int
+    session_id: int
+    target: TargetKey
+    address: str
+    steps: tuple[Step, ...]
+    use: ConnectionUse
+    timeout_s: float
+    ledger: LedgerKey | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer a caller; exactly one per request."""
+
+    request_id: int
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Probe:
+    """Ask a target for its position on the connection kept for probes.
+
+    :param wait_for: if set, the target may delay its answer until it has this position.
+    :param timeout_s: seconds until the probe counts as silent.
+    """
+
+    target: TargetKey
+    address: str
+    wait_for: Position | None
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReleasePin:
+    """Close the connection pinned for a session."""
+
+    session_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class LimitConnections:
+    """Keep at most ``limit`` connections to a target, without the one for probes."""
+
+    target: TargetKey
+    address: str
+    limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class Drained:
+    """No request and no transaction is left; the process may exit."""
+
+
+EntryAction = Send | Execute | Reply | Probe | ReleasePin | LimitConnections | Drained | Decision
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/messages/_envelope.py
@@ -0,0 +1,44 @@
+"""The envelope around each message."""
+
+import msgspec
+
+from bergamotcart.messages import _consensus as consensus
+from bergamotcart.messages import _control as control
+from bergamotcart.messages import _discovery as discovery
+
+Body = (
+    consensus.PreVoteRequest
+    | consensus.PreVoteResponse
+    | consensus.VoteRequest
+    | consensus.VoteResponse
+    | consensus.AppendRequest
+    | consensus.AppendResponse
+    | consensus.SnapshotRequest
+    | consensus.SnapshotResponse
+    | control.LeaseRequest
+    | control.LeaseGrant
+    | control.LeaseRefusal
+    | control.StateUpdate
+    | control.StateAck
+    | discovery.RelayPull
+    | discovery.RelayBatch
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+    """A message with its sender and receiver.
+
+    :param domain: control domain; a message of another domain is dropped.
+    :param sender: name of the sending process.
+    :param incarnation: identity of the sender's start, or of its data folder.
+    :param sender_address: where the sender listens, so that a process can answer a
+        peer that is not in its settings.
+    """
+
+    version: int
+    domain: str
+    sender: str
+    incarnation: str
+    sender_address: str
+    recipient: str
+    body: Body
