--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_config.py
@@ -0,0 +1,68 @@
+"""Configuration, outbox and status of the entry engine."""
+
+import enum
+from dataclasses import dataclass, field
+
+from bergamotcart.entry._actions import EntryAction
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryConfig:
+    """What an entry engine is told at start.
+
+    :param control_members: name and inter-process address of the initial control members.
+    :param session_key: secret that authenticates session tokens.
+    :param silence_timeout_s: seconds until a silent target counts as unreachable.
+    :param drift_margin: share by which clocks may run at different speeds.
+    :param target_expiry_s: age in seconds from which an announcement counts no more.
+    :param seed: seed of the engine's random numbers.
+    """
+
+    name: str
+    incarnation: str
+    availability_zone: str
+    address: str
+    control_members: tuple[tuple[str, str], ...]
+    session_key: bytes
+    silence_timeout_s: float = 0.8
+    drift_margin: float = 0.02
+    target_expiry_s: float = 3.0
+    statement_timeout_s: float = 30.0
+    seed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryOutbox:
+    """Result of a step.
+
+    :param next_tick: time in seconds at which the next step is due without any input.
+    """
+
+    actions: tuple[EntryAction, ...] = ()
+    next_tick: float = 0.0
+
+
+@enum.unique
+class EntryHealth(enum.StrEnum):
+    """State that the platform's balancer asks for."""
+
+    serving = 'serving'
+    draining = 'draining'
+    not_ready = 'not_ready'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryStatus:
+    """Figures for health checks and metrics.
+
+    :param lease_left_s: seconds until the lease ends; 0 without a lease.
+    :param revision: revision of the operator document in force, or 0.
+    """
+
+    health: EntryHealth
+    lease_left_s: float
+    applied_index: int
+    revision: int
+    sessions: int
+    requests: int
+    groups: dict[str, str] = field(default_factory=dict)
