Add the operator document: typed sections, checks and change rules

A faulty field is named by its path, and of two changes from one version the second gets the current version and a diff, so that teams do not overwrite each other.

--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/documents/_changes.py
@@ -0,0 +1,153 @@
+"""Evaluation of a change to one section of the operator document."""
+
+import difflib
+import hashlib
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from bergamotcart.documents._document import Document, DocumentError, Problem
+from bergamotcart.documents._schema import SectionKind
+from bergamotcart.messages import SectionRow
+
+OWNERS_SECTION = 'owners'
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An operator's change of one section.
+
+    :param base_version: version that the operator changed; 0 creates the section.
+    :param change_id: identifier that makes a resent change idempotent.
+    :param body: new YAML text; empty removes the section.
+    """
+
+    section: str
+    kind: str
+    base_version: int
+    change_id: str
+    body: str
+    dry_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is valid; ``version`` is the version it creates, ``diff`` what it changes."""
+
+    version: int
+    diff: str
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Another change came first; ``diff`` leads from the current body to the one sent."""
+
+    current_version: int
+    current_body: str
+    diff: str
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """The document would be faulty after the change."""
+
+    problems: tuple[Problem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Forbidden:
+    """The token does not own the section."""
+
+    section: str
+
+
+ChangeOutcome = Accepted | Conflict | Invalid | Forbidden
+
+
+def hash_token(token: str) -> str:
+    """Return the SHA-256 of a token, in hexadecimal."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def evaluate_change(
+    sections: Mapping[str, SectionRow],
+    change: Change,
+    token: str,
+    admin_token: str,
+) -> ChangeOutcome:
+    """Decide whether a change may be committed; used before and at commit.
+
+    :param sections: current rows by name.
+    :param change: the change.
+    :param token: token of the operator.
+    :param admin_token: token of the administrator, who owns every section.
+    :returns: the outcome; nothing is modified.
+    """
+    if not _may_change(sections, change.section, token, admin_token):
+        return Forbidden(change.section)
+    shape_problems = _check_shape(sections, change)
+    if shape_problems:
+        return Invalid(shape_problems)
+    current = sections.get(change.section)
+    version = current.version if current else 0
+    body = current.body if current else ''
+    diff = _diff(body, change.body, change.section)
+    if change.base_version != version:
+        return Conflict(version, body, diff)
+    try:
+        Document.from_sections(_apply(sections, change), revision=0)
+    except DocumentError as error:
+        return Invalid(error.problems)
+    return Accepted(version + 1, diff)
+
+
+def _may_change(
+    sections: Mapping[str, SectionRow],
+    section: str,
+    token: str,
+    admin_token: str,
+) -> bool:
+    if hmac.compare_digest(token.encode(), admin_token.encode()):
+        return True
+    if section == OWNERS_SECTION:
+        return False
+    owner_rows = [row for row in sections.values() if row.kind == SectionKind.owners]
+    expected = Document.from_sections(owner_rows, revision=0).owner_hashes.get(section)
+    return expected is not None and hmac.compare_digest(expected, hash_token(token))
+
+
+def _check_shape(sections: Mapping[str, SectionRow], change: Change) -> tuple[Problem, ...]:
+    path = f'sections.{change.section}'
+    current = sections.get(change.section)
+    if not change.change_id:
+        return (Problem(f'{path}.change_id', 'must not be empty'),)
+    if current and current.kind != change.kind:
+        return (Problem(f'{path}.kind', f'is {current.kind!r} and cannot change'),)
+    if (change.section == OWNERS_SECTION) != (change.kind == SectionKind.owners):
+        return (Problem(f'{path}.kind', 'only the section "owners" has the kind "owners"'),)
+    return ()
+
+
+def _apply(sections: Mapping[str, SectionRow], change: Change) -> list[SectionRow]:
+    kept = [row for name, row in sections.items() if name != change.section]
+    if not change.body:
+        return kept
+    row = SectionRow(
+        name=change.section,
+        kind=change.kind,
+        version=change.base_version + 1,
+        body=change.body,
+    )
+    return [*kept, row]
+
+
+def _diff(old: str, new: str, section: str) -> str:
+    lines = difflib.unified_diff(
+        old.splitlines(),
+        new.splitlines(),
+        fromfile=f'{section} (current)',
+        tofile=f'{section} (sent)',
+        lineterm='',
+    )
+    return '\n'.join(lines)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/documents/_document.py
@@ -0,0 +1,165 @@
+"""A complete, checked operator document."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+import yaml
+
+from bergamotcart.documents import _schema as schema
+from bergamotcart.messages import SectionRow
+
+_DEFAULT_POLICY: Final = schema.Policy()
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One fault in a document.
+
+    :param path: place of the fault, such as ``sections.app.policies[0].max_age_s``.
+    """
+
+    path: str
+    message: str
+
+
+class DocumentError(ValueError):
+    """The document has faults; ``problems`` lists them."""
+
+    def __init__(self, problems: tuple[Problem, ...]) -> None:
+        """Keep the problems found."""
+        super().__init__('; '.join(f'{fault.path}: {fault.message}' for fault in problems))
+        self.problems = problems
+
+
+class Document:
+    """The sections in force, resolved for look-ups.
+
+    :param revision: log index of the last change.
+    """
+
+    __slots__ = ('_groups', '_operations', '_owners', '_policies', 'revision')
+
+    def __init__(self, bodies: dict[str, schema.SectionBody], revision: int) -> None:
+        """Index the bodies by what they hold.
+
+        :raises DocumentError: if sections contradict each other.
+        """
+        self._groups: dict[str, schema.GroupSettings] = {}
+        self._policies: list[schema.Policy] = []
+        self._operations: list[schema.OperationsBody] = []
+        self._owners: dict[str, str] = {}
+        self.revision = revision
+        problems = [problem for name in sorted(bodies) for problem in self._add(name, bodies[name])]
+        problems.extend(self._check_references(bodies))
+        if problems:
+            raise DocumentError(tuple(problems))
+
+    @classmethod
+    def from_sections(cls, sections: Iterable[SectionRow], revision: int) -> 'Document':
+        """Parse and check all sections.
+
+        :param sections: committed rows of the document.
+        :param revision: log index of the last change.
+        :raises DocumentError: if a section is malformed or sections contradict each other.
+        """
+        bodies = {row.name: parse_section(row.name, row.kind, row.body) for row in sections}
+        return cls(bodies, revision)
+
+    @property
+    def groups(self) -> dict[str, schema.GroupSettings]:
+        """All groups by name."""
+        return dict(self._groups)
+
+    @property
+    def owner_hashes(self) -> dict[str, str]:
+        """SHA-256 of the token of each owned section."""
+        return dict(self._owners)
+
+    def group(self, name: str) -> schema.GroupSettings | None:
+        """Return the settings of a group, or ``None`` if the document has no such group."""
+        return self._groups.get(name)
+
+    def policy(self, caller: str, group: str) -> schema.Policy:
+        """Return the first policy that covers a caller and a group, or the safe default."""
+        for policy in self._policies:
+            if policy.matches(caller, group):
+                return policy
+        return _DEFAULT_POLICY
+
+    def is_failover_paused(self, group: str) -> bool:
+        """Tell whether the on-call team has paused the replacement of a group's primary."""
+        return any(group in body.pause_failover for body in self._operations)
+
+    def is_read_only(self, group: str) -> bool:
+        """Tell whether the on-call team has stopped writes to a group."""
+        return any(group in body.read_only for body in self._operations)
+
+    def _add(self, name: str, body: schema.SectionBody) -> list[Problem]:
+        if isinstance(body, schema.GroupsBody):
+            return self._add_groups(name, body)
+        if isinstance(body, schema.PoliciesBody):
+            self._policies.extend(body.policies)
+        elif isinstance(body, schema.OperationsBody):
+            self._operations.append(body)
+        else:
+            self._owners.update(body.sections)
+        return []
+
+    def _add_groups(self, name: str, body: schema.GroupsBody) -> list[Problem]:
+        problems = [
+            Problem(f'sections.{name}.groups.{group}', 'another section defines this group')
+            for group in body.groups
+            if group in self._groups
+        ]
+        self._groups.update(body.groups)
+        return problems
+
+    def _check_references(self, bodies: dict[str, schema.SectionBody]) -> list[Problem]:
+        problems: list[Problem] = []
+        for name, body in sorted(bodies.items()):
+            problems.extend(
+                Problem(f'sections.{name}.{path}', f'no section defines the group {group!r}')
+                for path, group in _references(body)
+                if group not in self._groups
+            )
+        return problems
+
+
+def parse_section(name: str, kind: str, body: str) -> schema.SectionBody:
+    """Parse the YAML text of one section.
+
+    :param name: name of the section, used in the paths of faults.
+    :param kind: value of ``SectionKind``.
+    :param body: YAML text.
+    :returns: the typed body.
+    :raises DocumentError: naming the path of the fault.
+    """
+    prefix = f'sections.{name}'
+    try:
+        body_type = schema.BODY_TYPES[schema.SectionKind(kind)]
+    except ValueError as error:
+        raise DocumentError((Problem(prefix, f'unknown kind {kind!r}'),)) from error
+    try:
+        return msgspec.convert(yaml.safe_load(body), body_type)
+    except yaml.YAMLError as error:
+        raise DocumentError((Problem(prefix, f'malformed YAML: {error}'),)) from error
+    except msgspec.ValidationError as error:
+        message, _, path = str(error).partition(' - at `$')
+        suffix = path.rstrip('`')
+        raise DocumentError((Problem(f'{prefix}{suffix}', message),)) from error
+
+
+def _references(body: schema.SectionBody) -> list[tuple[str, str]]:
+    if isinstance(body, schema.PoliciesBody):
+        return [
+            (f'policies[{index}].groups', group)
+            for index, policy in enumerate(body.policies)
+            for group in policy.groups
+            if group != schema.ANY
+        ]
+    if isinstance(body, schema.OperationsBody):
+        paused = [('pause_failover', group) for group in body.pause_failover]
+        return paused + [('read_only', group) for group in body.read_only]
+    return []
