--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
@@ -0,0 +1,230 @@
+"""What a leader does: replication, commit, check-quorum and membership changes."""
+
+from bergamotcart import messages
+from bergamotcart.consensus._config import Role
+from bergamotcart.consensus._core import Core
+from bergamotcart.consensus._membership import (
+    Members,
+    check_change,
+    identity,
+    is_majority,
+    member_id,
+)
+from bergamotcart.consensus._progress import Progress
+
+
+class Leadership:
+    """One term as leader; a new object is made for each term won."""
+
+    __slots__ = ('_core', '_first_index', '_heartbeat_at', '_peers', '_started_at')
+
+    def __init__(self, core: Core, members: Members) -> None:
+        """Take office: append the empty record of the term, and tell the others.
+
+        :param core: state of this member.
+        :param members: membership; recorded in the first record if the log has none.
+        """
+        self._core = core
+        self._peers: dict[str, Progress] = {}
+        self._started_at = core.now
+        self._first_index = core.log.last_index + 1
+        self._append(members=None if core.is_formed else members)
+        self.send_heartbeats()
+
+    @property
+    def heartbeat_at(self) -> float:
+        """Time of the next heartbeat, in seconds."""
+        return self._heartbeat_at
+
+    def has_quorum(self, now: float) -> bool:
+        """Whether a majority of voters answered an append sent within the lease time.
+
+        The window is also shorter than the time for which a voter that answered gives no
+        vote to others, so no other leader can be elected while this holds.
+
+        :param now: current time in seconds.
+        :returns: whether this leader may serve reads and grant leases.
+        """
+        config = self._core.config
+        sticky_s = config.election_timeout_s[0] * (1 - config.drift_margin)
+        since = now - min(config.lease_s, sticky_s)
+        return is_majority(self._answered_since(since), self._core.voters)
+
+    def has_lost_quorum(self, now: float) -> bool:
+        """Whether no majority has answered for the greatest election timeout."""
+        since = now - self._core.config.election_timeout_s[1]
+        return self._started_at < since and not is_majority(
+            self._answered_since(since), self._core.voters
+        )
+
+    def propose(self, command: bytes) -> int:
+        """Append a command.
+
+        :param command: encoded command.
+        :returns: the index of its record.
+        """
+        return self._append(command=command)
+
+    def propose_members(self, members: Members) -> int | None:
+        """Append a membership record, if the former change and this term are committed.
+
+        :param members: complete new membership.
+        :returns: the index of the record, or ``None`` if it is refused.
+        """
+        core = self._core
+        settled = core.commit_index >= max(self._first_index, core.log.members_index)
+        if not settled or check_change(core.members, members):
+            return None
+        if any(not self._may_get_vote(member) for member in members):
+            return None
+        return self._append(members=members)
+
+    def is_caught_up(self, member: messages.LogMember) -> bool:
+        """Whether a member answers and has synced all committed records."""
+        peer = self._peers.get(member_id(member))
+        if peer is None:
+            return False
+        return peer.match_index >= self._core.commit_index and self.answers(member)
+
+    def answers(self, member: messages.LogMember) -> bool:
+        """Whether a member answered an append sent within the greatest election timeout."""
+        peer = self._peers.get(member_id(member))
+        since = self._core.now - self._core.config.election_timeout_s[1]
+        return peer is not None and peer.answered_sent_at >= since
+
+    def send_heartbeats(self) -> None:
+        """Send an append to every other member."""
+        self._heartbeat_at = self._core.now + self._core.config.heartbeat_s
+        for peer in self._peers.values():
+            self._send_append(peer)
+
+    def send_new_records(self) -> None:
+        """Send the records that a member is not known to have been sent."""
+        for peer in self._peers.values():
+            if not peer.probing and peer.next_index <= self._core.log.last_index:
+                self._send_append(peer)
+
+    def on_append_response(self, envelope: messages.Envelope) -> None:
+        """Note how far a member has got."""
+        response = envelope.body
+        peer = self._find_peer(envelope, response.term)
+        if peer is None:
+            return
+        peer.answered(response.echo_sent_at)
+        if response.success:
+            peer.matched(response.match_index)
+            self.advance_commit()
+        elif peer.refused(response.match_index):
+            self._send_append(peer)
+
+    def on_snapshot_response(self, envelope: messages.Envelope) -> None:
+        """Continue or end the transfer of a snapshot."""
+        response = envelope.body
+        peer = self._find_peer(envelope, response.term)
+        if peer is None:
+            return
+        peer.answered(response.echo_sent_at)
+        if response.installed:
+            peer.matched(response.last_index)
+            peer.snapshot_index = 0
+            self.advance_commit()
+        elif response.last_index == peer.snapshot_index:
+            progressed = response.received_bytes > peer.snapshot_offset
+            peer.snapshot_offset = response.received_bytes
+            if progressed:
+                self._send_append(peer)
+
+    def advance_commit(self) -> None:
+        """Commit what a majority of voters has synced, if it is of this term."""
+        core = self._core
+        voters = core.voters
+        matches = {key: peer.match_index for key, peer in self._peers.items()}
+        matches[core.my_id] = core.outbox.durable_index
+        reached = sorted(matches.get(voter, 0) for voter in voters)
+        index = reached[(len(voters) - 1) // 2]
+        if index > core.commit_index and core.log.term_at(index) == core.hard.term:
+            core.commit_index = index
+            self._leave_if_removed()
+
+    def _append(self, command: bytes = b'', members: Members | None = None) -> int:
+        core = self._core
+        entry = messages.LogEntry(
+            index=core.log.last_index + 1,
+            term=core.hard.term,
+            command=command,
+            members=members,
+        )
+        core.append((entry,))
+        if members is not None or not self._peers:
+            self._update_peers()
+        return entry.index
+
+    def _update_peers(self) -> None:
+        core = self._core
+        self._peers = {
+            member_id(member): self._peers.get(member_id(member))
+            or Progress(name=member.name, next_index=core.log.last_index)
+            for member in core.members
+            if member_id(member) != core.my_id
+        }
+
+    def _may_get_vote(self, member: messages.LogMember) -> bool:
+        is_new = member.voter and member_id(member) not in self._core.voters
+        return not is_new or self.is_caught_up(member)
+
+    def _leave_if_removed(self) -> None:
+        core = self._core
+        if core.commit_index >= core.log.members_index and not core.is_voter:
+            core.change_role(Role.follower, None, 'removed from the voters')
+
+    def _answered_since(self, since: float) -> list[str]:
+        answered = [key for key, peer in self._peers.items() if peer.answered_sent_at >= since]
+        return [*answered, self._core.my_id]
+
+    def _find_peer(self, envelope: messages.Envelope, term: int) -> Progress | None:
+        peer = self._peers.get(identity(envelope.sender, envelope.incarnation))
+        if peer and term > self._core.hard.term:
+            self._core.enter_term(term, 'answer of a newer term')
+            return None
+        return peer if term == self._core.hard.term else None
+
+    def _send_append(self, peer: Progress) -> None:
+        core = self._core
+        previous = peer.next_index - 1
+        previous_term = core.log.term_at(previous)
+        if previous_term is None:
+            self._send_snapshot(peer)
+            return
+        records = core.log.read_part(peer.next_index, core.config.part_bytes)
+        if not peer.probing:
+            peer.next_index += len(records)
+        request = messages.AppendRequest(
+            term=core.hard.term,
+            previous_index=previous,
+            previous_term=previous_term,
+            commit_index=core.commit_index,
+            sent_at=core.now,
+            records=records,
+        )
+        core.send(peer.name, request)
+
+    def _send_snapshot(self, peer: Progress) -> None:
+        core = self._core
+        snapshot = core.snapshot
+        if snapshot is None:
+            return
+        if peer.snapshot_index != snapshot.last_index:
+            peer.snapshot_index = snapshot.last_index
+            peer.snapshot_offset = 0
+        end = peer.snapshot_offset + core.config.part_bytes
+        request = messages.SnapshotRequest(
+            term=core.hard.term,
+            last_index=snapshot.last_index,
+            last_term=snapshot.last_term,
+            members=snapshot.members,
+            state=snapshot.state[peer.snapshot_offset : end],
+            offset=peer.snapshot_offset,
+            total_bytes=len(snapshot.state),
+            sent_at=core.now,
+        )
+        core.send(peer.name, request)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_log.py
@@ -0,0 +1,122 @@
+"""The replicated log in memory."""
+
+from collections.abc import Sequence
+
+from bergamotcart import messages
+from bergamotcart.consensus._durable import DurableState
+
+
+class Log:
+    """Records behind a base position; the base itself is known by index and term only."""
+
+    __slots__ = ('_base_index', '_base_members', '_base_term', '_records')
+
+    def __init__(self, durable: DurableState) -> None:
+        """Load the records that follow the snapshot.
+
+        :param durable: content of the data folder.
+        """
+        snapshot = durable.snapshot
+        self._base_index = snapshot.last_index if snapshot else 0
+        self._base_term = snapshot.last_term if snapshot else 0
+        self._base_members = snapshot.members if snapshot else ()
+        self._records = [entry for entry in durable.records if entry.index > self._base_index]
+
+    @property
+    def base_index(self) -> int:
+        """Index up to which records are compacted away."""
+        return self._base_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest record."""
+        return self._base_index + len(self._records)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the newest record."""
+        return self._records[-1].term if self._records else self._base_term
+
+    @property
+    def members(self) -> tuple[messages.LogMember, ...]:
+        """Newest membership, committed or not; empty if the log knows none."""
+        return self.members_at(self.last_index)
+
+    @property
+    def members_index(self) -> int:
+        """Index of the newest membership record, or the base."""
+        for entry in reversed(self._records):
+            if entry.members is not None:
+                return entry.index
+        return self._base_index
+
+    def members_at(self, index: int) -> tuple[messages.LogMember, ...]:
+        """Membership in force at an index.
+
+        :param index: not before the base.
+        :returns: the members.
+        """
+        for entry in reversed(self._records[: index - self._base_index]):
+            if entry.members is not None:
+                return entry.members
+        return self._base_members
+
+    def term_at(self, index: int) -> int | None:
+        """Term of the record at an index.
+
+        :param index: any index.
+        :returns: the term, or ``None`` if the record is absent or compacted away.
+        """
+        if index == self._base_index:
+            return self._base_term
+        if self._base_index < index <= self.last_index:
+            return self._records[index - self._base_index - 1].term
+        return None
+
+    def read(self, first: int, last: int) -> tuple[messages.LogEntry, ...]:
+        """Records from ``first`` to ``last``, both included and after the base."""
+        start = first - self._base_index - 1
+        return tuple(self._records[start : last - self._base_index])
+
+    def read_part(self, first: int, size_bytes: int) -> tuple[messages.LogEntry, ...]:
+        """Read at least one record, and further ones while their commands fit.
+
+        :param first: index of the first record, after the base.
+        :param size_bytes: limit on the commands, in bytes.
+        :returns: the records; empty only if there is none at ``first``.
+        """
+        part: list[messages.LogEntry] = []
+        left = size_bytes
+        for entry in self._records[first - self._base_index - 1 :]:
+            left -= len(entry.command)
+            if part and left < 0:
+                break
+            part.append(entry)
+        return tuple(part)
+
+    def append(self, records: Sequence[messages.LogEntry]) -> None:
+        """Append records that continue the log."""
+        self._records.extend(records)
+
+    def truncate(self, first: int) -> None:
+        """Delete the records from ``first`` on."""
+        self._records = self._records[: first - self._base_index - 1]
+
+    def compact(self, index: int) -> None:
+        """Move the base forward to a record of the log."""
+        if index <= self._base_index:
+            return
+        members = self.members_at(index)
+        term = self.term_at(index)
+        if term is None:
+            raise ValueError(f'no record at index {index} to compact to')
+        kept = self._records[index - self._base_index :]
+        self.reset(index, term, members)
+        self._records = kept
+
+    def reset(self, index: int, term: int, members: tuple[messages.LogMember, ...]) -> None:
+        """Replace the whole log by a base."""
+        self._records = []
+        self._base_index = index
+        self._base_term = term
+        self._base_members = members
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -0,0 +1,260 @@
+"""A member of the replicated log, driven by its caller."""
+
+from bergamotcart import messages
+from bergamotcart.consensus._config import ConsensusConfig, ConsensusOutputs, Role
+from bergamotcart.consensus._core import Core
+from bergamotcart.consensus._durable import DurableState, Snapshot
+from bergamotcart.consensus._election import Election
+from bergamotcart.consensus._following import Following
+from bergamotcart.consensus._joining import Joining
+from bergamotcart.consensus._leadership import Leadership
+from bergamotcart.consensus._membership import Members
+
+# A record must fit into one message (1 MiB) together with its envelope.
+MAX_COMMAND_BYTES = 768 * 1024
+
+
+class ConsensusNode:
+    """One member of the replicated log; call ``take_outputs`` after driving it."""
+
+    __slots__ = ('_core', '_election', '_following', '_handlers', '_joining', '_leadership')
+
+    def __init__(self, now: float, config: ConsensusConfig, durable: DurableState) -> None:
+        """Resume from the durable state; its snapshot, if any, is the first output.
+
+        :param now: current time in seconds, monotonic.
+        :param config: configuration.
+        :param durable: content of the data folder.
+        """
+        self._core = Core(now, config, durable)
+        self._election = Election(self._core)
+        self._following = Following(self._core)
+        self._joining = Joining(self._core)
+        self._leadership: Leadership | None = None
+        self._handlers = {
+            messages.PreVoteRequest: self._election.on_pre_vote_request,
+            messages.PreVoteResponse: self._election.on_pre_vote_response,
+            messages.VoteRequest: self._election.on_vote_request,
+            messages.VoteResponse: self._election.on_vote_response,
+            messages.AppendRequest: self._following.on_append_request,
+            messages.SnapshotRequest: self._following.on_snapshot_request,
+            messages.JoinRequest: self._joining.on_join_request,
+            messages.JoinResponse: self._joining.on_join_response,
+        }
+
+    @property
+    def role(self) -> Role:
+        """Role in the current term."""
+        return self._core.role
+
+    @property
+    def leader(self) -> str | None:
+        """Name of the leader that this member knows."""
+        return self._core.leader
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self._core.hard.term
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the data folder; the sender's incarnation of all messages."""
+        return self._core.hard.incarnation
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the newest record known to be committed."""
+        return self._core.commit_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest record in the log."""
+        return self._core.log.last_index
+
+    @property
+    def members(self) -> Members:
+        """Membership in force; empty before the group is formed."""
+        return self._core.members
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this member has a vote."""
+        return self._core.is_voter
+
+    @property
+    def newcomers(self) -> Members:
+        """As leader: members outside the membership that ask to be admitted."""
+        return self._joining.newcomers if self._leadership else ()
+
+    @property
+    def next_tick(self) -> float:
+        """Time in seconds at which ``tick`` is due without any input."""
+        if self._leadership:
+            return self._leadership.heartbeat_at
+        return self._core.election_at
+
+    def has_quorum(self, now: float) -> bool:
+        """Whether this member leads and a majority of voters answered it recently.
+
+        :param now: current time in seconds.
+        :returns: whether it may serve reads and grant leases.
+        """
+        return self._leadership is not None and self._leadership.has_quorum(now)
+
+    def receive(self, now: float, envelope: messages.Envelope) -> None:
+        """Handle a message; one that is not for the log or not for this member is ignored.
+
+        :param now: current time in seconds.
+        :param envelope: the message, of this control domain.
+        """
+        self._core.now = now
+        name = self._core.config.name
+        if envelope.recipient != name or envelope.sender == name:
+            return
+        handler = self._find_handler(envelope.body)
+        if handler:
+            self._core.learn_address(envelope)
+            handler(envelope)
+            self._settle()
+
+    def tick(self, now: float) -> None:
+        """Send heartbeats, or stand for election, when it is time.
+
+        :param now: current time in seconds.
+        """
+        core = self._core
+        core.now = now
+        if self._leadership:
+            if self._leadership.has_lost_quorum(now):
+                core.change_role(Role.follower, None, 'no majority answers')
+                core.restart_election_timer()
+            elif now >= self._leadership.heartbeat_at:
+                self._leadership.send_heartbeats()
+        elif now >= core.election_at:
+            self._election.start()
+            self._joining.announce()
+        self._settle()
+
+    def propose(self, now: float, command: bytes) -> int | None:
+        """Append a command to the log, as leader.
+
+        :param now: current time in seconds.
+        :param command: encoded command, not empty.
+        :returns: index of its record, which may still be lost until it is committed;
+            ``None`` if this member does not lead.
+        :raises ValueError: if the command does not fit into a message.
+        """
+        if len(command) > MAX_COMMAND_BYTES:
+            raise ValueError(f'command of {len(command)} bytes exceeds {MAX_COMMAND_BYTES}')
+        self._core.now = now
+        if self._leadership is None:
+            return None
+        return self._leadership.propose(command)
+
+    def propose_members(self, now: float, members: Members) -> int | None:
+        """Propose a complete membership, as leader.
+
+        At most one voter may be added or removed at a time, and a new voter must have
+        caught up as a non-voter.
+
+        :param now: current time in seconds.
+        :param members: all members.
+        :returns: index of the record; ``None`` if this member does not lead, the change is
+            not allowed, or the change before it is not yet committed.
+        """
+        self._core.now = now
+        if self._leadership is None:
+            return None
+        return self._leadership.propose_members(members)
+
+    def find_readmission(self, now: float) -> Members | None:
+        """Next membership that gives a member its vote back, to be proposed by the caller.
+
+        A newcomer first replaces the silent member of its name as a non-voter. A non-voter
+        that has caught up becomes a voter.
+
+        :param now: current time in seconds.
+        :returns: argument for ``propose_members``, or ``None``.
+        """
+        self._core.now = now
+        if self._leadership is None:
+            return None
+        return self._joining.propose_readmission(self._leadership)
+
+    def persisted(self, now: float, batch_id: int) -> None:
+        """Note that a batch and all before it are synced.
+
+        :param now: current time in seconds.
+        :param batch_id: identifier of the batch.
+        """
+        self._core.now = now
+        self._core.outbox.persisted(batch_id)
+        if self._leadership:
+            self._leadership.advance_commit()
+        self._settle()
+
+    def take_snapshot(self, state: bytes) -> int | None:
+        """Replace the records that ``take_outputs`` has returned as committed by their result.
+
+        :param state: encoded state after applying all of them.
+        :returns: index that the snapshot covers, or ``None`` if there is nothing new.
+        """
+        core = self._core
+        index = core.taken_index
+        if core.snapshot_to_load or (core.snapshot and index <= core.snapshot.last_index):
+            return None
+        term = core.log.term_at(index)
+        if index == 0 or term is None:
+            return None
+        snapshot = Snapshot(
+            last_index=index,
+            last_term=term,
+            members=core.log.members_at(index),
+            state=state,
+        )
+        core.save_snapshot(snapshot)
+        core.log.compact(index - core.config.trailing_records)
+        return index
+
+    def take_outputs(self) -> ConsensusOutputs:
+        """Return and forget everything that is to be done.
+
+        :returns: messages, batches, committed records, role changes.
+        """
+        core = self._core
+        if self._leadership:
+            self._leadership.send_new_records()
+        snapshot = core.snapshot_to_load
+        core.snapshot_to_load = None
+        role_changes = tuple(core.role_changes)
+        core.role_changes.clear()
+        return ConsensusOutputs(
+            batches=core.outbox.take_batches(core.log.last_index),
+            sends=core.outbox.take_sends(),
+            snapshot=snapshot,
+            committed=core.take_committed(),
+            role_changes=role_changes,
+        )
+
+    def _find_handler(self, body: messages.Body):
+        if self._leadership:
+            if isinstance(body, messages.AppendResponse):
+                return self._leadership.on_append_response
+            if isinstance(body, messages.SnapshotResponse):
+                return self._leadership.on_snapshot_response
+            if self._leadership.has_quorum(self._core.now):
+                self._core.heard_at = self._core.now
+        return self._handlers.get(type(body))
+
+    def _settle(self) -> None:
+        """Take or leave office after an input."""
+        core = self._core
+        if self._leadership and core.role != Role.leader:
+            self._leadership = None
+            # Only hearing another leader speaks against a vote for the next one.
+            core.heard_at = float('-inf')
+        members = self._election.take_victory()
+        if members is not None:
+            core.change_role(Role.leader, core.config.name, 'elected')
+            self._leadership = Leadership(core, members)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
@@ -0,0 +1,260 @@
+"""Members in one process with a simulated network, disks and clock, and an oracle."""
+
+import random
+from dataclasses import dataclass, field
+
+from bergamotcart import messages
+from bergamotcart.consensus import (
+    ConsensusConfig,
+    ConsensusNode,
+    DurableState,
+    HardState,
+    InitialMember,
+    Persist,
+    Role,
+)
+
+
+class Disk:
+    """Durable state, and written batches that are not yet synced."""
+
+    def __init__(self, incarnation: str) -> None:
+        """Start with an empty folder."""
+        self.state = DurableState(
+            hard=HardState(incarnation=incarnation), snapshot=None, records=()
+        )
+        self.pending: list[Persist] = []
+
+    def sync(self) -> int | None:
+        """Apply the oldest pending batch, and return its identifier."""
+        if not self.pending:
+            return None
+        batch = self.pending.pop(0)
+        snapshot = batch.snapshot or self.state.snapshot
+        records = [
+            entry
+            for entry in self.state.records
+            if batch.truncate_from is None or entry.index < batch.truncate_from
+        ]
+        base = snapshot.last_index if snapshot else 0
+        kept = [entry for entry in (*records, *batch.records) if entry.index > base]
+        for index, entry in enumerate(kept, start=base + 1):
+            assert entry.index == index, f'gap in the stored records before {entry.index}'
+        self.state = DurableState(
+            hard=batch.hard or self.state.hard, snapshot=snapshot, records=tuple(kept)
+        )
+        return batch.batch_id
+
+
+@dataclass
+class Oracle:
+    """What must hold over all members and all time."""
+
+    leaders: dict[int, str] = field(default_factory=dict)
+    committed: list[messages.LogEntry] = field(default_factory=list)
+
+    def note_leader(self, term: int, member: str) -> None:
+        """At most one leader per term."""
+        known = self.leaders.setdefault(term, member)
+        assert known == member, f'two leaders in term {term}: {known} and {member}'
+
+    def note_committed(self, entry: messages.LogEntry) -> None:
+        """Every member commits the same record at an index, without gaps."""
+        assert entry.index <= len(self.committed) + 1, f'gap before index {entry.index}'
+        if entry.index == len(self.committed) + 1:
+            self.committed.append(entry)
+        known = self.committed[entry.index - 1]
+        assert known == entry, f'committed record {entry.index} changed: {known} to {entry}'
+
+    def encode(self, index: int) -> bytes:
+        """State after applying the committed records up to an index."""
+        return b','.join(entry.command for entry in self.committed[:index])
+
+
+class Server:
+    """One member with its disk; ``node`` is ``None`` while it is down."""
+
+    def __init__(self, cluster: 'Cluster', name: str) -> None:
+        """Start with an empty folder and not running."""
+        self.cluster = cluster
+        self.name = name
+        self.folders = 0
+        self.disk = self.empty_disk()
+        self.node: ConsensusNode | None = None
+        self.applied = 0
+        self.auto_sync = True
+
+    def empty_disk(self) -> Disk:
+        """Give the server an empty folder with a new incarnation."""
+        self.folders += 1
+        self.disk = Disk(f'{self.name}{self.folders}')
+        return self.disk
+
+    def start(self) -> None:
+        """Start the process on what is synced."""
+        self.disk.pending.clear()
+        self.applied = 0
+        self.node = ConsensusNode(
+            self.cluster.now, self.cluster.make_config(self.name), self.disk.state
+        )
+        self.drain()
+
+    def stop(self) -> None:
+        """Lose everything that is not synced."""
+        self.node = None
+        self.disk.pending.clear()
+
+    def sync(self) -> None:
+        """Sync one batch."""
+        batch_id = self.disk.sync()
+        if batch_id is not None and self.node:
+            self.node.persisted(self.cluster.now, batch_id)
+            self.drain()
+
+    def snapshot(self) -> None:
+        """Compact the log."""
+        if self.node and self.node.take_snapshot(self.cluster.oracle.encode(self.applied)):
+            self.drain()
+
+    def drain(self) -> None:
+        """Carry out the outputs."""
+        outputs = self.node.take_outputs()
+        self.disk.pending.extend(outputs.batches)
+        for change in outputs.role_changes:
+            if change.role == Role.leader:
+                member = f'{self.name}/{self.node.incarnation}'
+                self.cluster.oracle.note_leader(change.term, member)
+        if outputs.snapshot:
+            self.applied = outputs.snapshot.last_index
+            assert outputs.snapshot.state == self.cluster.oracle.encode(self.applied)
+        for entry in outputs.committed:
+            assert entry.index == self.applied + 1, 'records are applied without gaps'
+            self.applied = entry.index
+            self.cluster.oracle.note_committed(entry)
+        for send in outputs.sends:
+            self.cluster.post(self, send)
+        if self.auto_sync and self.disk.pending:
+            self.sync()
+
+
+class Cluster:
+    """Servers, the messages between them, and the clock."""
+
+    def __init__(self, names: str = 'abc', seed: int = 0, **settings: object) -> None:
+        """Create servers with empty folders; none runs yet."""
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.settings = settings
+        self.initial = names
+        self.oracle = Oracle()
+        self.mail: list[messages.Envelope] = []
+        self.cut: set[str] = set()
+        self.servers = {name: Server(self, name) for name in names}
+
+    def make_config(self, name: str) -> ConsensusConfig:
+        """Configuration of one member."""
+        initial = tuple(
+            InitialMember(name=member, address=f'addr-{member}', availability_zone='zone')
+            for member in self.initial
+        )
+        return ConsensusConfig(
+            name=name,
+            address=f'addr-{name}',
+            availability_zone='zone',
+            initial_members=initial,
+            **self.settings,
+        )
+
+    def add_server(self, name: str) -> Server:
+        """Create a server that is not an initial member."""
+        self.servers[name] = Server(self, name)
+        return self.servers[name]
+
+    def start_all(self) -> None:
+        """Start every server."""
+        for server in self.servers.values():
+            server.start()
+
+    def post(self, sender: Server, send) -> None:
+        """Put a message on the network."""
+        assert send.address == f'addr-{send.recipient}'
+        envelope = messages.Envelope(
+            version=messages.FORMAT_VERSION,
+            domain='test',
+            sender=sender.name,
+            incarnation=sender.node.incarnation,
+            sender_address=f'addr-{sender.name}',
+            recipient=send.recipient,
+            body=send.body,
+        )
+        self.mail.append(envelope)
+
+    def deliver(self, envelope: messages.Envelope) -> None:
+        """Hand a message to its recipient, if that is running and not cut off."""
+        server = self.servers.get(envelope.recipient)
+        if server is None or server.node is None:
+            return
+        if envelope.sender in self.cut or envelope.recipient in self.cut:
+            return
+        encoded = messages.encode(envelope)
+        server.node.receive(self.now, messages.decode(encoded, 'test'))
+        server.drain()
+
+    def deliver_all(self) -> None:
+        """Deliver the messages of this moment, in order."""
+        mail = self.mail.copy()
+        self.mail.clear()
+        for envelope in mail:
+            self.deliver(envelope)
+
+    def run(self, seconds: float, step: float = 0.01) -> None:
+        """Let time pass; each message takes one step."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step
+            self.deliver_all()
+            for server in self.servers.values():
+                if server.node:
+                    server.node.tick(self.now)
+                    server.drain()
+
+    def find_leader(self) -> Server | None:
+        """The leader that may serve reads, if any."""
+        for server in self.servers.values():
+            if server.node and server.node.has_quorum(self.now):
+                return server
+        return None
+
+    def elect(self, limit_s: float = 20) -> Server:
+        """Run until there is a leader."""
+        end = self.now + limit_s
+        while self.find_leader() is None:
+            assert self.now < end, f'no leader within {limit_s} s'
+            self.run(0.05)
+        return self.find_leader()
+
+    def propose(self, command: bytes) -> int:
+        """Propose at the leader."""
+        leader = self.elect()
+        index = leader.node.propose(self.now, command)
+        leader.drain()
+        return index
+
+    def readmit(self, limit_s: float = 20) -> None:
+        """Run until every server is a voter, with the leader proposing what is due."""
+        end = self.now + limit_s
+        while not self._all_vote():
+            assert self.now < end, f'not re-admitted within {limit_s} s'
+            self.propose_readmission()
+            self.run(0.05)
+
+    def propose_readmission(self) -> None:
+        """Let the leaders propose the membership that is due."""
+        for server in self.servers.values():
+            members = server.node.find_readmission(self.now) if server.node else None
+            if members:
+                server.node.propose_members(self.now, members)
+                server.drain()
+
+    def _all_vote(self) -> bool:
+        return all(server.node and server.node.is_voter for server in self.servers.values())
--- a/packages/bergamotcart/src/bergamotcart/messages/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/__init__.py
@@ -10,6 +10,8 @@
 from bergamotcart.messages._consensus import (
     AppendRequest,
     AppendResponse,
+    JoinRequest,
+    JoinResponse,
     LogEntry,
     LogMember,
     PreVoteRequest,
@@ -57,6 +59,8 @@
     'Envelope',
     'GroupPhase',
     'GroupRow',
+    'JoinRequest',
+    'JoinResponse',
     'LeaseGrant',
     'LeaseRefusal',
     'LeaseRequest',
--- a/packages/bergamotcart/src/bergamotcart/messages/_consensus.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_consensus.py
@@ -31,33 +31,50 @@
 
 
 class PreVoteRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Asks whether a vote would be granted, without raising any term."""
+    """Asks whether a vote would be granted, without raising any term.
+
+    :param members: membership in the candidate's log; empty when it asks to form a group.
+    :param initial_members: names of the initial members, when it asks to form a group.
+    """
 
     term: int
     last_index: int
     last_term: int
+    members: tuple[LogMember, ...] = ()
+    initial_members: tuple[str, ...] = ()
 
 
 class PreVoteResponse(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answers a pre-vote; ``term`` is the proposed term."""
+    """Answers a pre-vote.
+
+    :param term: the proposed term if granted, otherwise the term of the answering member.
+    :param candidate_incarnation: incarnation that asked.
+    """
 
     term: int
     granted: bool
+    candidate_incarnation: str
 
 
 class VoteRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Asks for a vote in ``term``."""
+    """Asks for a vote in ``term``; the other fields are those of ``PreVoteRequest``."""
 
     term: int
     last_index: int
     last_term: int
+    members: tuple[LogMember, ...] = ()
+    initial_members: tuple[str, ...] = ()
 
 
 class VoteResponse(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answers a vote request."""
+    """Answers a vote request.
+
+    :param candidate_incarnation: incarnation that asked.
+    """
 
     term: int
     granted: bool
+    candidate_incarnation: str
 
 
 class AppendRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -87,19 +104,52 @@
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Transfers the current state to a member whose missing records are compacted away."""
+    """Transfers part of a snapshot to a member whose missing records are compacted away.
+
+    :param offset: position of ``state`` in the encoded state, in bytes.
+    :param total_bytes: length of the whole encoded state.
+    """
 
     term: int
     last_index: int
     last_term: int
     members: tuple[LogMember, ...]
     state: bytes
+    offset: int
+    total_bytes: int
     sent_at: float
 
 
 class SnapshotResponse(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answers a snapshot transfer."""
+    """Answers a part of a snapshot.
+
+    :param received_bytes: length received so far without a gap.
+    :param installed: true once the whole snapshot is synced.
+    """
 
     term: int
     last_index: int
+    received_bytes: int
+    installed: bool
     echo_sent_at: float
+
+
+class JoinRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A member that is not a voter reports its incarnation to the leader.
+
+    :param member: name, incarnation, address and availability zone of the newcomer.
+    :param echo_term: term of the newest ``JoinResponse`` received, or 0.
+    :param echo_sent_at: ``sent_at`` of that response; it proves that the request is recent.
+    """
+
+    member: LogMember
+    echo_term: int = 0
+    echo_sent_at: float = 0.0
+
+
+class JoinResponse(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The leader asks a newcomer to prove that it is alive, by repeating these values."""
+
+    term: int
+    incarnation: str
+    sent_at: float
--- a/packages/bergamotcart/src/bergamotcart/messages/_envelope.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_envelope.py
@@ -15,6 +15,8 @@
     | consensus.AppendResponse
     | consensus.SnapshotRequest
     | consensus.SnapshotResponse
+    | consensus.JoinRequest
+    | consensus.JoinResponse
     | control.LeaseRequest
     | control.LeaseGrant
     | control.LeaseRefusal
