--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/tests/test_sqlite_storage.py
@@ -0,0 +1,118 @@
+"""Guards the durable state against loss, mixing and two owners."""
+
+import sqlite3
+import subprocess
+import sys
+
+import pytest
+
+from bergamotcart.consensus import HardState, Persist, Snapshot
+from bergamotcart.messages import LogEntry, LogMember
+from bergamotcart_daemon.storage import SqliteStorage, StorageError
+
+_MEMBER = LogMember(name='a', incarnation='i1', address='h:1', availability_zone='z', voter=True)
+
+
+class _Folder:
+    """Opens one data folder at a time."""
+
+    def __init__(self, path) -> None:
+        self.path = path
+        self._storage = None
+
+    def __call__(self, domain: str = 'default') -> SqliteStorage:
+        self.close()
+        self._storage = SqliteStorage(self.path, domain)
+        return self._storage
+
+    def close(self) -> None:
+        if self._storage:
+            self._storage.close()
+
+
+@pytest.fixture
+def open_storage(tmp_path):
+    """Open the data folder, and close it at the end."""
+    folder = _Folder(tmp_path / 'new' / 'data')
+    yield folder
+    folder.close()
+
+
+def _records(first: int, last: int, term: int = 1) -> tuple[LogEntry, ...]:
+    return tuple(LogEntry(index=index, term=term, command=b'x') for index in range(first, last))
+
+
+def test_an_empty_folder_gets_one_incarnation(open_storage):
+    """Two incarnations of one folder would make the member lose its vote at each restart."""
+    hard = open_storage().load().hard
+    assert hard.incarnation
+    assert open_storage().load().hard == hard
+
+
+def test_batches_survive_a_reopening(open_storage):
+    """Hard state, snapshot, truncation and records must be applied in that order."""
+    storage = open_storage()
+    incarnation = storage.load().hard.incarnation
+    membership = LogEntry(index=1, term=1, members=(_MEMBER,))
+    storage.write(Persist(batch_id=1, records=(membership, *_records(2, 9))))
+    hard = HardState(incarnation=incarnation, term=2, voted_for='a/i1')
+    snapshot = Snapshot(last_index=3, last_term=1, members=(_MEMBER,), state=b'state')
+    renewed = _records(6, 8, term=2)
+    storage.write(
+        Persist(batch_id=2, hard=hard, snapshot=snapshot, truncate_from=6, records=renewed),
+    )
+    state = open_storage().load()
+    assert (state.hard, state.snapshot) == (hard, snapshot)
+    assert state.records == (*_records(4, 6), *renewed)
+
+
+def test_a_failed_batch_leaves_no_part(open_storage):
+    """A vote without the records of its batch could acknowledge what is not there."""
+    storage = open_storage()
+    before = storage.load()
+    hard = HardState(incarnation=before.hard.incarnation, term=9)
+    twice = (*_records(1, 2), *_records(1, 2))
+    with pytest.raises(StorageError):
+        storage.write(Persist(batch_id=1, hard=hard, records=twice))
+    assert storage.load() == before
+
+
+def test_another_domain_is_refused(open_storage):
+    """A folder of another control domain holds terms and members of another log."""
+    open_storage('north')
+    with pytest.raises(StorageError, match="domain 'north', not 'south'"):
+        open_storage('south')
+
+
+def test_another_format_is_refused(open_storage):
+    """A newer format must not be misread."""
+    open_storage().close()
+    connection = sqlite3.connect(open_storage.path / 'control.sqlite3', isolation_level=None)
+    connection.execute('PRAGMA user_version = 7')
+    connection.close()
+    with pytest.raises(StorageError, match='format version 7, expected 1'):
+        open_storage()
+
+
+def test_damage_is_refused(open_storage):
+    """A damaged file must not be taken for an empty folder."""
+    open_storage.path.mkdir(parents=True)
+    (open_storage.path / 'control.sqlite3').write_bytes(b'damaged' * 1000)
+    with pytest.raises(StorageError, match='not a database'):
+        open_storage()
+
+
+def test_a_second_process_is_refused(open_storage):
+    """Two processes with one incarnation could vote twice."""
+    open_storage().load()
+    script = (
+        'import sys, pathlib; from bergamotcart_daemon.storage import SqliteStorage; '
+        'SqliteStorage(pathlib.Path(sys.argv[1]), "default")'
+    )
+    second = subprocess.run(
+        [sys.executable, '-c', script, open_storage.path],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert 'is in use by another process' in second.stderr
