Let an emptied member announce itself while the leader is heard

The leader keeps sending to the former incarnation, so the emptied member heard a leader and never asked to be admitted. Announcements now have their own timer.

--- a/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
@@ -40,8 +40,8 @@
 
 Return of an emptied member, and newcomers
 ------------------------------------------
-A member that hears no leader sends ``JoinRequest`` to all members that it knows; followers
-pass it on. The leader answers ``JoinResponse`` with its clock, and a newcomer counts only
+A member that hears no leader, or whose log does not list its own incarnation, sends
+``JoinRequest`` to all members that it knows; followers pass it on. The leader answers ``JoinResponse`` with its clock, and a newcomer counts only
 once it has repeated that, so a buffered request of a former incarnation has no effect. The
 caller of the leader asks ``find_readmission`` and proposes the result: first the newcomer
 takes the place of the silent voter of its name, as a non-voter, and the vote of the former
--- a/packages/bergamotcart/src/bergamotcart/consensus/_joining.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_joining.py
@@ -13,13 +13,14 @@
 class Joining:
     """Announcements of this member, and those that it received as leader."""
 
-    __slots__ = ('_core', '_echo', '_newcomers')
+    __slots__ = ('_core', '_echo', '_newcomers', 'announce_at')
 
     def __init__(self, core: Core) -> None:
         """Start without newcomers.
 
         :param core: state of this member.
         """
+        self.announce_at = core.election_at
         self._core = core
         self._echo = (0, float())
         self._newcomers: dict[str, tuple[messages.LogMember, float]] = {}
@@ -36,8 +37,14 @@
         )
 
     def announce(self) -> None:
-        """Report the own incarnation to all members that this one knows of."""
+        """Report the own incarnation to all known members, if the leader may not know it.
+
+        An emptied member hears the leader, which still sends to the former incarnation.
+        """
         core = self._core
+        self.announce_at = core.now + core.config.election_timeout_s[1]
+        if core.heard_recently and core.my_id in {member_id(member) for member in core.members}:
+            return
         names = {member.name for member in core.members}.union(core.initial_names)
         names.discard(core.config.name)
         for name in sorted(names):
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -92,7 +92,7 @@
         """Time in seconds at which ``tick`` is due without any input."""
         if self._leadership:
             return self._leadership.heartbeat_at
-        return self._core.election_at
+        return min(self._core.election_at, self._joining.announce_at)
 
     def has_quorum(self, now: float) -> bool:
         """Whether this member leads and a majority of voters answered it recently.
@@ -131,9 +131,8 @@
                 core.restart_election_timer()
             elif now >= self._leadership.heartbeat_at:
                 self._leadership.send_heartbeats()
-        elif now >= core.election_at:
-            self._election.start()
-            self._joining.announce()
+        else:
+            self._run_timers()
         self._settle()
 
     def propose(self, now: float, command: bytes) -> int | None:
@@ -247,6 +246,13 @@
                 self._core.heard_at = self._core.now
         return self._handlers.get(type(body))
 
+    def _run_timers(self) -> None:
+        core = self._core
+        if core.now >= self._joining.announce_at:
+            self._joining.announce()
+        if core.now >= core.election_at:
+            self._election.start()
+
     def _settle(self) -> None:
         """Take or leave office after an input."""
         core = self._core
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
@@ -83,6 +83,19 @@
         self.node: ConsensusNode | None = None
         self.applied = 0
         self.auto_sync = True
+        self.paused = False
+        # Monotonic clocks of different VMs have nothing in common.
+        self.clock_offset_s = cluster.random.uniform(0, 1000)
+
+    @property
+    def now(self) -> float:
+        """Clock of this server."""
+        return self.cluster.now + self.clock_offset_s
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the process runs and is not paused."""
+        return self.node is not None and not self.paused
 
     def empty_disk(self) -> Disk:
         """Give the server an empty folder with a new incarnation."""
@@ -94,21 +107,26 @@
         """Start the process on what is synced."""
         self.disk.pending.clear()
         self.applied = 0
-        self.node = ConsensusNode(
-            self.cluster.now, self.cluster.make_config(self.name), self.disk.state
-        )
+        self.node = ConsensusNode(self.now, self.cluster.make_config(self.name), self.disk.state)
         self.drain()
 
     def stop(self) -> None:
         """Lose everything that is not synced."""
         self.node = None
+        self.paused = False
         self.disk.pending.clear()
 
     def sync(self) -> None:
         """Sync one batch."""
         batch_id = self.disk.sync()
         if batch_id is not None and self.node:
-            self.node.persisted(self.cluster.now, batch_id)
+            self.node.persisted(self.now, batch_id)
+            self.drain()
+
+    def tick(self) -> None:
+        """Let the timers run."""
+        if self.is_active:
+            self.node.tick(self.now)
             self.drain()
 
     def snapshot(self) -> None:
@@ -191,14 +209,11 @@
 
     def deliver(self, envelope: messages.Envelope) -> None:
         """Hand a message to its recipient, if that is running and not cut off."""
-        server = self.servers.get(envelope.recipient)
-        if server is None or server.node is None:
-            return
-        if envelope.sender in self.cut or envelope.recipient in self.cut:
-            return
-        encoded = messages.encode(envelope)
-        server.node.receive(self.now, messages.decode(encoded, 'test'))
-        server.drain()
+        server = self.servers[envelope.recipient]
+        if server.is_active and not self.cut.intersection((envelope.sender, server.name)):
+            encoded = messages.encode(envelope)
+            server.node.receive(server.now, messages.decode(encoded, 'test'))
+            server.drain()
 
     def deliver_all(self) -> None:
         """Deliver the messages of this moment, in order."""
@@ -214,14 +229,12 @@
             self.now += step
             self.deliver_all()
             for server in self.servers.values():
-                if server.node:
-                    server.node.tick(self.now)
-                    server.drain()
+                server.tick()
 
     def find_leader(self) -> Server | None:
         """The leader that may serve reads, if any."""
         for server in self.servers.values():
-            if server.node and server.node.has_quorum(self.now):
+            if server.node and server.node.has_quorum(server.now):
                 return server
         return None
 
@@ -236,7 +249,7 @@
     def propose(self, command: bytes) -> int:
         """Propose at the leader."""
         leader = self.elect()
-        index = leader.node.propose(self.now, command)
+        index = leader.node.propose(leader.now, command)
         leader.drain()
         return index
 
@@ -251,9 +264,9 @@
     def propose_readmission(self) -> None:
         """Let the leaders propose the membership that is due."""
         for server in self.servers.values():
-            members = server.node.find_readmission(self.now) if server.node else None
+            members = server.node.find_readmission(server.now) if server.node else None
             if members:
-                server.node.propose_members(self.now, members)
+                server.node.propose_members(server.now, members)
                 server.drain()
 
     def _all_vote(self) -> bool:
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
@@ -0,0 +1,117 @@
+"""Guards the return of emptied members, and changes of the membership."""
+
+import msgspec
+
+from bergamotcart.consensus.tests._cluster import Cluster
+
+
+def _started(**settings: object) -> Cluster:
+    cluster = Cluster(**settings)
+    cluster.start_all()
+    cluster.elect()
+    cluster.propose(b'one')
+    cluster.run(1)
+    return cluster
+
+
+def _empty(cluster: Cluster, name: str) -> None:
+    server = cluster.servers[name]
+    server.stop()
+    server.empty_disk()
+    server.start()
+
+
+def test_an_emptied_member_has_no_vote_until_it_is_readmitted():
+    """A lost disk must not undo a vote: the other two are needed meanwhile."""
+    cluster = _started()
+    leader = cluster.find_leader()
+    emptied, other = [name for name in 'abc' if name != leader.name]
+    _empty(cluster, emptied)
+    cluster.servers[other].stop()
+    cluster.run(10)
+    assert cluster.find_leader() is None
+    cluster.servers[other].start()
+    cluster.elect()
+    cluster.readmit()
+    cluster.servers[other].stop()
+    cluster.propose(b'two')
+    cluster.run(1)
+    assert cluster.oracle.committed[-1].command == b'two'
+
+
+def test_each_member_is_emptied_in_turn():
+    """A second loss right after the first repair must not lose accepted state."""
+    cluster = _started(trailing_records=0)
+    for name in 'abcab':
+        cluster.find_leader().snapshot()
+        _empty(cluster, name)
+        cluster.readmit()
+    cluster.propose(b'two')
+    cluster.run(1)
+    commands = [entry.command for entry in cluster.oracle.committed if entry.command]
+    assert commands == [b'one', b'two']
+    assert len({server.applied for server in cluster.servers.values()}) == 1
+
+
+def test_emptied_members_form_no_second_group():
+    """Two emptied members out of three must not outvote the one that holds the state."""
+    cluster = _started()
+    elections = len(cluster.oracle.leaders)
+    _empty(cluster, 'a')
+    _empty(cluster, 'b')
+    cluster.run(20)
+    assert len(cluster.oracle.leaders) == elections
+
+
+def test_buffered_formation_messages_do_not_form_a_second_group():
+    """Grants to a former incarnation must not count for an emptied member."""
+    cluster = Cluster()
+    cluster.start_all()
+    kept = []
+    while cluster.find_leader() is None:
+        kept.extend(cluster.mail)
+        cluster.run(0.01)
+    for name in 'abc':
+        _empty(cluster, name)
+        emptied = cluster.servers[name]
+        # Only old messages reach it, as if the others were cut off.
+        for _ in range(20):
+            cluster.now += 0.1
+            emptied.tick()
+            for envelope in kept:
+                if envelope.recipient == name:
+                    cluster.deliver(envelope)
+        assert emptied.node.leader != name
+        cluster.readmit()
+
+
+def test_a_new_member_is_admitted_and_an_old_one_removed():
+    """An operator must be able to replace a VM under another name."""
+    cluster = _started()
+    cluster.add_server('d').start()
+    cluster.run(2)
+    leader = cluster.find_leader()
+    newcomer = leader.node.newcomers[0]
+    assert leader.node.propose_members(leader.now, (*leader.node.members, newcomer))
+    leader.drain()
+    cluster.readmit()
+    leader = cluster.elect()
+    kept = tuple(member for member in leader.node.members if member.name != leader.name)
+    assert leader.node.propose_members(leader.now, kept)
+    leader.drain()
+    cluster.run(3)
+    assert cluster.elect().name != leader.name
+    assert {member.name for member in cluster.elect().node.members} == set('abcd') - {leader.name}
+
+
+def test_two_voters_at_once_are_refused():
+    """Majorities before and after a change must meet, or two leaders could be elected."""
+    cluster = _started()
+    leader = cluster.find_leader()
+    members = leader.node.members
+    only_leader = tuple(member for member in members if member.name == leader.name)
+    renamed = msgspec.structs.replace(members[0], incarnation='new')
+    assert leader.node.propose_members(leader.now, only_leader) is None
+    assert leader.node.propose_members(leader.now, (renamed, *members[1:])) is None
+    assert leader.node.propose_members(leader.now, members[:2])
+    assert leader.node.propose_members(leader.now, members) is None
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_replication.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_replication.py
@@ -63,7 +63,7 @@
     cluster.cut.add(old.name)
     while len(cluster.oracle.leaders) < 2:
         cluster.run(0.01)
-    assert not old.node.has_quorum(cluster.now)
+    assert not old.node.has_quorum(old.now)
     cluster.run(2)
     assert old.node.role != Role.leader
     index = cluster.propose(b'after')
@@ -77,7 +77,7 @@
     cluster = _started()
     old = cluster.find_leader()
     cluster.cut.add(old.name)
-    old.node.propose(cluster.now, b'lost')
+    old.node.propose(old.now, b'lost')
     old.drain()
     cluster.run(2)
     index = cluster.propose(b'kept')
