Add the systems of the control engine

Control had only its types. The replicated state, leases, distribution, failover, operators and quotas are now systems over tables, each in its own module.

--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_authority.py
@@ -0,0 +1,48 @@
+"""What this member may do, and the settings of its replicated log."""
+
+from bergamotcart import consensus
+from bergamotcart.control._config import ControlConfig
+from bergamotcart.control._state import ReplicatedState
+from bergamotcart.control._tick import Authority
+
+
+def make_consensus_config(config: ControlConfig) -> consensus.ConsensusConfig:
+    """Return the settings of the replicated log."""
+    return consensus.ConsensusConfig(
+        name=config.name,
+        address=config.address,
+        availability_zone=config.availability_zone,
+        initial_members=tuple(
+            consensus.InitialMember(name=name, address=address, availability_zone=zone)
+            for name, address, zone in config.initial_members
+        ),
+        election_timeout_s=config.election_timeout_s,
+        heartbeat_s=config.leader_heartbeat_s,
+        lease_s=config.lease_duration_s,
+        drift_margin=config.drift_margin,
+        seed=config.seed,
+    )
+
+
+def find_authority(
+    node: consensus.ConsensusNode,
+    state: ReplicatedState,
+    now: float,
+) -> Authority:
+    """Tell whether a member leads, and if not, why not.
+
+    Before its own first record is applied, a leader may lack records that its
+    predecessor committed, such as a freeze.
+
+    :param node: the replicated log.
+    :param state: the state that this member has applied.
+    :param now: seconds.
+    """
+    reason = ''
+    if node.role != consensus.Role.leader:
+        reason = 'not_leader'
+    elif not node.has_quorum(now):
+        reason = 'no_quorum'
+    elif state.applied_term != node.term:
+        reason = 'not_caught_up'
+    return Authority(leads=not reason, leader=node.leader, term=node.term, reason=reason)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_commands.py
@@ -0,0 +1,116 @@
+"""Commands of the replicated control state and their encoding."""
+
+from typing import Final
+
+import msgspec
+
+from bergamotcart import documents
+
+COMMAND_FORMAT: Final = 1
+
+
+class AdmitEntry(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Adds an entry's incarnation to the roster."""
+
+    name: str
+    incarnation: str
+    availability_zone: str
+    address: str
+
+
+class RemoveEntry(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Removes an entry's incarnation, whose lease cannot exist any more."""
+
+    name: str
+    incarnation: str
+
+
+class ChangeSection(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Changes one section of the document; evaluated when it is applied.
+
+    The token itself is a secret and stays out of the log.
+
+    :param administrator: the leader has verified the administrator's token, which is a
+        setting of each member and therefore cannot be checked when the record is applied.
+    :param token_hash: SHA-256 of the operator's token.
+    """
+
+    change: documents.Change
+    administrator: bool
+    token_hash: str
+
+
+class FreezeGroup(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Stops writes to a group at ``term``."""
+
+    group: str
+    term: int
+
+
+class HoldGroup(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Marks a frozen group as read-only because too few instances answer."""
+
+    group: str
+    term: int
+
+
+class PromoteGroup(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Names the new primary of a frozen group.
+
+    :param frozen_term: term at which the group is frozen.
+    :param log_term: log term of the chosen instance's last record.
+    :param position: position of that record.
+    """
+
+    group: str
+    frozen_term: int
+    term: int
+    primary: str
+    log_term: int
+    position: int
+
+
+class OpenGroup(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Opens a group at the term of its promoted primary."""
+
+    group: str
+    term: int
+
+
+Command = (
+    AdmitEntry | RemoveEntry | ChangeSection | FreezeGroup | HoldGroup | PromoteGroup | OpenGroup
+)
+
+
+class _Frame(msgspec.Struct, frozen=True, kw_only=True):
+    version: int
+    command: Command
+
+
+class CommandError(ValueError):
+    """A committed command is not understood; skipping it would make the members differ."""
+
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(_Frame)
+
+
+def encode_command(command: Command) -> bytes:
+    """Return the form of a command in the replicated log."""
+    return _ENCODER.encode(_Frame(version=COMMAND_FORMAT, command=command))
+
+
+def decode_command(encoded: bytes) -> Command:
+    """Decode a command of the replicated log.
+
+    :param encoded: bytes of a log record.
+    :returns: the command.
+    :raises CommandError: if the bytes are malformed or of another format.
+    """
+    try:
+        frame = _DECODER.decode(encoded)
+    except msgspec.MsgspecError as error:
+        raise CommandError(f'malformed command: {error}') from error
+    if frame.version != COMMAND_FORMAT:
+        raise CommandError(f'command format {frame.version}, expected {COMMAND_FORMAT}')
+    return frame.command
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_distribution.py
@@ -0,0 +1,61 @@
+"""Distribution of the replicated state to the entries."""
+
+from bergamotcart import messages
+from bergamotcart.control._entry_table import EntryContact, note_applied
+from bergamotcart.control._state import ReplicatedState
+from bergamotcart.control._tick import Tick
+
+
+def push_update(tick: Tick, contact: EntryContact) -> None:
+    """Send an entry the rows that changed after the index that it has confirmed."""
+    update = build_update(tick.state, contact.applied_index, tick.authority.term)
+    contact.pushed_index = tick.state.index
+    tick.send(contact.key.name, contact.address, update)
+
+
+def push_changes(tick: Tick) -> None:
+    """Send newly committed rows at once to each known entry."""
+    for contact in tick.local.entries.contacts:
+        if contact.pushed_index < tick.state.index:
+            push_update(tick, contact)
+
+
+def handle_state_ack(tick: Tick, envelope: messages.Envelope, ack: messages.StateAck) -> None:
+    """Note the state that an entry has applied."""
+    contact = tick.local.entries.find(envelope.sender, envelope.incarnation)
+    if contact is not None:
+        note_applied(contact, ack.applied_index, ack.revision)
+
+
+def build_update(
+    state: ReplicatedState, from_index: int, control_term: int
+) -> messages.StateUpdate:
+    """Return the rows that changed after an index.
+
+    :param state: the replicated state.
+    :param from_index: index that the entry has applied. If removals since then may have
+        been forgotten, the update carries all rows.
+    :param control_term: term of the leader.
+    """
+    if from_index < state.removal_floor or from_index > state.index:
+        from_index = 0
+    entries = [state.newest_entry(name) for name in sorted(state.entries)]
+    return messages.StateUpdate(
+        control_term=control_term,
+        from_index=from_index,
+        to_index=state.index,
+        revision=state.revision,
+        entries_limit=state.entries_limit,
+        groups=tuple(row for row in state.groups.values() if row.modified_index > from_index),
+        sections=tuple(row for row in state.sections.values() if row.modified_index > from_index),
+        removed_sections=_removed_after(state.removed_sections, from_index),
+        entries=tuple(row for row in entries if row and row.modified_index > from_index),
+        removed_entries=_removed_after(state.removed_entries, from_index),
+        members=tuple(row for row in state.members if row.modified_index > from_index),
+    )
+
+
+def _removed_after(table: dict[str, int], from_index: int) -> tuple[str, ...]:
+    if from_index == 0:
+        return ()
+    return tuple(name for name, index in table.items() if index > from_index)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_failover.py
@@ -0,0 +1,42 @@
+"""Replacement of primaries: runs the work of each group's phase."""
+
+from bergamotcart import messages
+from bergamotcart.control._collection import run_frozen
+from bergamotcart.control._group_work import GroupWork
+from bergamotcart.control._open_group import run_open
+from bergamotcart.control._promotion import run_promoting
+from bergamotcart.control._tick import Tick
+
+
+def run_failover(tick: Tick) -> None:
+    """Advance each group of the document by one step of its phase."""
+    for name in sorted(tick.document.groups):
+        row = tick.state.groups[name]
+        work = _find_work(tick, row)
+        if tick.local.proposals.is_pending(f'group {name}'):
+            continue
+        match row.phase:
+            case messages.GroupPhase.open:
+                run_open(tick, row, work)
+            case messages.GroupPhase.frozen:
+                run_frozen(tick, row, work)
+            case messages.GroupPhase.promoting:
+                run_promoting(tick, row, work)
+
+
+def _find_work(tick: Tick, row: messages.GroupRow) -> GroupWork:
+    phase = (row.phase, row.term)
+    known = tick.local.groups.get(row.name)
+    if known is not None and known.phase == phase:
+        return known
+    # A new leader does not know when a group opened and assumes that it was long ago.
+    changed = known is not None and row.phase == messages.GroupPhase.open
+    work = GroupWork(
+        phase=phase,
+        since=tick.now,
+        attempt_term=row.term + 1,
+        opened_at=tick.now if changed else None,
+    )
+    tick.local.groups[row.name] = work
+    tick.local.orders.forget_before(row.name, row.term)
+    return work
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -0,0 +1,40 @@
+"""Tables that a leader keeps for itself; a new leader builds its own."""
+
+from dataclasses import dataclass, field
+
+from bergamotcart.control._entry_table import EntryTable
+from bergamotcart.control._group_work import GroupWork
+from bergamotcart.control._order_book import OrderBook
+from bergamotcart.control._proposals import Proposals
+from bergamotcart.control._quotas import LoanTable
+from bergamotcart.control._sightings import SightingTable
+
+
+@dataclass(slots=True)
+class LocalTables:
+    """Unreplicated tables of one member.
+
+    :param led_since: time at which this member's leadership began.
+    """
+
+    proposals: Proposals
+    entries: EntryTable = field(default_factory=EntryTable)
+    sightings: SightingTable = field(default_factory=SightingTable)
+    orders: OrderBook = field(default_factory=OrderBook)
+    loans: LoanTable = field(default_factory=LoanTable)
+    groups: dict[str, GroupWork] = field(default_factory=dict)
+    led_since: float = 0
+
+    def restart(self, now: float, assumed_until: float) -> None:
+        """Begin a leadership without any memory of a former one.
+
+        :param now: seconds.
+        :param assumed_until: time until which entries may hold leases of a former leader.
+        """
+        self.proposals.clear()
+        self.entries.clear(assumed_until)
+        self.sightings.clear()
+        self.orders.clear()
+        self.loans.clear()
+        self.groups.clear()
+        self.led_since = now
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_open_group.py
@@ -0,0 +1,120 @@
+"""Work on an open group: suspicion, leaving primaries and stray instances."""
+
+from typing import Final
+
+from bergamotcart import messages
+from bergamotcart.actions import Decision
+from bergamotcart.control._commands import FreezeGroup
+from bergamotcart.control._events import OrderKind
+from bergamotcart.control._group_work import GroupWork, Note
+from bergamotcart.control._order_book import OrderKey
+from bergamotcart.control._sightings import Seen, is_fresh
+from bergamotcart.control._suspicion import find_suspicion, is_leaving
+from bergamotcart.control._tick import Tick
+
+# An order to follow takes effect in the next announcement, about a second later.
+FOLLOW_REPEAT_S: Final = 1.5
+
+
+def run_open(tick: Tick, row: messages.GroupRow, work: GroupWork) -> None:
+    """Freeze the group if its primary must be replaced, else guide the other instances."""
+    reason = find_suspicion(tick, row, work) or _find_planned(tick, row, work)
+    if not reason:
+        work.waiting_for = ''
+        order_strays(tick, row)
+        return
+    if tick.document.is_failover_paused(row.name):
+        work.waiting_for = 'failover is paused by the document'
+        if work.note_once(Note.paused):
+            decide(tick, row, 'keep_primary', 'failover_paused', reason)
+        return
+    freeze(tick, row, reason)
+
+
+def freeze(tick: Tick, row: messages.GroupRow, reason: str) -> None:
+    """Propose to stop writes to a group.
+
+    :param tick: the current tick.
+    :param row: an open or promoting group.
+    :param reason: why its primary is replaced.
+    """
+    command = FreezeGroup(group=row.name, term=row.term)
+    if tick.local.proposals.submit(f'group {row.name}', command, tick.now):
+        decide(tick, row, 'freeze', reason)
+
+
+def decide(
+    tick: Tick,
+    row: messages.GroupRow,
+    action: str,
+    reason: str,
+    detail: str = '',
+    target: str | None = None,
+) -> None:
+    """Publish a decision about a group."""
+    tick.decide(
+        Decision(
+            system='failover',
+            action=action,
+            reason=reason,
+            group=row.name,
+            term=row.term,
+            target=target or row.primary,
+            detail=detail,
+        )
+    )
+
+
+def order_strays(tick: Tick, row: messages.GroupRow) -> None:
+    """Tell each instance that does not follow the primary to do so."""
+    primary = tick.local.sightings.find(row.name, row.primary or '')
+    if primary is None:
+        return
+    for seen in tick.local.sightings.of_group(row.name):
+        announcement = seen.announcement
+        if announcement.instance != row.primary and _is_stray(announcement, row):
+            _order_follow(tick, row, announcement, primary.announcement)
+
+
+def _find_planned(tick: Tick, row: messages.GroupRow, work: GroupWork) -> str:
+    if not is_leaving(tick, row.name, row.primary):
+        return ''
+    if any(_can_succeed(tick, row, seen) for seen in tick.local.sightings.of_group(row.name)):
+        return 'primary_leaving'
+    if work.note_once(Note.no_successor):
+        decide(tick, row, 'keep_primary', 'no_successor', 'the primary is leaving')
+    return ''
+
+
+def _can_succeed(tick: Tick, row: messages.GroupRow, seen: Seen) -> bool:
+    announcement = seen.announcement
+    staying = announcement.instance != row.primary and not announcement.leaving
+    return staying and is_fresh(seen, tick.now)
+
+
+def _is_stray(announcement: messages.Announcement, row: messages.GroupRow) -> bool:
+    if announcement.role == messages.TargetRole.primary:
+        return True
+    return announcement.following != row.primary or announcement.term < row.term
+
+
+def _order_follow(
+    tick: Tick,
+    row: messages.GroupRow,
+    stray: messages.Announcement,
+    primary: messages.Announcement,
+) -> None:
+    key = OrderKey(OrderKind.follow, row.name, stray.instance, row.term)
+    order = tick.local.orders.prepare(key, stray, tick.now, FOLLOW_REPEAT_S, primary)
+    if order is None:
+        return
+    tick.actions.append(order)
+    kept = dict(row.branch_points).get(stray.log_term)
+    if kept is not None and stray.position > kept:
+        reason = 'discarded_positions'
+        detail = f'position {stray.position} of log term {stray.log_term}, kept {kept}'
+    elif stray.role == messages.TargetRole.primary:
+        reason, detail = 'deposed_primary', ''
+    else:
+        reason, detail = 'stray_replica', ''
+    decide(tick, row, 'order_follow', reason, detail, stray.instance)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_replies.py
@@ -0,0 +1,92 @@
+"""Bodies of answers to operators."""
+
+import enum
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+
+from bergamotcart import documents
+from bergamotcart.actions import Decision
+from bergamotcart.control._events import OperatorReply, OperatorRequest
+from bergamotcart.control._section_changes import digest_change
+from bergamotcart.control._state import RecordedChange
+from bergamotcart.control._tick import Tick
+
+_STATUSES: Final = MappingProxyType(
+    {
+        'accepted': HTTPStatus.OK,
+        'conflict': HTTPStatus.CONFLICT,
+        'invalid': HTTPStatus.UNPROCESSABLE_ENTITY,
+        'forbidden': HTTPStatus.FORBIDDEN,
+    }
+)
+
+
+@enum.unique
+class OutcomeUnknown(enum.StrEnum):
+    """Whether a request that gets no answer may still take effect."""
+
+    not_started = 'the request had no effect'
+    may_be_committed = 'the request may still take effect; send it again with the same change_id'
+
+
+def reply(tick: Tick, request_id: int, status: HTTPStatus, body: dict[str, object]) -> None:
+    """Answer an operator."""
+    tick.actions.append(OperatorReply(request_id=request_id, status=status, body=body))
+
+
+def reply_unavailable(tick: Tick, request_id: int, effect: OutcomeUnknown) -> None:
+    """Send an operator to the leader, or ask for patience if none is known."""
+    authority = tick.authority
+    body: dict[str, object] = {
+        'error': f'this member cannot answer: {authority.reason or "leadership was lost"}',
+        'effect': effect.value,
+    }
+    others = {row.name: row.address for row in tick.state.members if row.name != tick.config.name}
+    if authority.leader not in others:
+        reply(tick, request_id, HTTPStatus.SERVICE_UNAVAILABLE, body)
+        return
+    body['leader'] = authority.leader
+    body['leader_address'] = others[authority.leader]
+    reply(tick, request_id, HTTPStatus.MISDIRECTED_REQUEST, body)
+
+
+def reply_change(
+    tick: Tick,
+    request_id: int,
+    change: documents.Change,
+    recorded: RecordedChange,
+) -> None:
+    """Answer a document change with its outcome."""
+    if recorded.digest != digest_change(change):
+        error = {'error': 'change_id was used for a different change'}
+        reply(tick, request_id, HTTPStatus.UNPROCESSABLE_ENTITY, error)
+        return
+    body: dict[str, object] = {
+        'outcome': recorded.outcome,
+        'section': change.section,
+        'version': recorded.version,
+        'revision': recorded.revision,
+        'diff': recorded.diff,
+        'dry_run': change.dry_run,
+        'problems': [{'path': path, 'message': message} for path, message in recorded.problems],
+    }
+    current = tick.state.sections.get(change.section)
+    if recorded.outcome == 'conflict':
+        body['current_body'] = current.body if current else ''
+    reply(tick, request_id, _STATUSES[recorded.outcome], body)
+    tick.decide(
+        Decision(
+            system='document',
+            action='dry_run' if change.dry_run else 'change',
+            reason=recorded.outcome,
+            detail=f'{change.section} {recorded.version} {change.change_id}',
+        )
+    )
+
+
+def reply_bad_request(tick: Tick, request: OperatorRequest, error: msgspec.ValidationError) -> None:
+    """Answer a request whose body is malformed."""
+    reply(tick, request.request_id, HTTPStatus.BAD_REQUEST, {'error': str(error)})
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -0,0 +1,194 @@
+"""A started control member: drives the replicated log and the systems over its state."""
+
+from typing import Final
+
+from bergamotcart import consensus, documents, messages
+from bergamotcart.actions import Decision, MessageReceived
+from bergamotcart.control import _events as events
+from bergamotcart.control import _leases as leases
+from bergamotcart.control._apply import apply_record
+from bergamotcart.control._authority import find_authority, make_consensus_config
+from bergamotcart.control._config import ControlConfig, ControlOutbox, ControlStatus
+from bergamotcart.control._distribution import handle_state_ack, push_changes
+from bergamotcart.control._failover import run_failover
+from bergamotcart.control._local import LocalTables
+from bergamotcart.control._member_changes import MemberChanges
+from bergamotcart.control._operators import OperatorDesk
+from bergamotcart.control._proposals import Proposals
+from bergamotcart.control._sightings import pull_sightings
+from bergamotcart.control._state import ReplicatedState, decode_state, encode_state
+from bergamotcart.control._tick import Tick
+
+# Replaying this many records at a start takes a few milliseconds.
+SNAPSHOT_RECORDS: Final = 300
+
+
+class Runtime:
+    """The replicated log of one member and the tables that depend on it."""
+
+    __slots__ = (
+        '_config',
+        '_desk',
+        '_document',
+        '_local',
+        '_members',
+        '_node',
+        '_snapshot_index',
+        '_state',
+    )
+
+    def __init__(
+        self,
+        now: float,
+        config: ControlConfig,
+        durable: events.DurableState,
+    ) -> None:
+        """Resume from the durable state.
+
+        :param now: seconds.
+        :param config: settings.
+        :param durable: content of the data folder.
+        """
+        self._config = config
+        self._node = consensus.ConsensusNode(now, make_consensus_config(config), durable)
+        self._state = ReplicatedState()
+        self._snapshot_index = 0
+        self._document = documents.Document({}, revision=0)
+        self._local = LocalTables(Proposals(self._node.propose))
+        self._members = MemberChanges(self._node)
+        self._desk = OperatorDesk(self._members)
+
+    def step(self, now: float, inbox: tuple[events.ControlInput, ...]) -> ControlOutbox:
+        """Handle inputs and run all systems; see ``ControlEngine.step``."""
+        self._drive_node(now, inbox)
+        tick = self._open_tick(now)
+        self._drain(tick)
+        for request in inbox:
+            self._handle(tick, request)
+        if tick.authority.leads:
+            self._run_systems(tick)
+        # What the systems proposed leaves in the same step.
+        self._drain(tick)
+        return ControlOutbox(tuple(tick.actions), min(tick.next_due, self._node.next_tick))
+
+    def status(self, now: float) -> ControlStatus:
+        """Return figures for health checks; see ``ControlEngine.status``."""
+        return ControlStatus(
+            leader=self._node.leader,
+            leads=find_authority(self._node, self._state, now).leads,
+            voter=self._node.is_voter,
+            term=self._node.term,
+            commit_index=self._node.commit_index,
+            revision=self._state.revision,
+        )
+
+    def _drive_node(self, now: float, inbox: tuple[events.ControlInput, ...]) -> None:
+        for item in inbox:
+            if isinstance(item, events.Persisted):
+                self._node.persisted(now, item.batch_id)
+            elif isinstance(item, MessageReceived):
+                # The node ignores the messages of entries.
+                self._node.receive(now, item.envelope)
+        self._node.tick(now)
+
+    def _open_tick(self, now: float) -> Tick:
+        return Tick(
+            now=now,
+            config=self._config,
+            state=self._state,
+            local=self._local,
+            document=self._document,
+            authority=find_authority(self._node, self._state, now),
+            next_due=self._node.next_tick,
+        )
+
+    def _handle(self, tick: Tick, item: events.ControlInput) -> None:
+        match item:
+            case MessageReceived(envelope):
+                self._handle_message(tick, envelope)
+            case events.OrderFinished():
+                self._local.orders.finish(item, tick.now)
+            case events.OperatorRequest():
+                self._desk.handle(tick, item)
+
+    def _handle_message(self, tick: Tick, envelope: messages.Envelope) -> None:
+        match envelope.body:
+            case messages.LeaseRequest() as request:
+                leases.handle_lease_request(tick, envelope, request)
+            case messages.StateAck() as ack:
+                handle_state_ack(tick, envelope, ack)
+            case messages.RelayBatch() as batch:
+                self._local.sightings.add(batch, tick.now)
+
+    def _run_systems(self, tick: Tick) -> None:
+        self._members.readmit(tick)
+        push_changes(tick)
+        pull_sightings(tick)
+        leases.remove_idle_entries(tick)
+        leases.forget_gone_contacts(tick)
+        self._local.sightings.forget_old(tick.now)
+        run_failover(tick)
+
+    def _drain(self, tick: Tick) -> None:
+        """Publish what the log asks for and apply what it has committed."""
+        outputs = self._node.take_outputs()
+        if outputs.snapshot is not None:
+            self._restore(tick, outputs.snapshot)
+        for change in outputs.role_changes:
+            self._change_role(tick, change)
+        tick.actions.extend(outputs.batches)
+        tick.actions.extend(outputs.sends)
+        for record in outputs.committed:
+            recorded = apply_record(self._state, record)
+            self._desk.settle(tick, record.index, record.term, recorded)
+        if outputs.committed:
+            # Systems that have run already see the new rows in the next step.
+            tick.wake_at(tick.now)
+            self._local.proposals.settle(self._state.applied_index)
+            self._compact()
+        self._refresh(tick)
+
+    def _restore(self, tick: Tick, snapshot: events.Snapshot) -> None:
+        self._state = decode_state(snapshot.state)
+        self._snapshot_index = snapshot.last_index
+        tick.state = self._state
+        tick.decide(
+            Decision(
+                system='election',
+                action='restore_snapshot',
+                reason='records_compacted',
+                detail=str(snapshot.last_index),
+            )
+        )
+
+    def _change_role(self, tick: Tick, change: consensus.RoleChange) -> None:
+        if change.role == consensus.Role.leader:
+            assumed_until = leases.assumed_lease_end(self._config, tick.now)
+            self._local.restart(tick.now, assumed_until)
+        tick.authority = find_authority(self._node, self._state, tick.now)
+        if change.role != consensus.Role.leader:
+            self._local.proposals.clear()
+            self._desk.abandon(tick)
+        tick.decide(
+            Decision(
+                system='election',
+                action=change.role.value,
+                reason=change.reason,
+                term=change.term,
+                detail=change.leader or '',
+            )
+        )
+
+    def _compact(self) -> None:
+        if self._state.applied_index - self._snapshot_index >= SNAPSHOT_RECORDS:
+            index = self._node.take_snapshot(encode_state(self._state))
+            self._snapshot_index = index or self._snapshot_index
+
+    def _refresh(self, tick: Tick) -> None:
+        if self._document.revision != self._state.revision:
+            self._document = documents.Document.from_sections(
+                self._state.sections.values(),
+                self._state.revision,
+            )
+        tick.document = self._document
+        tick.authority = find_authority(self._node, self._state, tick.now)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_state.py
@@ -0,0 +1,121 @@
+"""Replicated control state: its tables and its snapshot."""
+
+from typing import Final
+
+import msgspec
+
+from bergamotcart import messages
+
+STATE_FORMAT: Final = 1
+
+
+class StateError(ValueError):
+    """A snapshot of the control state is malformed or of another format."""
+
+
+class RecordedChange(msgspec.Struct, frozen=True, kw_only=True):
+    """Outcome of a document change, kept so that a resent change gets the same answer.
+
+    :param outcome: ``accepted``, ``conflict``, ``invalid`` or ``forbidden``.
+    :param digest: digest of the change, to detect a reused identifier.
+    :param version: version created, or the current version of a conflict.
+    :param problems: (path, message) of each fault.
+    """
+
+    outcome: str
+    digest: str
+    version: int = 0
+    diff: str = ''
+    problems: tuple[tuple[str, str], ...] = ()
+    revision: int = 0
+
+
+class HistoryRow(msgspec.Struct, frozen=True, kw_only=True):
+    """An accepted change of a section.
+
+    :param index: log index of the change.
+    :param diff: its difference, cut to a bounded length.
+    """
+
+    version: int
+    change_id: str
+    index: int
+    diff: str
+
+
+class ReplicatedState(msgspec.Struct, kw_only=True):
+    """Tables that are the same on every member at the same log index.
+
+    :param index: index of the last change of a row that entries receive.
+    :param applied_index: index of the last record applied.
+    :param applied_term: log term of that record.
+    :param revision: index of the last accepted document change.
+    :param frozen_index: index of the newest freeze of any group. It stays after the group
+        opens again: an entry that missed the freeze still believes in the former term.
+    :param entries: roster by name and incarnation. A former incarnation stays until its
+        lease cannot exist, so that a new leader waits for it as well.
+    :param removed_sections: index of the removal by name, newest last.
+    :param removed_entries: index of the removal by name, newest last.
+    :param removal_floor: removals up to this index may have been forgotten.
+    :param retired: former incarnations, which late messages must not bring back.
+    """
+
+    version: int = STATE_FORMAT
+    index: int = 0
+    applied_index: int = 0
+    applied_term: int = 0
+    revision: int = 0
+    frozen_index: int = 0
+    groups: dict[str, messages.GroupRow] = msgspec.field(default_factory=dict)
+    sections: dict[str, messages.SectionRow] = msgspec.field(default_factory=dict)
+    entries: dict[str, dict[str, messages.EntryRow]] = msgspec.field(default_factory=dict)
+    members: tuple[messages.ControlMemberRow, ...] = ()
+    changes: dict[str, RecordedChange] = msgspec.field(default_factory=dict)
+    history: dict[str, list[HistoryRow]] = msgspec.field(default_factory=dict)
+    removed_sections: dict[str, int] = msgspec.field(default_factory=dict)
+    removed_entries: dict[str, int] = msgspec.field(default_factory=dict)
+    removal_floor: int = 0
+    retired: list[str] = msgspec.field(default_factory=list)
+    entries_limit: int = 1
+
+    def roster(self) -> list[messages.EntryRow]:
+        """Return all rows of the roster, former incarnations included."""
+        return [row for rows in self.entries.values() for row in rows.values()]
+
+    def entry(self, name: str, incarnation: str) -> messages.EntryRow | None:
+        """Return the roster row of one incarnation."""
+        return self.entries.get(name, {}).get(incarnation)
+
+    def newest_entry(self, name: str) -> messages.EntryRow | None:
+        """Return the row of the newest incarnation of an entry."""
+        rows = self.entries.get(name, {}).values()
+        return max(rows, key=_modified_index, default=None)
+
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(ReplicatedState)
+
+
+def encode_state(state: ReplicatedState) -> bytes:
+    """Return the snapshot form of the state."""
+    return _ENCODER.encode(state)
+
+
+def decode_state(encoded: bytes) -> ReplicatedState:
+    """Restore a state.
+
+    :param encoded: result of ``encode_state``.
+    :returns: the state.
+    :raises StateError: if the bytes are malformed or of another format.
+    """
+    try:
+        state = _DECODER.decode(encoded)
+    except msgspec.MsgspecError as error:
+        raise StateError(f'malformed snapshot: {error}') from error
+    if state.version != STATE_FORMAT:
+        raise StateError(f'snapshot format {state.version}, expected {STATE_FORMAT}')
+    return state
+
+
+def _modified_index(row: messages.EntryRow) -> int:
+    return row.modified_index
