--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_heads.py
@@ -0,0 +1,73 @@
+"""Positions of a primary over time, which prove the age of a replica's data."""
+
+import bisect
+from collections.abc import Sequence
+from typing import Final
+
+from bergamotcart.discovery._branches import is_discarded
+from bergamotcart.discovery._positions import Position
+
+_KEPT: Final = 2048
+
+
+class HeadHistory:
+    """Heads of one group's primary, each with the time at which its probe was sent.
+
+    Only probes that were accepted as proof belong here: sent to the primary of the
+    open term, answered while the lease was valid.
+    """
+
+    __slots__ = ('_heads', '_sent_at')
+
+    def __init__(self) -> None:
+        """Start without any proof."""
+        self._heads: list[Position] = []
+        self._sent_at: list[float] = []
+
+    @property
+    def newest(self) -> Position | None:
+        """Last head, or ``None`` before the first proof."""
+        return self._heads[-1] if self._heads else None
+
+    @property
+    def newest_sent_at(self) -> float:
+        """Time at which the probe of the last head was sent, in seconds."""
+        return self._sent_at[-1] if self._sent_at else float('-inf')
+
+    def add(self, sent_at: float, head: Position) -> None:
+        """Record a head; one that is older than the last is of no use.
+
+        :param sent_at: time at which the probe was sent, in seconds.
+        :param head: last record of the primary.
+        """
+        newest = self.newest
+        if newest is not None and (sent_at <= self.newest_sent_at or head < newest):
+            return
+        if head == newest:
+            self._sent_at[-1] = sent_at
+            return
+        self._heads.append(head)
+        self._sent_at.append(sent_at)
+        if len(self._heads) > 2 * _KEPT:
+            self._heads = self._heads[_KEPT:]
+            self._sent_at = self._sent_at[_KEPT:]
+
+    def proved_at(
+        self,
+        position: Position,
+        branch_points: Sequence[tuple[int, int]],
+    ) -> float | None:
+        """Return the last time at which the head was known to be at or below a position.
+
+        :param position: last record of an instance.
+        :param branch_points: branch points of the group.
+        :returns: time in seconds; data at the position is at most ``now`` minus this old;
+            ``None`` if its age cannot be proved.
+        """
+        if is_discarded(position, branch_points):
+            return None
+        # Within kept branches the order of positions is that of pairs (term, position).
+        index = bisect.bisect_right(self._heads, position) - 1
+        while index >= 0 and self._heads[index].position > position.position:
+            index -= 1
+        return self._sent_at[index] if index >= 0 else None
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
@@ -0,0 +1,116 @@
+"""Assembly of the systems of one entry engine."""
+
+from bergamotcart.discovery import Position, TargetKey
+from bergamotcart.entry._config import EntryConfig
+from bergamotcart.entry._confirmations import Confirmations
+from bergamotcart.entry._control_link import ControlLink
+from bergamotcart.entry._executions import Executions
+from bergamotcart.entry._floors import FloorKeeper
+from bergamotcart.entry._flow import Flow
+from bergamotcart.entry._intake import Intake
+from bergamotcart.entry._lanes import Lanes
+from bergamotcart.entry._monitor import TargetMonitor, Watched
+from bergamotcart.entry._outcome_checks import OutcomeChecks
+from bergamotcart.entry._primary import PrimaryGate
+from bergamotcart.entry._reads import ReadSystem
+from bergamotcart.entry._relays import Relays
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Phase, RequestTable
+from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._sessions import Session, SessionTable
+from bergamotcart.entry._systems import Systems
+from bergamotcart.entry._tokens import TokenSystem
+from bergamotcart.entry._transactions import TransactionSystem
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.entry._writes import WriteSystem
+from bergamotcart.outcomes import Reason
+
+
+class Assembly:
+    """The tables and systems of one engine, connected with each other."""
+
+    __slots__ = (
+        '_replies',
+        'control',
+        'executions',
+        'flow',
+        'intake',
+        'lanes',
+        'monitor',
+        'relays',
+        'requests',
+        'sessions',
+        'systems',
+        'work',
+    )
+
+    def __init__(self, config: EntryConfig) -> None:
+        """Create all parts."""
+        work = Workspace(config)
+        self.work = work
+        self.sessions = SessionTable()
+        self.requests = RequestTable()
+        self.relays = Relays(work)
+        self._replies = Replies(work, self.requests)
+        # The flow reacts to lanes and probes and needs both, so they call it through here.
+        self.lanes = Lanes(work, lambda lane: self.flow.on_room(lane))
+        self.monitor = TargetMonitor(
+            work,
+            lambda watched, sent_at: self.flow.on_report(watched, sent_at),
+            self._on_reachability,
+            self._wanted,
+        )
+        self.executions = Executions(work, self.lanes, self.monitor)
+        self._connect()
+
+    def cancel_waiting(self, session: Session) -> None:
+        """End the requests of a closed session that have not been sent."""
+        for request in self.requests.of_session(session):
+            if request.phase is Phase.waiting:
+                self._replies.refuse(request, Reason.connection_lost, 'the session was closed')
+
+    def _connect(self) -> None:
+        work, monitor, replies = self.work, self.monitor, self._replies
+        floors = FloorKeeper(work, monitor)
+        gate = PrimaryGate(work, self.lanes, monitor, replies)
+        retries = Retries(work, replies)
+        confirmations = Confirmations(work, monitor, replies, floors)
+        self.flow = Flow(work, self.lanes, monitor, gate, confirmations)
+        self.control = ControlLink(
+            work, monitor, self.lanes, self.flow.on_groups, self.flow.on_lease
+        )
+        checks = OutcomeChecks(gate, self.executions, confirmations, replies, retries)
+        self.systems = Systems(
+            reads=ReadSystem(
+                work,
+                self.lanes,
+                monitor,
+                gate,
+                self.executions,
+                floors,
+                retries,
+                replies,
+            ),
+            writes=WriteSystem(gate, self.executions, confirmations, replies, retries),
+            transactions=TransactionSystem(
+                work, gate, self.executions, confirmations, checks, replies, retries
+            ),
+            tokens=TokenSystem(work, floors, replies),
+        )
+        self.intake = Intake(
+            work, self.sessions, self.requests, floors, replies, retries, self.systems
+        )
+
+    def _on_reachability(self, watched: Watched) -> None:
+        self.control.report_change()
+        self.flow.on_reachability(watched)
+
+    def _wanted(self, key: TargetKey) -> Position | None:
+        """Return the lowest position of a target's group that requests wait for."""
+        row = self.work.view.groups.get(key.group)
+        if row is None or row.primary == key.instance or not self.work.lease_valid:
+            return None
+        group = self.work.groups.get(key.group)
+        waiting = [wait.lowest for wait in (group.confirming, group.catch_up)]
+        known = [position for position in waiting if position is not None]
+        return min(known, default=None)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -0,0 +1,159 @@
+"""Exchange with control: lease requests, grants, updates and their acknowledgement."""
+
+from collections.abc import Callable
+from typing import Final
+
+from bergamotcart import messages
+from bergamotcart.documents import DocumentError
+from bergamotcart.entry._lanes import Lanes
+from bergamotcart.entry._monitor import TargetMonitor
+from bergamotcart.entry._timers import Timer
+from bergamotcart.entry._workspace import Workspace
+
+_DEFAULT_RENEWAL_S: Final = 0.25
+# A request that is not answered after this share of the renewal time goes to all members.
+_ANSWER_SHARE: Final = 0.6
+_MIN_REPORT_INTERVAL_S: Final = 0.02
+
+
+class ControlLink:
+    """Asks for lease renewals and applies updates.
+
+    :param on_update: called with the groups whose rows changed.
+    :param on_lease: called after a grant, and when a request stays unanswered.
+    """
+
+    __slots__ = (
+        '_answered',
+        '_lanes',
+        '_leader',
+        '_monitor',
+        '_on_lease',
+        '_on_update',
+        '_renew_after_s',
+        '_sent_at',
+        '_timer',
+        '_work',
+    )
+
+    def __init__(
+        self,
+        work: Workspace,
+        monitor: TargetMonitor,
+        lanes: Lanes,
+        on_update: Callable[[list[str]], None],
+        on_lease: Callable[[], None],
+    ) -> None:
+        """Start without a known leader."""
+        self._work = work
+        self._monitor = monitor
+        self._lanes = lanes
+        self._on_update = on_update
+        self._on_lease = on_lease
+        self._leader: tuple[str, str] | None = None
+        self._renew_after_s = _DEFAULT_RENEWAL_S
+        self._sent_at = float('-inf')
+        self._answered = False
+        self._timer: Timer | None = None
+
+    def ask(self) -> None:
+        """Ask for a renewal: from the leader when it is known, else from all members."""
+        now = self._work.now
+        if now <= self._sent_at:
+            return
+        if not self._answered:
+            self._leader = None
+        self._answered = False
+        self._sent_at = now
+        self._work.lease.note_request(now)
+        request = self._request()
+        for name, address in self._recipients():
+            self._work.send(name, address, request)
+        self._schedule(self._renew_after_s * _ANSWER_SHARE)
+        self._on_lease()
+
+    def report_change(self) -> None:
+        """Tell control at once that the reachability of a target changed."""
+        if self._work.now - self._sent_at < _MIN_REPORT_INTERVAL_S:
+            self._schedule(_MIN_REPORT_INTERVAL_S)
+            return
+        # A request under way does not make the leader unknown.
+        self._answered = True
+        self.ask()
+
+    def take_grant(self, envelope: messages.Envelope, grant: messages.LeaseGrant) -> None:
+        """Take a grant of the leader."""
+        view = self._work.view
+        was_valid = self._work.lease_valid
+        if not self._work.lease.accept(grant, view.control_term, view.applied_index):
+            return
+        self._leader = (envelope.sender, envelope.sender_address)
+        self._renew_after_s = grant.renew_after_s
+        if grant.echo_sent_at == self._sent_at:
+            self._answered = True
+            self._schedule(self._renew_after_s - (self._work.now - self._sent_at))
+        if not was_valid and self._work.lease_valid:
+            self._work.decide('leases', 'hold', 'granted', detail=envelope.sender)
+        self._on_lease()
+
+    def take_refusal(self, refusal: messages.LeaseRefusal) -> None:
+        """Take a refusal; the member may know the leader."""
+        if not self._work.lease.is_own_request(refusal.echo_sent_at) or refusal.leader is None:
+            return
+        address = dict(self._members()).get(refusal.leader)
+        if address is None or self._answered:
+            return
+        if self._leader is None or self._leader[0] != refusal.leader:
+            self._leader = (refusal.leader, address)
+
+    def take_update(self, envelope: messages.Envelope, update: messages.StateUpdate) -> None:
+        """Apply an update and acknowledge the state at once."""
+        view = self._work.view
+        before = dict(view.groups)
+        try:
+            applied = view.apply(update)
+        except DocumentError as error:
+            self._work.decide('state', 'refuse_update', 'bad_document', detail=str(error))
+            return
+        ack = messages.StateAck(
+            applied_index=view.applied_index,
+            revision=view.document.revision,
+        )
+        if applied:
+            changed = [name for name, row in view.groups.items() if before.get(name) != row]
+            changed.extend(name for name in before if name not in view.groups)
+            self._work.decide('state', 'apply', 'update', detail=str(view.applied_index))
+            self._lanes.update_limits()
+            self._on_update(changed)
+        self._work.send(envelope.sender, envelope.sender_address, ack)
+        if applied and not self._work.lease_valid:
+            self._schedule(0)
+
+    def _request(self) -> messages.LeaseRequest:
+        config = self._work.config
+        return messages.LeaseRequest(
+            sent_at=self._work.now,
+            address=config.address,
+            availability_zone=config.availability_zone,
+            applied_index=self._work.view.applied_index,
+            revision=self._work.view.document.revision,
+            draining=self._work.draining,
+            reports=self._monitor.reports(),
+            quota_use=self._lanes.quota_use(),
+        )
+
+    def _members(self) -> tuple[tuple[str, str], ...]:
+        rows = self._work.view.members
+        if rows:
+            return tuple((row.name, row.address) for row in rows.values())
+        return self._work.config.control_members
+
+    def _recipients(self) -> tuple[tuple[str, str], ...]:
+        if self._leader is not None:
+            return (self._leader,)
+        return self._members()
+
+    def _schedule(self, delay_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._work.after(max(delay_s, 0.001), self.ask)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
@@ -0,0 +1,90 @@
+"""Control state as this entry has applied it."""
+
+from bergamotcart import documents
+from bergamotcart.messages import (
+    ControlMemberRow,
+    EntryRow,
+    GroupPhase,
+    GroupRow,
+    SectionRow,
+    StateUpdate,
+)
+
+
+class ControlView:
+    """Rows of the control state; they never step back in control term and index."""
+
+    __slots__ = (
+        '_policies',
+        '_sections',
+        'applied_index',
+        'control_term',
+        'document',
+        'entries',
+        'entries_limit',
+        'groups',
+        'members',
+    )
+
+    def __init__(self) -> None:
+        """Start without any state."""
+        self.applied_index = 0
+        self.entries_limit = 1
+        self.control_term = 0
+        self.groups: dict[str, GroupRow] = {}
+        self.entries: dict[str, EntryRow] = {}
+        self.members: dict[str, ControlMemberRow] = {}
+        self.document = documents.Document({}, revision=0)
+        self._sections: dict[str, SectionRow] = {}
+        self._policies: dict[tuple[str, str], documents.Policy] = {}
+
+    def apply(self, update: StateUpdate) -> bool:
+        """Apply an update unless it is late, incomplete or malformed.
+
+        :param update: rows that changed.
+        :returns: whether the update was applied.
+        """
+        if update.control_term < self.control_term or update.from_index > self.applied_index:
+            return False
+        if update.to_index < self.applied_index:
+            return False
+        self.control_term = update.control_term
+        if update.to_index == self.applied_index and self.applied_index > 0:
+            return False
+        sections = {} if update.from_index == 0 else dict(self._sections)
+        for name in update.removed_sections:
+            sections.pop(name, None)
+        sections.update((row.name, row) for row in update.sections)
+        self.document = documents.Document.from_sections(sections.values(), update.revision)
+        self._sections = sections
+        self._policies.clear()
+        self._apply_rows(update)
+        self.applied_index = update.to_index
+        self.entries_limit = max(update.entries_limit, 1)
+        return True
+
+    def policy(self, caller: str, group: str) -> documents.Policy:
+        """Return the policy for a caller and a group."""
+        policy = self._policies.get((caller, group))
+        if policy is None:
+            policy = self.document.policy(caller, group)
+            self._policies[caller, group] = policy
+        return policy
+
+    def is_open(self, group: str, term: int | None = None) -> bool:
+        """Tell whether a group has a primary that serves, at a term if one is given."""
+        row = self.groups.get(group)
+        if row is None or row.phase != GroupPhase.open or row.primary is None:
+            return False
+        return term is None or row.term == term
+
+    def _apply_rows(self, update: StateUpdate) -> None:
+        if update.from_index == 0:
+            self.groups = {}
+            self.entries = {}
+        for name in update.removed_entries:
+            self.entries.pop(name, None)
+        self.groups.update((row.name, row) for row in update.groups)
+        self.entries.update((row.name, row) for row in update.entries)
+        if update.members:
+            self.members = {row.name: row for row in update.members}
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -0,0 +1,136 @@
+"""Executions at targets: their start, their end, and the places they take in a lane."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from bergamotcart.discovery import TargetKey
+from bergamotcart.entry._actions import Execute
+from bergamotcart.entry._execution import (
+    ConnectionUse,
+    ExecutionStatus,
+    LedgerKey,
+    Step,
+    StepKind,
+)
+from bergamotcart.entry._inputs import ExecutionFinished
+from bergamotcart.entry._lanes import Lane, Lanes
+from bergamotcart.entry._monitor import TargetMonitor
+from bergamotcart.entry._requests import Phase, Request
+from bergamotcart.entry._timers import Timer
+from bergamotcart.entry._workspace import Workspace
+
+# The adapter reports every execution in time; this covers a report that is lost all the same.
+_LOST_REPORT_S: Final = 1.0
+_MIN_TIMEOUT_S: Final = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What to run and where.
+
+    :param is_read: whether it counts against the primary's share for reads.
+    """
+
+    target: TargetKey
+    steps: tuple[Step, ...]
+    use: ConnectionUse = ConnectionUse.shared
+    ledger: LedgerKey | None = None
+    is_read: bool = False
+
+
+@dataclass(slots=True)
+class Running:
+    """An execution that has not ended."""
+
+    request: Request
+    plan: Plan
+    lane: Lane
+    on_finished: Callable[['Running', ExecutionFinished], None]
+    incarnation: str
+    timer: Timer | None = None
+
+
+class Executions:
+    """Starts executions and hands their results to the system that asked for them."""
+
+    __slots__ = ('_ids', '_lanes', '_monitor', '_running', '_work')
+
+    def __init__(self, work: Workspace, lanes: Lanes, monitor: TargetMonitor) -> None:
+        """Start without executions."""
+        self._work = work
+        self._lanes = lanes
+        self._monitor = monitor
+        self._running: dict[int, Running] = {}
+        self._ids = itertools.count(1)
+
+    def start(
+        self,
+        request: Request,
+        plan: Plan,
+        on_finished: Callable[[Running, ExecutionFinished], None],
+    ) -> None:
+        """Send a request to a target; its lane must have room for it."""
+        target = self._work.table.get(plan.target)
+        lane = self._lanes.get(plan.target)
+        if plan.use in {ConnectionUse.shared, ConnectionUse.pin}:
+            lane.in_flight += 1
+            lane.reads += int(plan.is_read)
+        execution_id = next(self._ids)
+        left = request.deadline - self._work.now
+        timeout = max(_MIN_TIMEOUT_S, min(left, self._work.config.statement_timeout_s))
+        incarnation = target.announcement.incarnation if target else ''
+        running = Running(request, plan, lane, on_finished, incarnation)
+        self._running[execution_id] = running
+        request.phase = Phase.executing
+        request.execution_id = execution_id
+        request.ticket += 1
+        request.attempts += 1
+        running.timer = self._work.after(
+            timeout + _LOST_REPORT_S,
+            lambda: self.finish(_lost(execution_id)),
+        )
+        self._work.actions.append(
+            Execute(
+                execution_id=execution_id,
+                request_id=request.request_id,
+                session_id=request.session.session_id,
+                target=plan.target,
+                address=target.announcement.address if target else '',
+                steps=plan.steps,
+                use=plan.use,
+                timeout_s=timeout,
+                ledger=plan.ledger,
+            )
+        )
+
+    def finish(self, finished: ExecutionFinished) -> None:
+        """Take the end of an execution; a late or repeated one changes nothing."""
+        running = self._running.pop(finished.execution_id, None)
+        if running is None:
+            return
+        if running.timer is not None:
+            running.timer.cancel()
+        if finished.refused and finished.status is ExecutionStatus.not_sent:
+            self._monitor.note_refused(running.plan.target)
+        elif finished.status is ExecutionStatus.lost:
+            self._monitor.probe_soon(running.plan.target)
+        running.request.execution_id = None
+        running.request.phase = Phase.waiting
+        running.on_finished(running, finished)
+        if running.plan.use is ConnectionUse.shared:
+            self._lanes.release(running.lane, is_read=running.plan.is_read)
+
+    def release_pin(self, target: TargetKey) -> None:
+        """Give back the place of a transaction that ended."""
+        self._lanes.release(self._lanes.get(target), is_read=False)
+
+
+def _lost(execution_id: int) -> ExecutionFinished:
+    return ExecutionFinished(
+        execution_id=execution_id,
+        status=ExecutionStatus.lost,
+        failed_step=StepKind.commit,
+        clean=False,
+    )
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -0,0 +1,159 @@
+"""Reactions of requests to changes of targets, groups and the lease."""
+
+from typing import Final
+
+from bergamotcart.discovery import TargetKey
+from bergamotcart.entry._confirmations import Confirmations
+from bergamotcart.entry._lanes import Lane, Lanes
+from bergamotcart.entry._monitor import TargetMonitor, Watched
+from bergamotcart.entry._primary import PrimaryGate
+from bergamotcart.entry._requests import Request
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.messages import TargetRole
+from bergamotcart.outcomes import Reason
+
+# A target that stopped announcing itself is forgotten after this time.
+FORGET_AFTER_S: Final = 30.0
+
+
+class Flow:
+    """Moves waiting requests on when what they wait for may have changed."""
+
+    __slots__ = (
+        '_confirmations',
+        '_gate',
+        '_had_lease',
+        '_lanes',
+        '_monitor',
+        '_usable',
+        '_work',
+    )
+
+    def __init__(
+        self,
+        work: Workspace,
+        lanes: Lanes,
+        monitor: TargetMonitor,
+        gate: PrimaryGate,
+        confirmations: Confirmations,
+    ) -> None:
+        """Keep the tables that requests wait in."""
+        self._work = work
+        self._lanes = lanes
+        self._monitor = monitor
+        self._gate = gate
+        self._confirmations = confirmations
+        self._usable: set[TargetKey] = set()
+        self._had_lease = False
+
+    def on_report(self, watched: Watched, sent_at: float) -> None:
+        """Use a position: as proof, as confirmation, and for waiting reads."""
+        report = watched.report
+        if report is None:
+            return
+        group = self._work.groups.get(watched.key.group)
+        if self._is_proof(watched):
+            group.heads.add(sent_at, report.position)
+            self._confirmations.on_head(group, sent_at, report.position)
+            _resume(group.primary_waits.pop_answered(sent_at))
+        waits = group.instance_waits.get(watched.key)
+        if waits is not None:
+            _resume(waits.pop_answered(sent_at))
+        self._confirmations.on_report(watched)
+        if report.role is TargetRole.replica:
+            _resume(group.catch_up.pop_reached(report.position))
+
+    def on_room(self, lane: Lane) -> None:
+        """Send what waits for a place at a target."""
+        if self._work.groups.get(lane.key.group).writes:
+            self._gate.pump(lane.key.group)
+        while lane.queue and lane.has_room:
+            request, ticket = lane.queue.popleft()
+            if ticket == request.ticket:
+                _resume([request])
+
+    def on_group(self, name: str) -> None:
+        """Route again whatever waits in a group whose row, lease or targets changed."""
+        group = self._work.groups.get(name)
+        self._confirmations.on_group_change(group)
+        self._route_again(name)
+
+    def on_groups(self, names: list[str]) -> None:
+        """React to changed rows of groups."""
+        for name in names:
+            self.on_group(name)
+
+    def on_target(self, key: TargetKey) -> None:
+        """React to a newer announcement: a target may be new, back, or leaving."""
+        usable = self._work.table.takes_new_work(key, self._work.now)
+        if usable == (key in self._usable):
+            return
+        if usable:
+            self._usable.add(key)
+            self._lanes.update_limits()
+        else:
+            self._usable.discard(key)
+            self._drain_lane(key)
+        self._route_again(key.group)
+
+    def on_lease(self) -> None:
+        """Use a lease that became valid; refuse what waits once control is out of reach."""
+        was_valid = self._had_lease
+        self._had_lease = self._work.lease_valid
+        if self._had_lease and not was_valid:
+            for group in self._work.groups:
+                self.on_group(group.name)
+            self._lanes.update_limits()
+        elif self._gate.is_cut_off:
+            for group in self._work.groups:
+                self._gate.refuse_queued(group.name, Reason.no_lease)
+                _resume(group.pop_reads())
+
+    def on_reachability(self, watched: Watched) -> None:
+        """Route again what waits for a target that became reachable or unreachable."""
+        self._drain_lane(watched.key)
+        self._route_again(watched.key.group)
+
+    def sweep(self) -> None:
+        """Route reads away from expired targets and forget those that are long gone."""
+        now = self._work.now
+        for target in list(self._work.table):
+            if not self._work.table.is_expired(target.key, now):
+                continue
+            self._usable.discard(target.key)
+            self._drain_lane(target.key)
+            is_gone = now - target.made_after > FORGET_AFTER_S
+            if is_gone and not self._is_primary(target.key):
+                self._work.table.remove(target.key)
+                self._monitor.forget(target.key)
+                self._lanes.forget(target.key)
+
+    def _route_again(self, name: str) -> None:
+        self._gate.pump(name)
+        _resume(self._work.groups.get(name).pop_reads())
+
+    def _drain_lane(self, key: TargetKey) -> None:
+        lane = self._lanes.get(key)
+        waiting = list(lane.queue)
+        lane.queue.clear()
+        _resume([request for request, ticket in waiting if ticket == request.ticket])
+
+    def _is_primary(self, key: TargetKey) -> bool:
+        row = self._work.view.groups.get(key.group)
+        return row is not None and row.primary == key.instance
+
+    def _is_proof(self, watched: Watched) -> bool:
+        """Tell whether a position is that of the primary of the open term."""
+        key, report = watched.key, watched.report
+        row = self._work.view.groups.get(key.group)
+        if row is None or report is None or row.primary != key.instance:
+            return False
+        if report.role is not TargetRole.primary or report.term != row.term:
+            return False
+        return self._work.lease_valid and self._work.view.is_open(key.group)
+
+
+def _resume(requests: list[Request]) -> None:
+    for request in requests:
+        if not request.done and request.system is not None:
+            request.system.resume(request)
--- a/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
@@ -46,11 +46,14 @@
 
     :param request_id: unique within the process.
     :param sql: the statement as sent, with its comments.
+    :param unix_ms: wall clock of the adapter, in milliseconds, against which the issue
+        time of a request identifier is checked; ``None`` leaves that check out.
     """
 
     request_id: int
     session_id: int
     sql: str
+    unix_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_intake.py
@@ -0,0 +1,251 @@
+"""Arrival of requests: directives, limits, and the system that serves each kind."""
+
+from typing import Final
+
+from bergamotcart import documents
+from bergamotcart.entry._actions import Reply
+from bergamotcart.entry._execution import LedgerKey
+from bergamotcart.entry._floors import FloorKeeper
+from bergamotcart.entry._inputs import RequestArrived
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Phase, Request, RequestSystem, RequestTable
+from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._sessions import Session, SessionTable
+from bergamotcart.entry._systems import Systems
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.outcomes import NotRun, Outcome, Ran, Reason
+from bergamotcart.statements import (
+    DirectiveError,
+    Directives,
+    Statement,
+    StatementKind,
+    classify,
+    extract_directives,
+    fingerprint,
+    issue_time_ms,
+)
+
+_LOCAL: Final = frozenset(
+    (
+        StatementKind.empty,
+        StatementKind.session_command,
+        StatementKind.use,
+        StatementKind.refused,
+        StatementKind.autocommit_off,
+    )
+)
+_ENDS: Final = frozenset(
+    (StatementKind.commit, StatementKind.rollback, StatementKind.autocommit_on)
+)
+_MS_PER_S: Final = 1000
+
+
+class Intake:
+    """Checks arriving requests and hands them to their systems."""
+
+    __slots__ = ('_floors', '_replies', '_requests', '_retries', '_sessions', '_systems', '_work')
+
+    def __init__(
+        self,
+        work: Workspace,
+        sessions: SessionTable,
+        requests: RequestTable,
+        floors: FloorKeeper,
+        replies: Replies,
+        retries: Retries,
+        systems: Systems,
+    ) -> None:
+        """Keep the tables that the checks read."""
+        self._work = work
+        self._sessions = sessions
+        self._requests = requests
+        self._floors = floors
+        self._replies = replies
+        self._retries = retries
+        self._systems = systems
+
+    def arrive(self, arrived: RequestArrived) -> None:
+        """Take a request of a caller."""
+        session = self._sessions.get(arrived.session_id)
+        if self._requests.get(arrived.request_id) is not None:
+            return
+        if session is None:
+            self._answer(arrived, NotRun(Reason.connection_lost, 'the session is closed'))
+            return
+        if self._requests.of_session(session):
+            self._answer(arrived, NotRun(Reason.caller_limit, 'one statement at a time'))
+            return
+        try:
+            sql, directives = extract_directives(arrived.sql)
+        except DirectiveError as error:
+            self._answer(arrived, NotRun(Reason.bad_directive, str(error)))
+            return
+        statement = classify(sql)
+        if directives.session is not None:
+            refusal = self._systems.tokens.take(session, directives.session)
+            if refusal is not None:
+                self._answer(arrived, refusal)
+                return
+        if statement.kind in _LOCAL:
+            self._answer(arrived, self._serve_locally(session, statement))
+            return
+        refusal = self._check(session, statement)
+        if refusal is not None:
+            self._answer(arrived, refusal)
+            return
+        self._start(self._build(arrived, session, sql, statement, directives), arrived.unix_ms)
+
+    def end_wait(self, request: Request) -> None:
+        """End a request whose deadline is over, unless its execution ends by itself."""
+        if request.phase is Phase.waiting:
+            self._replies.refuse(request, Reason.deadline)
+        elif request.phase is Phase.confirming:
+            self._replies.may_have_run(request, Reason.not_confirmed, 'deadline')
+
+    def _answer(self, arrived: RequestArrived, outcome: Outcome) -> None:
+        reason = outcome.reason.value
+        action = 'answer' if isinstance(outcome, Ran) else 'refuse'
+        self._work.decide(
+            'requests',
+            action,
+            reason,
+            request=arrived.request_id,
+            session=arrived.session_id,
+        )
+        self._work.actions.append(Reply(arrived.request_id, outcome))
+
+    def _serve_locally(self, session: Session, statement: Statement) -> Outcome:
+        if statement.kind is StatementKind.refused:
+            return NotRun(Reason.unsupported_statement, statement.detail)
+        if statement.kind is StatementKind.autocommit_off:
+            session.autocommit = False
+        if statement.kind is StatementKind.use:
+            if session.transaction is not None:
+                return NotRun(Reason.unsupported_statement, 'USE inside a transaction')
+            if not self._is_known_group(statement.detail):
+                return NotRun(Reason.unknown_group, statement.detail)
+            session.group = statement.detail
+        return Ran()
+
+    def _check(self, session: Session, statement: Statement) -> NotRun | None:
+        """Return why a request is refused before anything else, or ``None``."""
+        if not self._work.lease.confirmed:
+            return NotRun(Reason.not_configured, retry_after=1.0)
+        if statement.kind in _ENDS or statement.kind is StatementKind.show_session:
+            return None
+        if session.group is None or not self._is_known_group(session.group):
+            return NotRun(Reason.unknown_group, session.group or 'no group is selected')
+        if session.rolled_back and statement.kind is not StatementKind.begin:
+            return NotRun(Reason.rolled_back, 'the transaction was rolled back')
+        if session.transaction is None and self._work.draining:
+            return NotRun(Reason.draining, retry_after=0.0)
+        return self._check_caller(session, session.group)
+
+    def _check_caller(self, session: Session, group: str) -> NotRun | None:
+        policy = self._work.view.policy(session.caller, group)
+        if session.refused and self._sessions.count(session.caller) > policy.max_connections:
+            return NotRun(Reason.caller_limit, 'connections', retry_after=1.0)
+        session.refused = False
+        if self._requests.in_flight(session.caller) >= policy.max_in_flight:
+            return NotRun(Reason.caller_limit, 'requests in flight', retry_after=0.1)
+        return None
+
+    def _build(
+        self,
+        arrived: RequestArrived,
+        session: Session,
+        sql: str,
+        statement: Statement,
+        directives: Directives,
+    ) -> Request:
+        transaction = session.transaction
+        group = transaction.group if transaction else (session.group or '')
+        policy = self._work.view.policy(session.caller, group)
+        deadline = policy.deadline_s if directives.deadline_s is None else directives.deadline_s
+        max_age = policy.max_age_s if directives.max_age_s is None else directives.max_age_s
+        mark = directives.repeatable or policy.repeatable
+        now = self._work.now
+        return Request(
+            request_id=arrived.request_id,
+            session=session,
+            sql=sql,
+            statement=statement,
+            directives=directives,
+            group=group,
+            policy=policy,
+            arrived_at=now,
+            deadline=now + deadline,
+            max_age_s=max_age,
+            repeatable=mark is documents.Repeatable.yes,
+        )
+
+    def _start(self, request: Request, unix_ms: int | None) -> None:
+        self._requests.add(request)
+        self._retries.budgets.note_request(request)
+        request.deadline_timer = self._work.timers.schedule(
+            request.deadline,
+            lambda: self.end_wait(request),
+        )
+        kind = request.statement.kind
+        if kind in _ENDS:
+            self._end_transaction(request)
+            return
+        if kind is not StatementKind.show_session:
+            if self._floors.is_lost(request.session, request.group):
+                self._replies.refuse(request, Reason.discarded_branch)
+                return
+            if kind is not StatementKind.read and not self._mark(request, unix_ms):
+                return
+        request.system = self._system(request)
+        if request.system is not None:
+            request.system.resume(request)
+
+    def _system(self, request: Request) -> RequestSystem | None:
+        session, kind = request.session, request.statement.kind
+        if kind is StatementKind.show_session:
+            return self._systems.tokens
+        if kind is StatementKind.begin:
+            session.rolled_back = False
+            if session.transaction is None:
+                return self._systems.transactions
+            self._replies.refuse(request, Reason.unsupported_statement, 'a transaction is open')
+            return None
+        if session.transaction is not None:
+            return self._systems.transactions
+        if not session.autocommit and request.statement.transactional:
+            return self._systems.transactions
+        return self._systems.reads if kind is StatementKind.read else self._systems.writes
+
+    def _end_transaction(self, request: Request) -> None:
+        kind = request.statement.kind
+        if kind is StatementKind.rollback:
+            self._systems.transactions.roll_back(request)
+            return
+        if kind is StatementKind.autocommit_on:
+            request.session.autocommit = True
+        self._systems.transactions.commit(request)
+
+    def _mark(self, request: Request, unix_ms: int | None) -> bool:
+        """Set the ledger key of a request that runs at most once.
+
+        :returns: whether the request may go on.
+        """
+        identifier = request.directives.request
+        if identifier is None or request.repeatable or request.session.transaction is not None:
+            return True
+        if not request.statement.transactional:
+            detail = 'the statement cannot share a transaction with its ledger row'
+            self._replies.refuse(request, Reason.unsupported_statement, detail)
+            return False
+        issued_at = issue_time_ms(identifier)
+        settings = self._work.view.document.group(request.group)
+        if issued_at is not None and unix_ms is not None and settings is not None:
+            if unix_ms - issued_at > settings.ledger_retention_s * _MS_PER_S:
+                self._replies.refuse(request, Reason.identifier_expired)
+                return False
+        digest = fingerprint(request.sql)
+        request.ledger = LedgerKey(request.session.caller, identifier, digest, issued_at)
+        return True
+
+    def _is_known_group(self, name: str) -> bool:
+        return self._work.view.document.group(name) is not None
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lease.py
@@ -0,0 +1,67 @@
+"""The lease that this entry holds."""
+
+from typing import Final
+
+from bergamotcart.messages import LeaseGrant, QuotaGrant
+
+_REMEMBERED_REQUESTS: Final = 64
+
+
+class LeaseHolder:
+    """Validity of the lease, counted from the time at which its request was sent.
+
+    :param drift_margin: share by which the own clock may run slower than control's.
+    """
+
+    __slots__ = ('_control_term', '_drift_margin', '_sent', '_valid_until', 'confirmed', 'quotas')
+
+    def __init__(self, drift_margin: float) -> None:
+        """Start without a lease."""
+        self._drift_margin = drift_margin
+        self._valid_until = float('-inf')
+        self._control_term = 0
+        self._sent: dict[float, None] = {}
+        self.confirmed = False
+        self.quotas: tuple[QuotaGrant, ...] = ()
+
+    @property
+    def valid_until(self) -> float:
+        """Time at which the lease ends, in seconds."""
+        return self._valid_until
+
+    def is_valid(self, now: float) -> bool:
+        """Tell whether the lease is valid and the state was confirmed once."""
+        return now < self._valid_until and self.confirmed
+
+    def note_request(self, sent_at: float) -> None:
+        """Remember a request, so that only answers to own requests count."""
+        self._sent[sent_at] = None
+        if len(self._sent) > _REMEMBERED_REQUESTS:
+            self._sent.pop(next(iter(self._sent)))
+
+    def is_own_request(self, sent_at: float) -> bool:
+        """Tell whether a request with this time was sent by this process."""
+        return sent_at in self._sent
+
+    def accept(self, grant: LeaseGrant, control_term: int, applied_index: int) -> bool:
+        """Take a grant.
+
+        :param grant: answer to a request of this process.
+        :param control_term: newest control term that this entry knows.
+        :param applied_index: index of the control state that this entry has applied.
+        :returns: whether the grant counts.
+        """
+        newest_term = max(self._control_term, control_term)
+        if not self.is_own_request(grant.echo_sent_at) or grant.control_term < newest_term:
+            return False
+        self._control_term = grant.control_term
+        duration = grant.duration_s * (1 - self._drift_margin)
+        valid_until = grant.echo_sent_at + duration
+        if valid_until > self._valid_until:
+            self._valid_until = valid_until
+            self.quotas = grant.quotas
+        # A restarted entry could have got an old update that was under way for long, so
+        # its state counts only once control has answered that it is not behind.
+        if applied_index > 0 and grant.current_index <= applied_index:
+            self.confirmed = True
+        return True
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -0,0 +1,214 @@
+"""Probes of targets: reachability, positions, and proofs from the primary."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from bergamotcart.discovery import KnownTarget, Position, PositionReport, TargetKey
+from bergamotcart.entry._actions import Probe
+from bergamotcart.entry._inputs import ProbeFinished
+from bergamotcart.entry._timers import Timer
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.messages import Reachability, TargetReport
+
+PROBE_INTERVAL_S: Final = 0.25
+# A replica that answers a waiting probe without progress is not asked in a tight loop.
+_REPEAT_S: Final = 0.005
+# The adapter reports every probe; this covers a report that is lost all the same.
+_LOST_PROBE_S: Final = 0.5
+_INITIAL_CATCH_UP_S: Final = 0.01
+_CATCH_UP_WEIGHT: Final = 0.2
+
+
+@dataclass(slots=True)
+class Watched:
+    """What probes have shown of one target.
+
+    :param report: newest answer of the current incarnation.
+    :param report_sent_at: time at which the probe of that answer was sent, in seconds.
+    :param since: time from which the reachability holds, in seconds.
+    :param needed_after: an answer to a probe sent after this time is waited for.
+    :param catch_up_s: smoothed time that the instance needs to reach a position waited for.
+    """
+
+    key: TargetKey
+    incarnation: str
+    report: PositionReport | None = None
+    report_sent_at: float = float('-inf')
+    reachability: Reachability | None = None
+    since: float = 0.0
+    in_flight: bool = False
+    last_sent: float = float('-inf')
+    waited_for: Position | None = None
+    needed_after: float = float('-inf')
+    catch_up_s: float = _INITIAL_CATCH_UP_S
+    timer: Timer | None = None
+
+
+class TargetMonitor:
+    """Probes each known target a few times a second, and at once when that is needed.
+
+    :param on_report: called with each accepted answer.
+    :param on_change: called when the reachability of a target changes.
+    :param wanted: returns the position that requests of a target's group wait for.
+    """
+
+    __slots__ = ('_on_change', '_on_report', '_wanted', '_watched', '_work')
+
+    def __init__(
+        self,
+        work: Workspace,
+        on_report: Callable[[Watched, float], None],
+        on_change: Callable[[Watched], None],
+        wanted: Callable[[TargetKey], Position | None],
+    ) -> None:
+        """Start without targets."""
+        self._work = work
+        self._on_report = on_report
+        self._on_change = on_change
+        self._wanted = wanted
+        self._watched: dict[TargetKey, Watched] = {}
+
+    def __iter__(self) -> Iterator[Watched]:
+        """Iterate over all watched targets."""
+        return iter(self._watched.values())
+
+    def get(self, key: TargetKey) -> Watched | None:
+        """Return what is known of a target."""
+        return self._watched.get(key)
+
+    def is_reachable(self, key: TargetKey) -> bool:
+        """Tell whether the last probe of a target was answered."""
+        watched = self._watched.get(key)
+        return watched is not None and watched.reachability is Reachability.reachable
+
+    def reports(self) -> tuple[TargetReport, ...]:
+        """Return what control is told about the targets."""
+        return tuple(
+            TargetReport(
+                group=watched.key.group,
+                instance=watched.key.instance,
+                reachability=watched.reachability,
+                for_s=self._work.now - watched.since,
+            )
+            for watched in self._watched.values()
+            if watched.reachability is not None
+        )
+
+    def watch(self, target: KnownTarget) -> None:
+        """Begin to probe a target, or note its new incarnation."""
+        watched = self._watched.get(target.key)
+        if watched is None:
+            watched = Watched(target.key, target.announcement.incarnation)
+            self._watched[target.key] = watched
+            self._send(watched)
+            return
+        if watched.incarnation != target.announcement.incarnation:
+            watched.incarnation = target.announcement.incarnation
+            watched.report = None
+            self.probe_soon(target.key)
+
+    def forget(self, key: TargetKey) -> None:
+        """Stop probing a target."""
+        watched = self._watched.pop(key, None)
+        if watched is not None and watched.timer is not None:
+            watched.timer.cancel()
+
+    def need_report_after(self, key: TargetKey, when: float) -> None:
+        """Ask for an answer to a probe that is sent after a time."""
+        watched = self._watched.get(key)
+        if watched is None:
+            return
+        watched.needed_after = max(watched.needed_after, when)
+        if not watched.in_flight:
+            self._send(watched)
+
+    def probe_soon(self, key: TargetKey) -> None:
+        """Probe a target at once unless a probe is under way."""
+        watched = self._watched.get(key)
+        if watched is not None and not watched.in_flight:
+            self._send(watched)
+
+    def note_refused(self, key: TargetKey) -> None:
+        """Take over that a connection to a target was refused."""
+        watched = self._watched.get(key)
+        if watched is not None:
+            self._set_reachability(watched, Reachability.refusing)
+            self.probe_soon(key)
+
+    def finish(self, finished: ProbeFinished) -> None:
+        """Take the end of a probe; a late or repeated one changes nothing."""
+        watched = self._watched.get(finished.target)
+        if watched is None or finished.sent_at < watched.last_sent:
+            return
+        was_in_flight = watched.in_flight
+        watched.in_flight = False
+        if finished.report is None:
+            if was_in_flight:
+                self._set_reachability(watched, finished.failure or Reachability.silent)
+        elif finished.sent_at > watched.report_sent_at:
+            self._accept(watched, finished.report, finished.sent_at)
+        if was_in_flight:
+            self._schedule(watched)
+
+    def _accept(self, watched: Watched, report: PositionReport, sent_at: float) -> None:
+        progressed = watched.report is None or report.position > watched.report.position
+        watched.report = report
+        watched.report_sent_at = sent_at
+        self._update_catch_up(watched, report)
+        self._set_reachability(watched, Reachability.reachable)
+        self._on_report(watched, sent_at)
+        if progressed and not watched.in_flight and self._wanted(watched.key) is not None:
+            self._send(watched)
+
+    def _update_catch_up(self, watched: Watched, report: PositionReport) -> None:
+        if watched.waited_for is None:
+            return
+        elapsed = self._work.now - watched.last_sent
+        if report.position < watched.waited_for:
+            elapsed = max(2 * elapsed, watched.catch_up_s)
+        watched.catch_up_s += _CATCH_UP_WEIGHT * (elapsed - watched.catch_up_s)
+
+    def _set_reachability(self, watched: Watched, reachability: Reachability) -> None:
+        if watched.reachability is reachability:
+            return
+        watched.reachability = reachability
+        watched.since = self._work.now
+        self._on_change(watched)
+
+    def _schedule(self, watched: Watched) -> None:
+        if watched.in_flight or self._watched.get(watched.key) is not watched:
+            return
+        is_answered = watched.reachability is Reachability.reachable
+        if is_answered and watched.needed_after >= watched.report_sent_at:
+            self._send(watched)
+            return
+        is_wanted = is_answered and self._wanted(watched.key) is not None
+        delay = _REPEAT_S if is_wanted else PROBE_INTERVAL_S
+        if watched.timer is not None:
+            watched.timer.cancel()
+        watched.timer = self._work.after(delay, lambda: self._send(watched))
+
+    def _send(self, watched: Watched) -> None:
+        target = self._work.table.get(watched.key)
+        if watched.in_flight or target is None:
+            return
+        if watched.timer is not None:
+            watched.timer.cancel()
+        watched.in_flight = True
+        watched.last_sent = self._work.now
+        watched.waited_for = self._wanted(watched.key)
+        timeout = self._work.config.silence_timeout_s
+        self._work.actions.append(
+            Probe(
+                target=watched.key,
+                address=target.announcement.address,
+                wait_for=watched.waited_for,
+                timeout_s=timeout,
+            )
+        )
+        sent_at = watched.last_sent
+        watched.timer = self._work.after(
+            timeout + _LOST_PROBE_S,
+            lambda: self.finish(ProbeFinished(watched.key, sent_at, None, Reachability.silent)),
+        )
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary.py
@@ -0,0 +1,120 @@
+"""The gate to the primary: lease, term, reachability and room."""
+
+import abc
+
+from bergamotcart.discovery import TargetKey
+from bergamotcart.entry._lanes import Lanes
+from bergamotcart.entry._monitor import TargetMonitor
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Phase, Request, RequestSystem
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.outcomes import Reason
+
+MAX_QUEUED_WRITES = 1000
+# A lease that ended this long ago is not renewed soon: control cannot be reached.
+_CUT_OFF_S = 1.0
+
+
+class QueuedSystem(RequestSystem):
+    """System whose requests wait in the queue for the primary."""
+
+    @abc.abstractmethod
+    def dispatch(self, request: Request, target: TargetKey) -> None:
+        """Send a request to the primary; its lane has room."""
+
+
+class PrimaryGate:
+    """Queues work for the primary of each group and lets it pass while that is safe."""
+
+    __slots__ = ('_lanes', '_monitor', '_replies', '_work')
+
+    def __init__(
+        self,
+        work: Workspace,
+        lanes: Lanes,
+        monitor: TargetMonitor,
+        replies: Replies,
+    ) -> None:
+        """Keep the tables that decide."""
+        self._work = work
+        self._lanes = lanes
+        self._monitor = monitor
+        self._replies = replies
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether control has been out of reach for longer than an election takes."""
+        return self._work.now - self._work.lease.valid_until > _CUT_OFF_S
+
+    def primary(self, group: str) -> TargetKey | None:
+        """Return the primary if it may be sent work now.
+
+        That needs a valid lease, the group open, and a primary that answers probes, is
+        not leaving, and announced itself recently.
+        """
+        view = self._work.view
+        if not self._work.lease_valid or not view.is_open(group):
+            return None
+        key = TargetKey(group, view.groups[group].primary or '')
+        if not self._work.table.takes_new_work(key, self._work.now):
+            return None
+        return key if self._monitor.is_reachable(key) else None
+
+    def is_read_only(self, group: str) -> bool:
+        """Tell whether the operator or the failover has stopped writes to a group."""
+        row = self._work.view.groups.get(group)
+        return self._work.view.document.is_read_only(group) or (row is not None and row.read_only)
+
+    def enqueue(self, request: Request) -> None:
+        """Queue a request for the primary, and send it if that is possible now."""
+        queue = self._work.groups.get(request.group).writes
+        if self.is_read_only(request.group):
+            self._replies.refuse(request, Reason.group_not_open, 'the group is read-only')
+        elif self.is_cut_off:
+            self._replies.refuse(request, Reason.no_lease, retry_after=1.0)
+        elif len(queue) >= MAX_QUEUED_WRITES:
+            self._replies.refuse(request, Reason.queue_full, retry_after=1.0)
+        else:
+            request.phase = Phase.waiting
+            queue.append((request, request.ticket))
+            self.pump(request.group)
+
+    def pump(self, group: str) -> None:
+        """Send as many queued requests as the primary takes now."""
+        queue = self._work.groups.get(group).writes
+        while queue:
+            request, ticket = queue[0]
+            if ticket != request.ticket:
+                queue.popleft()
+                continue
+            key = self.primary(group)
+            if key is None or not self._lanes.get(key).has_room:
+                return
+            queue.popleft()
+            self._send(request, key)
+
+    def refuse_queued(self, group: str, reason: Reason) -> None:
+        """Refuse all queued requests of a group."""
+        queue = self._work.groups.get(group).writes
+        waiting = [request for request, ticket in queue if ticket == request.ticket]
+        queue.clear()
+        for request in waiting:
+            self._replies.refuse(request, reason, retry_after=1.0)
+
+    def _send(self, request: Request, key: TargetKey) -> None:
+        request.term = self._work.view.groups[request.group].term
+        if request.attempts == 0:
+            self._work.decide(
+                'routing',
+                'send_to_primary',
+                request.statement.kind.value,
+                request=request.request_id,
+                session=request.session.session_id,
+                caller=request.session.caller,
+                group=request.group,
+                target=key.instance,
+                term=request.term,
+            )
+        system = request.system
+        if isinstance(system, QueuedSystem):
+            system.dispatch(request, key)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_relays.py
@@ -0,0 +1,86 @@
+"""Relays: pulls the targets of other availability zones from entries there."""
+
+from typing import Final
+
+from bergamotcart.discovery import TargetKey
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.messages import EntryRow, Envelope, RelayBatch, RelayPull
+
+# An announcement is up to 2 s old when it is replaced; with this pause it reaches the
+# other availability zones well before it expires after 3 s.
+PULL_INTERVAL_S: Final = 0.5
+# An unanswered pull is repeated at another entry of the same availability zone.
+_RETRY_S: Final = 0.15
+_REMEMBERED_PULLS: Final = 64
+
+
+class Relays:
+    """Pulls from one entry of each other availability zone and answers the pulls of peers."""
+
+    __slots__ = ('_answered', '_next_peer', '_sent', '_work')
+
+    def __init__(self, work: Workspace) -> None:
+        """Start without peers."""
+        self._work = work
+        self._sent: dict[float, None] = {}
+        self._answered: set[str] = set()
+        self._next_peer: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Begin to pull."""
+        self._pull_all()
+
+    def answer(self, envelope: Envelope, pull: RelayPull) -> None:
+        """Send a peer the targets that announced themselves here."""
+        batch = RelayBatch(
+            echo_sent_at=pull.sent_at,
+            sightings=self._work.table.sightings(self._work.now),
+        )
+        self._work.send(envelope.sender, envelope.sender_address, batch)
+
+    def take(self, envelope: Envelope, batch: RelayBatch) -> list[TargetKey]:
+        """Take the answer to a pull.
+
+        :returns: targets that are new or have a newer announcement.
+        """
+        if batch.echo_sent_at not in self._sent:
+            return []
+        row = self._work.view.entries.get(envelope.sender)
+        if row is not None:
+            self._answered.add(row.availability_zone)
+        return self._work.table.receive_batch(self._work.now, batch)
+
+    def _pull_all(self) -> None:
+        self._answered.clear()
+        self._note(self._work.now)
+        for zone, rows in self._peers().items():
+            self._pull(zone, rows)
+        self._work.after(_RETRY_S, self._retry)
+        self._work.after(PULL_INTERVAL_S, self._pull_all)
+
+    def _retry(self) -> None:
+        unanswered = {
+            zone: rows for zone, rows in self._peers().items() if zone not in self._answered
+        }
+        if not unanswered:
+            return
+        self._note(self._work.now)
+        for zone, rows in unanswered.items():
+            self._next_peer[zone] = self._next_peer.get(zone, 0) + 1
+            self._pull(zone, rows)
+
+    def _pull(self, zone: str, rows: list[EntryRow]) -> None:
+        row = rows[self._next_peer.get(zone, 0) % len(rows)]
+        self._work.send(row.name, row.address, RelayPull(sent_at=self._work.now))
+
+    def _note(self, sent_at: float) -> None:
+        self._sent[sent_at] = None
+        if len(self._sent) > _REMEMBERED_PULLS:
+            self._sent.pop(next(iter(self._sent)))
+
+    def _peers(self) -> dict[str, list[EntryRow]]:
+        zones: dict[str, list[EntryRow]] = {}
+        for row in self._work.view.entries.values():
+            if row.availability_zone != self._work.config.availability_zone:
+                zones.setdefault(row.availability_zone, []).append(row)
+        return zones
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replies.py
@@ -0,0 +1,63 @@
+"""Replies to callers; exactly one per request."""
+
+from bergamotcart.entry._actions import Reply
+from bergamotcart.entry._requests import Request, RequestTable
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.outcomes import MayHaveRun, NotRun, Outcome, Reason, TargetError
+
+
+class Replies:
+    """Ends requests with an outcome."""
+
+    __slots__ = ('_requests', '_work')
+
+    def __init__(self, work: Workspace, requests: RequestTable) -> None:
+        """Keep the table that requests are removed from."""
+        self._work = work
+        self._requests = requests
+
+    def finish(self, request: Request, outcome: Outcome) -> None:
+        """Give a request its outcome."""
+        if request.done:
+            return
+        request.done = True
+        request.ticket += 1
+        for timer in (request.deadline_timer, request.wait_timer):
+            if timer is not None:
+                timer.cancel()
+        self._requests.remove(request)
+        self._work.actions.append(Reply(request.request_id, outcome))
+
+    def refuse(
+        self,
+        request: Request,
+        reason: Reason,
+        detail: str = '',
+        retry_after: float | None = None,
+        error: TargetError | None = None,
+    ) -> None:
+        """End a request that has no answer: not run, unless an attempt may have run."""
+        if request.may_have_run:
+            outcome: Outcome = MayHaveRun(reason, detail, retry_after)
+        else:
+            outcome = NotRun(reason, detail, retry_after, error)
+        self.report_refusal(request, reason, detail)
+        self.finish(request, outcome)
+
+    def may_have_run(self, request: Request, reason: Reason, detail: str = '') -> None:
+        """End a request of which it is unknown whether it ran."""
+        request.may_have_run = True
+        self.refuse(request, reason, detail)
+
+    def report_refusal(self, request: Request, reason: Reason, detail: str = '') -> None:
+        """Report why a request is not served."""
+        self._work.decide(
+            'requests',
+            'refuse',
+            reason.value,
+            request=request.request_id,
+            session=request.session.session_id,
+            caller=request.session.caller,
+            group=request.group,
+            detail='may_have_run' if request.may_have_run else detail,
+        )
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -0,0 +1,128 @@
+"""Requests in progress."""
+
+import abc
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from bergamotcart import documents
+from bergamotcart.discovery import Position
+from bergamotcart.entry._execution import LedgerKey
+from bergamotcart.entry._sessions import Session
+from bergamotcart.entry._timers import Timer
+from bergamotcart.outcomes import Outcome
+from bergamotcart.statements import Directives, Statement
+
+
+@enum.unique
+class Phase(enum.Enum):
+    """Progress of a request."""
+
+    waiting = enum.auto()
+    executing = enum.auto()
+    confirming = enum.auto()
+
+
+class RequestSystem(abc.ABC):
+    """System that serves one kind of request."""
+
+    @abc.abstractmethod
+    def resume(self, request: 'Request') -> None:
+        """Continue a waiting request: at its start, after a wait, or to retry it."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Request:
+    """One statement of a caller that has no reply yet.
+
+    :param sql: statement without the comment that held directives.
+    :param max_age_s: greatest age of a read, in seconds, or ``None`` without that bound.
+    :param deadline: time at which the request is given up, in seconds.
+    :param repeatable: whether it may be sent again after it may have run.
+    :param ledger: identifier under which it runs at most once, if any.
+    :param may_have_run: whether an attempt so far may have run.
+    :param term: term of the group at the last attempt.
+    :param outcome: outcome to give once the write is confirmed.
+    :param ticket: changes whenever the request leaves a queue, so that a queue can tell
+        that its entry is out of date.
+    """
+
+    request_id: int
+    session: Session
+    sql: str
+    statement: Statement
+    directives: Directives
+    group: str
+    policy: documents.Policy
+    arrived_at: float
+    deadline: float
+    max_age_s: float | None
+    repeatable: bool
+    ledger: LedgerKey | None = None
+    system: RequestSystem | None = None
+    phase: Phase = Phase.waiting
+    done: bool = False
+    may_have_run: bool = False
+    attempts: int = 0
+    term: int = 0
+    wait_until: float | None = None
+    outcome: Outcome | None = None
+    position: Position | None = None
+    ticket: int = 0
+    execution_id: int | None = None
+    deadline_timer: Timer | None = None
+    wait_timer: Timer | None = None
+
+
+class RequestTable:
+    """Requests by identifier, counted per caller."""
+
+    __slots__ = ('_per_caller', '_per_session', '_requests')
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self._per_session: dict[int, dict[int, Request]] = {}
+        self._requests: dict[int, Request] = {}
+        self._per_caller: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._requests)
+
+    def __iter__(self) -> Iterator[Request]:
+        """Iterate over the requests in progress."""
+        return iter(self._requests.values())
+
+    def get(self, request_id: int) -> Request | None:
+        """Return a request in progress."""
+        return self._requests.get(request_id)
+
+    def in_flight(self, caller: str) -> int:
+        """Return the number of requests of a caller."""
+        return self._per_caller.get(caller, 0)
+
+    def of_session(self, session: Session) -> list[Request]:
+        """Return the requests of a session."""
+        return list(self._per_session.get(session.session_id, {}).values())
+
+    def add(self, request: Request) -> None:
+        """Add a request."""
+        session_id = request.session.session_id
+        self._per_session.setdefault(session_id, {})[request.request_id] = request
+        caller = request.session.caller
+        self._requests[request.request_id] = request
+        self._per_caller[caller] = self._per_caller.get(caller, 0) + 1
+
+    def remove(self, request: Request) -> None:
+        """Remove a request that gets its reply now."""
+        caller = request.session.caller
+        self._requests.pop(request.request_id)
+        of_session = self._per_session[request.session.session_id]
+        of_session.pop(request.request_id)
+        if not of_session:
+            self._per_session.pop(request.session.session_id)
+        left = self._per_caller[caller] - 1
+        if left:
+            self._per_caller[caller] = left
+        else:
+            self._per_caller.pop(caller)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_tokens.py
@@ -0,0 +1,65 @@
+"""Session tokens: taken from directives, issued by SHOW BERGAMOTCART SESSION."""
+
+from bergamotcart.discovery import is_discarded
+from bergamotcart.entry._floors import FloorKeeper
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Phase, Request, RequestSystem
+from bergamotcart.entry._sessions import Session
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.outcomes import NotRun, Ran, Reason, RequestResult
+from bergamotcart.sessions import TokenError, decode_token, encode_token
+
+
+class TokenSystem(RequestSystem):
+    """Issues tokens once the positions of all reads of a session are known."""
+
+    __slots__ = ('_floors', '_replies', '_work')
+
+    def __init__(
+        self,
+        work: Workspace,
+        floors: FloorKeeper,
+        replies: Replies,
+    ) -> None:
+        """Keep the tables that floors come from."""
+        self._work = work
+        self._floors = floors
+        self._replies = replies
+
+    def take(self, session: Session, token: str) -> NotRun | None:
+        """Raise the floors of a session to those of a token.
+
+        :returns: why the token is refused, or ``None``.
+        """
+        try:
+            floors = decode_token(self._work.config.session_key, token)
+        except TokenError as error:
+            return NotRun(Reason.bad_token, str(error))
+        for name, floor in floors.items():
+            row = self._work.view.groups.get(name)
+            if row is not None and is_discarded(floor, row.branch_points):
+                return NotRun(Reason.discarded_branch, f'group {name}')
+        session.floors.merge(floors)
+        return None
+
+    def resume(self, request: Request) -> None:
+        """Issue a token, or wait for the position of a read."""
+        if request.done or request.phase is not Phase.waiting:
+            return
+        request.ticket += 1
+        session = request.session
+        for name in list(session.last_reads):
+            last = self._floors.unresolved(session, name)
+            if last is not None:
+                group = self._work.groups.get(name)
+                group.wait_for_instance(last.target, last.ended_at, request)
+                group.primary_waits.add(last.ended_at, request)
+                self._floors.ask_position_after(last, name)
+                return
+        try:
+            token = encode_token(self._work.config.session_key, self._floors.token_floors(session))
+        except TokenError as error:
+            self._replies.refuse(request, Reason.bad_token, str(error))
+            return
+        self._work.decide('sessions', 'issue_token', 'requested', session=session.session_id)
+        self._replies.finish(request, Ran(RequestResult(('token',), ((token,),))))
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -0,0 +1,314 @@
+"""Transactions on pinned connections."""
+
+from typing import Final
+
+from bergamotcart.discovery import TargetKey
+from bergamotcart.entry._actions import ReleasePin
+from bergamotcart.entry._confirmations import Confirmations
+from bergamotcart.entry._execution import ConnectionUse, ExecutionStatus, Step, StepKind
+from bergamotcart.entry._executions import Executions, Plan, Running
+from bergamotcart.entry._inputs import ExecutionFinished
+from bergamotcart.entry._outcome_checks import OutcomeChecks
+from bergamotcart.entry._primary import PrimaryGate, QueuedSystem
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Request
+from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._sessions import LastRead, Session, Transaction, TransactionPhase
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.entry._writes import (
+    BEGIN,
+    COMMIT,
+    LEDGER_INSERT,
+    LEDGER_RECORD,
+    POSITION,
+    READ_ONLY_ERRORS,
+    ROLLBACK,
+    recorded_outcome,
+)
+from bergamotcart.outcomes import NotRun, Ran, Reason, RequestResult
+from bergamotcart.statements import StatementKind
+
+# The target has rolled back the whole transaction after a deadlock.
+_ROLLED_BACK_ERRORS: Final = READ_ONLY_ERRORS | {1213}
+
+
+class TransactionSystem(QueuedSystem):
+    """Begins transactions, runs their statements, and ends them."""
+
+    __slots__ = (
+        '_checks',
+        '_confirmations',
+        '_executions',
+        '_gate',
+        '_open',
+        '_replies',
+        '_retries',
+        '_work',
+    )
+
+    def __init__(
+        self,
+        work: Workspace,
+        gate: PrimaryGate,
+        executions: Executions,
+        confirmations: Confirmations,
+        checks: OutcomeChecks,
+        replies: Replies,
+        retries: Retries,
+    ) -> None:
+        """Start without transactions."""
+        self._work = work
+        self._gate = gate
+        self._executions = executions
+        self._confirmations = confirmations
+        self._checks = checks
+        self._replies = replies
+        self._retries = retries
+        self._open = 0
+
+    @property
+    def count(self) -> int:
+        """Number of transactions in progress."""
+        return self._open
+
+    def resume(self, request: Request) -> None:
+        """Queue the begin of a transaction, or run a statement in the open one."""
+        if request.session.transaction is None:
+            self._gate.enqueue(request)
+        else:
+            self._run(request, request.session.transaction)
+
+    def dispatch(self, request: Request, target: TargetKey) -> None:
+        """Pin a connection to the primary and begin a transaction on it."""
+        transaction = Transaction(target, request.term, request.group, request.ledger)
+        request.session.transaction = transaction
+        self._open += 1
+        steps: tuple[Step, ...] = (BEGIN,)
+        if request.ledger is not None:
+            steps = (BEGIN, LEDGER_INSERT)
+        if request.statement.kind is not StatementKind.begin:
+            steps = (*steps, Step(StepKind.statement, request.sql))
+        plan = Plan(target, steps, ConnectionUse.pin, request.ledger)
+        self._executions.start(request, plan, self._finish_begin)
+
+    def abort(self, session: Session, reason: str) -> None:
+        """Roll back a session's transaction by closing its connection."""
+        transaction = session.transaction
+        if transaction is None or transaction.phase is TransactionPhase.ending:
+            return
+        self._end(session, transaction)
+        session.rolled_back = not session.closed
+        self._work.actions.append(ReleasePin(session.session_id))
+        self._work.decide(
+            'transactions',
+            'roll_back',
+            reason,
+            session=session.session_id,
+            caller=session.caller,
+            group=transaction.group,
+            target=transaction.target.instance,
+        )
+
+    def commit(self, request: Request) -> None:
+        """Commit the open transaction; without one there is nothing to do."""
+        session = request.session
+        transaction = session.transaction
+        if transaction is None:
+            self._end_rolled_back(request)
+            return
+        if not self._may_continue(request, transaction):
+            session.rolled_back = False
+            return
+        transaction.phase = TransactionPhase.ending
+        request.term = transaction.term
+        request.ledger = transaction.ledger
+        steps = (COMMIT, POSITION)
+        if transaction.ledger is not None:
+            steps = (LEDGER_RECORD, COMMIT, POSITION)
+        plan = Plan(transaction.target, steps, ConnectionUse.unpin, transaction.ledger)
+        self._executions.start(request, plan, self._finish_commit)
+
+    def roll_back(self, request: Request) -> None:
+        """Roll back the open transaction; without one there is nothing to do."""
+        session = request.session
+        transaction = session.transaction
+        session.rolled_back = False
+        if transaction is None:
+            self._replies.finish(request, Ran())
+        elif transaction.phase is TransactionPhase.open:
+            transaction.phase = TransactionPhase.ending
+            plan = Plan(transaction.target, (ROLLBACK,), ConnectionUse.unpin)
+            self._executions.start(request, plan, self._finish_rollback)
+        else:
+            self._replies.refuse(request, Reason.rolled_back, 'the transaction is not open')
+
+    def _end_rolled_back(self, request: Request) -> None:
+        if request.session.rolled_back:
+            request.session.rolled_back = False
+            self._replies.refuse(request, Reason.rolled_back)
+        else:
+            self._replies.finish(request, Ran())
+
+    def _run(self, request: Request, transaction: Transaction) -> None:
+        if not request.statement.transactional:
+            detail = 'the statement would end the transaction'
+            self._replies.refuse(request, Reason.unsupported_statement, detail)
+            return
+        if self._may_continue(request, transaction):
+            steps = (Step(StepKind.statement, request.sql),)
+            plan = Plan(transaction.target, steps, ConnectionUse.pinned)
+            self._executions.start(request, plan, self._finish_statement)
+
+    def _may_continue(self, request: Request, transaction: Transaction) -> bool:
+        """Tell whether the primary of the transaction is still the one that takes writes."""
+        if transaction.phase is not TransactionPhase.open:
+            self._replies.refuse(request, Reason.rolled_back, 'the transaction is not open')
+            return False
+        is_open = self._work.view.is_open(transaction.group, transaction.term)
+        if self._work.lease_valid and is_open:
+            if transaction.idle_timer is not None:
+                transaction.idle_timer.cancel()
+            return True
+        reason = Reason.group_not_open if self._work.lease_valid else Reason.no_lease
+        self.abort(request.session, reason.value)
+        self._replies.refuse(request, Reason.rolled_back, reason.value, retry_after=0.5)
+        return False
+
+    def _finish_begin(self, running: Running, finished: ExecutionFinished) -> None:
+        request = running.request
+        session, transaction = request.session, request.session.transaction
+        is_current = transaction is not None and transaction.phase is TransactionPhase.opening
+        if finished.status is ExecutionStatus.completed and is_current and not session.closed:
+            self._opened(request, session, transaction, finished)
+            return
+        self._work.actions.append(ReleasePin(session.session_id))
+        if is_current:
+            self._end(session, transaction)
+        if request.done:
+            return
+        if finished.status is ExecutionStatus.duplicate:
+            self._answer_recorded(request, finished)
+        elif finished.status is ExecutionStatus.target_error:
+            self._replies.refuse(request, Reason.target_error, error=finished.error)
+        elif finished.status is ExecutionStatus.completed:
+            self._replies.refuse(request, Reason.rolled_back)
+        else:
+            was_sent = finished.status is not ExecutionStatus.not_sent
+            self._retries.retry(request, Reason.connection_lost, was_sent=was_sent)
+
+    def _opened(
+        self,
+        request: Request,
+        session: Session,
+        transaction: Transaction,
+        finished: ExecutionFinished,
+    ) -> None:
+        transaction.phase = TransactionPhase.open
+        transaction.limit_timer = self._work.after(
+            request.policy.transaction_limit_s,
+            lambda: self._expire(session, transaction, Reason.transaction_limit.value),
+        )
+        self._note_statement(request, transaction)
+        self._replies.finish(request, Ran(finished.result or RequestResult()))
+
+    def _answer_recorded(self, request: Request, finished: ExecutionFinished) -> None:
+        """Answer the begin of a transaction that an earlier attempt has committed.
+
+        The answers to its statements are not kept, so the caller learns only that it ran.
+        """
+        outcome = recorded_outcome(request, finished.record)
+        if isinstance(outcome, NotRun):
+            self._replies.refuse(request, outcome.reason, outcome.detail)
+            return
+        position = finished.report.position if finished.report else None
+        self._confirmations.begin(request, Ran(None, Reason.recorded), position)
+
+    def _finish_statement(self, running: Running, finished: ExecutionFinished) -> None:
+        request = running.request
+        session, transaction = request.session, request.session.transaction
+        if request.done:
+            return
+        if transaction is None:
+            self._replies.refuse(request, Reason.rolled_back)
+        elif finished.status is ExecutionStatus.completed:
+            self._note_statement(request, transaction)
+            self._replies.finish(request, Ran(finished.result or RequestResult()))
+        elif finished.status is ExecutionStatus.target_error:
+            self._note_statement(request, transaction)
+            self._check_error(session, finished)
+            self._replies.refuse(request, Reason.target_error, error=finished.error)
+        else:
+            # COMMIT was not sent, so the target rolls back what the statement did.
+            self.abort(session, Reason.connection_lost.value)
+            self._replies.refuse(request, Reason.rolled_back, 'connection lost')
+
+    def _check_error(self, session: Session, finished: ExecutionFinished) -> None:
+        if finished.error is not None and finished.error.code in _ROLLED_BACK_ERRORS:
+            self.abort(session, 'target_error')
+
+    def _finish_commit(self, running: Running, finished: ExecutionFinished) -> None:
+        request = running.request
+        session = request.session
+        if session.transaction:
+            self._end(session, session.transaction)
+        if request.done:
+            return
+        status, step = finished.status, finished.failed_step
+        if status is ExecutionStatus.completed or step is StepKind.position:
+            self._committed(request, finished)
+            return
+        self._work.actions.append(ReleasePin(session.session_id))
+        if status is ExecutionStatus.not_sent or step is StepKind.ledger_record:
+            self._replies.refuse(request, Reason.rolled_back, error=finished.error)
+        elif request.ledger is None:
+            self._replies.may_have_run(request, Reason.connection_lost)
+        else:
+            request.may_have_run = True
+            request.system = self._checks
+            self._retries.retry(request, Reason.connection_lost)
+
+    def _committed(self, request: Request, finished: ExecutionFinished) -> None:
+        position = finished.report.position if finished.report else None
+        if position is not None:
+            request.session.last_reads.pop(request.group, None)
+        request.system = self._checks
+        outcome = Ran(finished.result or RequestResult())
+        self._confirmations.begin(request, outcome, position)
+
+    def _finish_rollback(self, running: Running, finished: ExecutionFinished) -> None:
+        request = running.request
+        if request.session.transaction:
+            self._end(request.session, request.session.transaction)
+        # Closing the connection rolls back as well.
+        if finished.status != ExecutionStatus.completed:
+            self._work.actions.append(ReleasePin(request.session.session_id))
+        self._replies.finish(request, Ran())
+
+    def _note_statement(self, request: Request, transaction: Transaction) -> None:
+        """Start the idle timer, and remember that the session saw the primary's data."""
+        session = request.session
+        target = self._work.table.get(transaction.target)
+        incarnation = target.announcement.incarnation if target else ''
+        session.last_reads[transaction.group] = LastRead(
+            transaction.target,
+            incarnation,
+            self._work.now,
+        )
+        if transaction.idle_timer is not None:
+            transaction.idle_timer.cancel()
+        transaction.idle_timer = self._work.after(
+            request.policy.idle_in_transaction_s,
+            lambda: self._expire(session, transaction, 'idle_in_transaction'),
+        )
+
+    def _expire(self, session: Session, transaction: Transaction, reason: str) -> None:
+        if session.transaction is transaction:
+            self.abort(session, reason)
+
+    def _end(self, session: Session, transaction: Transaction) -> None:
+        session.transaction = None
+        self._open -= 1
+        for timer in (transaction.limit_timer, transaction.idle_timer):
+            if timer is not None:
+                timer.cancel()
+        self._executions.release_pin(transaction.target)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/fake_targets.py
@@ -0,0 +1,207 @@
+"""Targets with a log, replication, a ledger and transactions, for tests of the engine."""
+
+from dataclasses import dataclass, field
+
+from bergamotcart import entry
+from bergamotcart.discovery import Position, PositionReport
+from bergamotcart.messages import Announcement, TargetRole
+from bergamotcart.outcomes import RequestResult, TargetError
+
+GROUP = 'tickets'
+READ_ONLY = TargetError(1290, 'HY000', 'the instance is read-only')
+Kind = entry.StepKind
+Status = entry.ExecutionStatus
+
+
+@dataclass(frozen=True)
+class Record:
+    """One committed statement; a transaction is several with the same ``batch``."""
+
+    term: int
+    request: int
+    text: str
+    ledger: tuple[str, str] | None = None
+    fingerprint: str = ''
+
+
+@dataclass
+class Open:
+    """A transaction that has not ended."""
+
+    records: list[Record] = field(default_factory=list)
+    ledger: entry.LedgerKey | None = None
+
+
+class FakeTarget:
+    """One instance; the position of a record is its place in the log, counted from 1."""
+
+    def __init__(self, name: str, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.up = True
+        self.role = TargetRole.replica
+        self.term = 0
+        self.log: list[Record] = []
+        self.following: FakeTarget | None = None
+        self.open: dict[object, Open] = {}
+        self.sequence = 0
+        self.starts = 0
+        self.leaving = False
+
+    @property
+    def position(self) -> Position:
+        """Return the place of the last record."""
+        if not self.log:
+            return Position(0, 0)
+        return Position(self.log[-1].term, len(self.log))
+
+    @property
+    def report(self) -> PositionReport:
+        """Return the answer to a probe."""
+        return PositionReport(self.role, self.term, self.position)
+
+    def announce(self, echo: float | None) -> Announcement:
+        """Return the next announcement."""
+        self.sequence += 1
+        return Announcement(
+            group=GROUP,
+            instance=self.name,
+            availability_zone=self.zone,
+            address=self.name,
+            admin_address=self.name,
+            role=self.role,
+            term=self.term,
+            log_term=self.position.log_term,
+            position=self.position.position,
+            slots=5,
+            connection_limit=36,
+            incarnation=str(self.starts),
+            sequence=self.sequence,
+            leaving=self.leaving,
+            echo=echo,
+        )
+
+    def restart(self) -> None:
+        """Start again with the log kept and all transactions rolled back."""
+        self.up = True
+        self.starts += 1
+        self.open.clear()
+
+    def replicate(self, count: int) -> None:
+        """Copy records of the instance that this one follows."""
+        if self.following is None or not (self.up and self.following.up):
+            return
+        source = self.following.log
+        shared = 0
+        for own, other in zip(self.log, source, strict=False):
+            if own != other:
+                break
+            shared += 1
+        end = shared + count
+        self.log = self.log[:shared] + source[shared:end]
+
+    def ledger_row(self, key: entry.LedgerKey) -> Record | None:
+        """Return the committed ledger row of an identifier."""
+        wanted = (key.caller, key.request_id)
+        return next((record for record in self.log if record.ledger == wanted), None)
+
+    def is_locked(self, key: entry.LedgerKey, holder: object) -> bool:
+        """Tell whether another open transaction holds a ledger row."""
+        return any(
+            transaction.ledger is not None
+            and transaction.ledger.request_id == key.request_id
+            and connection != holder
+            for connection, transaction in self.open.items()
+        )
+
+
+class Run:
+    """Runs the steps of one execution at a target."""
+
+    def __init__(self, target: FakeTarget, action: entry.Execute, engine: str) -> None:
+        self.target = target
+        self.action = action
+        shared = action.use is entry.ConnectionUse.shared
+        self.connection: object = (engine, action.execution_id if shared else -action.session_id)
+        self.result: RequestResult | None = None
+        self.error: TargetError | None = None
+        self.duplicate: Record | None = None
+        self.report: PositionReport | None = None
+
+    def is_blocked(self) -> bool:
+        """Tell whether another transaction holds the ledger row."""
+        key = self.action.ledger
+        wants = any(step.kind is Kind.ledger_insert for step in self.action.steps)
+        return wants and key is not None and self.target.is_locked(key, self.connection)
+
+    def run(self, stop_at: int) -> int | None:
+        """Run the steps before ``stop_at``; return the index of a step that failed."""
+        if self.action.use in {entry.ConnectionUse.pinned, entry.ConnectionUse.unpin}:
+            if self.connection not in self.target.open:
+                return 0
+        steps = self.action.steps[:stop_at]
+        for index, step in enumerate(steps):
+            getattr(self, f'_{step.kind.value}')(step)
+            if self.error or self.duplicate:
+                return index
+        return None
+
+    def roll_back(self) -> None:
+        """Close the connection."""
+        self.target.open.pop(self.connection, None)
+
+    def _begin(self, step: entry.Step) -> None:
+        assert self.connection not in self.target.open, 'I3: two transactions on one connection'
+        self.target.open[self.connection] = Open()
+
+    def _ledger_insert(self, step: entry.Step) -> None:
+        if self.target.role is not TargetRole.primary:
+            self.error = READ_ONLY
+            return
+        self.duplicate = self.target.ledger_row(self.action.ledger)
+        self.target.open[self.connection].ledger = self.action.ledger
+
+    def _statement(self, step: entry.Step) -> None:
+        transaction = self.target.open.get(self.connection)
+        if step.sql.startswith('SELECT'):
+            pending = transaction.records if transaction else []
+            records = [*self.target.log, *pending]
+            seen = tuple(record.text for record in records)
+            self.result = RequestResult(('request', 'seen'), ((self.action.request_id, seen),))
+            return
+        if self.target.role is not TargetRole.primary:
+            self.error = READ_ONLY
+            return
+        record = Record(self.target.term, self.action.request_id, step.sql)
+        if transaction is None:
+            self.target.log.append(record)
+        else:
+            transaction.records.append(record)
+        self.result = RequestResult(affected_rows=self.action.request_id)
+
+    def _ledger_record(self, step: entry.Step) -> None:
+        """The row was inserted before; recording needs no state of its own here."""
+
+    def _commit(self, step: entry.Step) -> None:
+        transaction = self.target.open.pop(self.connection)
+        if self.target.role is not TargetRole.primary:
+            self.error = READ_ONLY
+            return
+        key = transaction.ledger
+        records = transaction.records
+        if key is not None:
+            marked = Record(
+                self.target.term,
+                0,
+                f'ledger {key.request_id}',
+                (key.caller, key.request_id),
+                key.fingerprint,
+            )
+            records = [*records, marked]
+        self.target.log.extend(records)
+
+    def _rollback(self, step: entry.Step) -> None:
+        self.roll_back()
+
+    def _position(self, step: entry.Step) -> None:
+        self.report = self.target.report
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/oracle.py
@@ -0,0 +1,115 @@
+"""One short check per invariant, against what really happened at the targets."""
+
+from dataclasses import dataclass, field
+
+from bergamotcart.entry.tests.fake_control import FakeControl
+from bergamotcart.outcomes import NotRun, Outcome, Ran, Reason
+
+
+@dataclass
+class Caller:
+    """What one session of a caller has seen, also through other entries."""
+
+    must_see: set[str] = field(default_factory=set)
+    open_writes: list[tuple[int, str]] = field(default_factory=list)
+
+
+@dataclass
+class Sent:
+    """A request without a reply."""
+
+    engine: str
+    caller: Caller
+    sql: str
+    arrived_at: float
+    in_transaction: bool
+    ledger: str | None = None
+    max_age_s: float | None = None
+    visible: set[str] = field(default_factory=set)
+
+
+class Oracle:
+    """Checks replies and the logs of the targets."""
+
+    def __init__(self, control: FakeControl) -> None:
+        self.control = control
+        self.sent: dict[int, Sent] = {}
+        self.acked: dict[str, float] = {}
+        self.never: set[int] = set()
+        self.replies: dict[int, Outcome] = {}
+
+    def check_start(self, now: float, engine: str, target: str) -> None:
+        """I2: work for a primary starts only under a lease that control still counts."""
+        if target == self.control.row.primary or self.control.targets[target].role == 'primary':
+            assert self.control.leases.get(engine, 0) > now, 'I2: primary work without a lease'
+
+    def reply(self, now: float, request_id: int, outcome: Outcome) -> None:
+        """Check one reply."""
+        assert request_id in self.sent, f'I4: second or unknown reply to {request_id}'
+        sent = self.sent.pop(request_id)
+        self.replies[request_id] = outcome
+        kind = sent.sql.split()[0]
+        if isinstance(outcome, NotRun):
+            self._check_not_run(request_id, sent, kind)
+        elif isinstance(outcome, Ran) and kind == 'SELECT':
+            self._check_read(now, request_id, sent, outcome)
+        elif isinstance(outcome, Ran) and kind in {'INSERT', 'COMMIT'}:
+            self._check_write(now, request_id, sent, outcome, kind)
+        if kind in {'COMMIT', 'ROLLBACK'}:
+            sent.caller.open_writes.clear()
+
+    def check_logs(self) -> None:
+        """I5 and I6, on the log of the primary in force."""
+        log = self.control.primary.log
+        ran = [record.request for record in log if record.request]
+        assert len(ran) == len(set(ran)), 'I6: a request ran twice'
+        assert self.never.isdisjoint(ran), 'I5: a request answered as not run did run'
+        marks = [record.ledger for record in log if record.ledger]
+        assert len(marks) == len(set(marks)), 'I6: an identifier ran twice'
+
+    def check_kept(self) -> None:
+        """I2: no failover has lost an acknowledged write."""
+        kept = {record.text for record in self.control.primary.log}
+        lost = set(self.acked) - kept
+        assert not lost, f'I2: acknowledged writes are lost: {lost}'
+
+    def check_acknowledged(self, texts: set[str], outcome: Ran) -> None:
+        """I2: an acknowledged write is in the branch in force, under an open term."""
+        log = self.control.primary.log
+        kept = {record.text: record.term for record in log}
+        assert texts <= set(kept), 'I2: an acknowledged write is not in the branch in force'
+        if outcome.reason is Reason.answered:
+            closed = self.control.closed_term
+            assert all(kept[text] > closed for text in texts), 'I2: acknowledged after the term'
+
+    def _check_not_run(self, request_id: int, sent: Sent, kind: str) -> None:
+        self.never.add(request_id)
+        if kind == 'COMMIT':
+            self.never.update(number for number, _ in sent.caller.open_writes)
+        self.check_logs()
+
+    def _check_read(self, now: float, request_id: int, sent: Sent, outcome: Ran) -> None:
+        tag, seen = outcome.result.rows[0]
+        assert tag == request_id, 'I4: the answer belongs to another request'
+        kept = {record.text for record in self.control.primary.log}
+        missing = (sent.caller.must_see & kept) - set(seen)
+        assert not missing, f'I1: the session does not see {missing}'
+        if sent.max_age_s is not None:
+            due = sent.arrived_at - sent.max_age_s
+            old = {text for text, when in self.acked.items() if when < due} & kept
+            assert old <= set(seen), 'age: the read is older than it may be'
+        sent.caller.must_see.update(set(seen) & kept)
+
+    def _check_write(
+        self, now: float, request_id: int, sent: Sent, outcome: Ran, kind: str
+    ) -> None:
+        if sent.in_transaction and kind == 'INSERT':
+            sent.caller.open_writes.append((request_id, sent.sql))
+            return
+        texts = {sent.sql} if kind == 'INSERT' else {text for _, text in sent.caller.open_writes}
+        if not texts:
+            return
+        self.check_acknowledged(texts, outcome)
+        for text in texts:
+            self.acked.setdefault(text, now)
+        sent.caller.must_see.update(texts)
--- a/packages/bergamotcart/src/bergamotcart/outcomes/_verdicts.py
+++ b/packages/bergamotcart/src/bergamotcart/outcomes/_verdicts.py
@@ -13,6 +13,7 @@
     answer_lost = 'answer_lost'
     target_error = 'target_error'
     bad_directive = 'bad_directive'
+    unsupported_statement = 'unsupported_statement'
     bad_token = 'bad_token'
     unknown_group = 'unknown_group'
     discarded_branch = 'discarded_branch'
