--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/__init__.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/__init__.py
@@ -1,1 +1,1 @@
-"""bergamotcart_ctl."""
+"""The operator command line of bergamotcart."""
--- /dev/null
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_apply.py
@@ -0,0 +1,100 @@
+"""``apply``."""
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument, option
+
+from bergamotcart_ctl import changes
+from bergamotcart_ctl.client import ControlClient
+from bergamotcart_ctl.commands._base import (
+    ControlCommand,
+    ExitStatus,
+    UsageError,
+    build_common_options,
+    write_output,
+)
+from bergamotcart_ctl.commands._send import Plan, send_section
+from bergamotcart_ctl.commands._wait import build_timeout_option, parse_timeout, wait_and_report
+
+
+class ApplyCommand(ControlCommand):
+    """Sends changed sections."""
+
+    name = 'apply'
+    description = (
+        'Send the sections of FILE that differ from its base copy. The base version comes from '
+        '"document get --output FILE" or from --base-version.'
+    )
+    arguments: ClassVar = [argument('file', 'YAML document with all sections.')]
+    options: ClassVar = [
+        option('section', None, 'Send only this section.', flag=False),
+        option('base-version', None, 'Version that --section is based on.', flag=False),
+        option('dry-run', None, 'Only check the change.'),
+        option('wait', None, 'Wait until the change is in force on all entries.'),
+        option('change-id', None, 'Identifier of the change of --section.', flag=False),
+        build_timeout_option(),
+        *build_common_options(),
+    ]
+
+    async def execute_with(self, client: ControlClient) -> int:
+        """Send the sections one after the other; stop at the first refusal."""
+        plan = self._build_plan()
+        if not plan.sections:
+            write_output('nothing to apply: no section differs from its base copy')
+            return ExitStatus.done
+        timeout_s = parse_timeout(self.option('timeout'))
+        revisions = [await send_section(client, plan, name) for name in plan.sections]
+        if self.option('wait') and not plan.dry_run:
+            return await wait_and_report(client, max(revisions), timeout_s)
+        return ExitStatus.done
+
+    def _build_plan(self) -> Plan:
+        path = Path(self.argument('file'))
+        sections = changes.load_document(path)
+        base = changes.load_base(path)
+        only = self._read_section(path, sections)
+        stated = self.option('base-version')
+        if stated is None:
+            changed = changes.find_changed(sections, _require_base(path, base).sections)
+        else:
+            base = _state_version(base, sections[only], only, stated)
+            changed = {only: sections[only]}
+        return Plan(
+            path=path,
+            base=base,
+            sections={name: changed[name] for name in changed if only in {None, name}},
+            change_id=self.option('change-id'),
+            dry_run=self.option('dry-run'),
+        )
+
+    def _read_section(self, path: Path, sections: dict[str, changes.Section]) -> str | None:
+        only = self.option('section')
+        if only is None:
+            if self.option('base-version') is not None or self.option('change-id') is not None:
+                raise UsageError('--base-version and --change-id need --section')
+        elif only not in sections:
+            raise UsageError(f'{path} has no section {only!r}')
+        return only
+
+
+def _require_base(path: Path, base: changes.BaseCopy | None) -> changes.BaseCopy:
+    if base is None:
+        raise UsageError(
+            f'no base version for {path}: read the document with '
+            f'"document get --output {path}", or give --section and --base-version',
+        )
+    return base
+
+
+def _state_version(
+    base: changes.BaseCopy | None,
+    section: changes.Section,
+    name: str,
+    version: str,
+) -> changes.BaseCopy:
+    if not version.isdigit():
+        raise UsageError('--base-version must be a whole number')
+    stated = changes.Section(kind=section.kind, body='', version=int(version))
+    known = base or changes.BaseCopy()
+    return changes.BaseCopy(sections=known.sections | {name: stated}, pending=known.pending)
--- /dev/null
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_diff.py
@@ -0,0 +1,33 @@
+"""``diff``."""
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument
+
+from bergamotcart_ctl import changes
+from bergamotcart_ctl.client import ControlClient
+from bergamotcart_ctl.commands._base import (
+    ControlCommand,
+    ExitStatus,
+    build_common_options,
+    write_output,
+)
+
+
+class DiffCommand(ControlCommand):
+    """Compares a file with the document in force."""
+
+    name = 'diff'
+    description = 'Show how FILE differs from the document in force.'
+    arguments: ClassVar = [argument('file', 'YAML document with all sections.')]
+    options: ClassVar = build_common_options()
+
+    async def execute_with(self, client: ControlClient) -> int:
+        """Print a unified diff of each section that differs."""
+        ours = changes.load_document(Path(self.argument('file')))
+        theirs = changes.parse_sections(await client.get('/v1/document'))
+        names = sorted(ours.keys() | theirs.keys())
+        diffs = [changes.compare(theirs.get(name), ours.get(name), name) for name in names]
+        write_output('\n'.join(diff for diff in diffs if diff) or 'no difference')
+        return ExitStatus.done
--- /dev/null
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_document.py
@@ -0,0 +1,64 @@
+"""``document get`` and ``document history``."""
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument, option
+
+from bergamotcart_ctl.changes import (
+    BaseCopy,
+    FileError,
+    dump_document,
+    parse_sections,
+    store_base,
+)
+from bergamotcart_ctl.client import ControlClient
+from bergamotcart_ctl.commands._base import (
+    ControlCommand,
+    ExitStatus,
+    build_common_options,
+    write_output,
+)
+from bergamotcart_ctl.commands._tables import render
+
+
+class GetCommand(ControlCommand):
+    """Reads the document."""
+
+    name = 'document get'
+    description = 'Read the document; with --output, also keep the versions that it is based on.'
+    options: ClassVar = [
+        option('output', None, 'File to write, with its base copy beside it.', flag=False),
+        *build_common_options(),
+    ]
+
+    async def execute_with(self, client: ControlClient) -> int:
+        """Print the document or write it to a file."""
+        sections = parse_sections(await client.get('/v1/document'))
+        text = dump_document(sections)
+        output = self.option('output')
+        if output is None:
+            write_output(text)
+            return ExitStatus.done
+        path = Path(output)
+        try:
+            path.write_text(text)
+        except OSError as error:
+            raise FileError(f'{path}: {error.strerror}') from error
+        store_base(path, BaseCopy(sections=sections))
+        write_output(f'wrote {path} with {len(sections)} sections')
+        return ExitStatus.done
+
+
+class HistoryCommand(ControlCommand):
+    """Shows the changes of a section."""
+
+    name = 'document history'
+    description = 'Show the latest changes of a section.'
+    arguments: ClassVar = [argument('section', 'Name of the section.')]
+    options: ClassVar = build_common_options()
+
+    async def execute_with(self, client: ControlClient) -> int:
+        """Print the changes."""
+        write_output(render(await client.get(f'/v1/changes/{self.argument("section")}')))
+        return ExitStatus.done
--- /dev/null
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_members.py
@@ -0,0 +1,77 @@
+"""``members`` and the changes of the membership."""
+
+from typing import ClassVar
+
+from cleo.helpers import argument, option
+
+from bergamotcart_ctl.client import ControlClient
+from bergamotcart_ctl.commands._base import (
+    ControlCommand,
+    ExitStatus,
+    build_common_options,
+    write_output,
+)
+from bergamotcart_ctl.commands._tables import render, render_table
+
+_NAME = argument('name', 'Name of the control member.')
+
+
+class MembersCommand(ControlCommand):
+    """Shows the control members."""
+
+    name = 'members'
+    description = 'Show the control members.'
+    options: ClassVar = build_common_options()
+
+    async def execute_with(self, client: ControlClient) -> int:
+        """Print the members of the leader's status."""
+        status = await client.get('/v1/status')
+        write_output(render_table(status.get('members') or []))
+        return ExitStatus.done
+
+
+class _MembershipCommand(ControlCommand):
+    arguments: ClassVar = [_NAME]
+    action = ''
+
+    async def execute_with(self, client: ControlClient) -> int:
+        """Send the change and print the answer."""
+        body: dict[str, object] = {'action': self.action, 'name': self.argument('name')}
+        for parameter in ('address', 'availability-zone', 'new-name'):
+            given = self.option(parameter) if self.definition.has_option(parameter) else None
+            if given is not None:
+                body[parameter.replace('-', '_')] = given
+        write_output(render(await client.post('/v1/members', body)))
+        return ExitStatus.done
+
+
+class AdmitCommand(_MembershipCommand):
+    """Admits a member whose data folder was emptied."""
+
+    name = 'members admit'
+    description = 'Admit a control member that came back with an emptied data folder.'
+    options: ClassVar = build_common_options()
+    action = 'admit'
+
+
+class RemoveCommand(_MembershipCommand):
+    """Removes a member for good."""
+
+    name = 'members remove'
+    description = 'Remove a control member.'
+    options: ClassVar = build_common_options()
+    action = 'remove'
+
+
+class ReplaceCommand(_MembershipCommand):
+    """Replaces a member by a process on another VM."""
+
+    name = 'members replace'
+    description = 'Replace a control member by a process on another VM.'
+    action = 'replace'
+    options: ClassVar = [
+        option('new-name', None, 'Name of the new member.', flag=False),
+        option('address', None, 'Inter-process address of the new member.', flag=False),
+        option('availability-zone', None, 'Availability zone of the new member.', flag=False),
+        *build_common_options(),
+    ]
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/addresses/__init__.py
@@ -0,0 +1,5 @@
+"""Addresses of processes and their translation."""
+
+from bergamotcart_daemon.addresses._addresses import Address, AddressTranslation
+
+__all__ = ('Address', 'AddressTranslation')
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/addresses/_addresses.py
@@ -0,0 +1,53 @@
+"""Network addresses written as ``host:port``."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+_MAX_PORT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """A host and a TCP port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> 'Address':
+        """Parse ``host:port``; an IPv6 host stands in brackets.
+
+        :param text: the written form.
+        :raises ValueError: if the host is empty or the port is not within 1 to 65535.
+        """
+        host, _, port_text = text.rpartition(':')
+        bare_host = host.removeprefix('[').removesuffix(']')
+        if not bare_host or not port_text.isascii() or not port_text.isdigit():
+            raise ValueError(f'{text!r} is not of the form host:port')
+        port = int(port_text)
+        if not 1 <= port <= _MAX_PORT:
+            raise ValueError(f'port {port} is not within 1 to {_MAX_PORT}')
+        return cls(bare_host, port)
+
+    def __str__(self) -> str:
+        """Return the written form."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
+
+
+class AddressTranslation:
+    """Maps advertised addresses to those that this process connects to."""
+
+    __slots__ = ('_translations',)
+
+    def __init__(self, translations: Mapping[str, str]) -> None:
+        """Keep the written forms of the advertised and the reachable addresses."""
+        self._translations = dict(translations)
+
+    def translate(self, advertised: str) -> Address:
+        """Return the address to connect to.
+
+        :param advertised: address that a peer or a target advertised.
+        :raises ValueError: if it is malformed.
+        """
+        return Address.parse(self._translations.get(advertised, advertised))
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/__init__.py
@@ -0,0 +1,5 @@
+"""MySQL protocol towards callers."""
+
+from bergamotcart_daemon.callers._server import CallerServer
+
+__all__ = ('CallerServer',)
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
@@ -0,0 +1,122 @@
+"""Connection of one caller."""
+
+import re
+from typing import Any, Final
+
+from mysql_mimic.connection import Connection
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.results import ResultSet
+from mysql_mimic.types import ServerStatus
+
+from bergamotcart.outcomes import RequestResult
+from bergamotcart_daemon.callers._errors import CallerError, describe_error
+from bergamotcart_daemon.callers._results import build_result_set
+from bergamotcart_daemon.callers._session import CallerSession
+
+_USE: Final = re.compile(
+    r'\s*(?:/\*.*?\*/\s*)*USE\s+(?:`([^`]+)`|([^\s;`]+))\s*;?\s*',
+    re.IGNORECASE | re.DOTALL,
+)
+_NO_ROWS: Final = ResultSet([], [])
+_INVALID_STRING: Final = 1300
+
+
+class _Refused(MysqlError):
+    """Carries an error to the end of a command."""
+
+    def __init__(self, error: CallerError | None) -> None:
+        super().__init__('refused')
+        self.error = error
+
+
+class CallerConnection(Connection):
+    """Sends raw statements to the engine and writes complete answers.
+
+    The library's substitution turns an executed prepared statement into text, so that
+    both ways end in ``query``.
+    """
+
+    session: CallerSession
+
+    def __init__(self, **parameters: Any) -> None:
+        """Announce autocommit, so that drivers need not set it."""
+        super().__init__(**parameters)
+        self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        self._counts: dict[str, int] = {}
+        self._busy = False
+
+    @property
+    def busy(self) -> bool:
+        """True while a command of the caller has not been answered completely."""
+        return self._busy
+
+    async def handle_query(self, data: bytes) -> None:
+        """Answer a text statement."""
+        await self._answer(super().handle_query(data))
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Answer an executed prepared statement."""
+        await self._answer(super().handle_stmt_execute(data))
+
+    async def handle_change_user(self, data: bytes) -> None:
+        """Give the new user a session of its own."""
+        self.session.end()
+        await super().handle_change_user(data)
+        self.session.open()
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Start a new session, so that an open transaction is rolled back."""
+        self.session.end()
+        self.session.open()
+        await super().handle_reset_connection(data)
+
+    async def query(self, sql: str, query_attrs: dict[str, str]) -> ResultSet:
+        """Run a statement in the engine.
+
+        :raises MysqlError: if the answer is an error or the caller has left.
+        """
+        used = _USE.fullmatch(sql)
+        if used is not None:
+            await self.session.use(used.group(1) or used.group(2))
+            return _NO_ROWS
+        session_id = self.session.session_id
+        if session_id is None:
+            raise _Refused(None)
+        outcome = await self.session.handler.execute(session_id, sql)
+        if outcome is None:
+            raise _Refused(None)
+        error = describe_error(outcome)
+        if error is not None:
+            raise _Refused(error)
+        return self._keep_counts(outcome.result)
+
+    def ok(self, **fields: Any) -> bytes:
+        """Build an OK packet with the counts of the statement that it answers."""
+        counts = self._counts
+        self._counts = {}
+        return super().ok(**(counts | fields))
+
+    def _keep_counts(self, answer: RequestResult) -> ResultSet:
+        if answer.columns:
+            return build_result_set(answer)
+        self._counts = {
+            'affected_rows': answer.affected_rows,
+            'last_insert_id': answer.last_insert_id,
+        }
+        return _NO_ROWS
+
+    async def _answer(self, command: Any) -> None:
+        self._busy = True
+        try:
+            await command
+        except _Refused as refused:
+            await self._write_error(refused.error)
+        except UnicodeDecodeError as error:
+            text = f'invalid character string: {error}; verdict=not_run'
+            await self._write_error(CallerError(_INVALID_STRING, 'HY000', text))
+        finally:
+            self._busy = False
+
+    async def _write_error(self, error: CallerError | None) -> None:
+        if error is not None:
+            await self.stream.write(error.encode(self.server_charset.codec))
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_results.py
@@ -0,0 +1,81 @@
+"""Conversion of results to the types of the MySQL protocol."""
+
+import datetime
+import decimal
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.types import ColumnType
+
+from bergamotcart.outcomes import RequestResult
+
+_TYPES: Mapping[type, ColumnType] = MappingProxyType(
+    {
+        bool: ColumnType.LONGLONG,
+        int: ColumnType.LONGLONG,
+        float: ColumnType.DOUBLE,
+        decimal.Decimal: ColumnType.NEWDECIMAL,
+        str: ColumnType.VAR_STRING,
+        bytes: ColumnType.BLOB,
+        datetime.datetime: ColumnType.DATETIME,
+        datetime.date: ColumnType.DATE,
+        datetime.timedelta: ColumnType.TIME,
+    },
+)
+_MAX_SIGNED: Final = 2**63 - 1
+_SECONDS_PER_HOUR: Final = 3600
+_SECONDS_PER_MINUTE: Final = 60
+_MICROSECOND: Final = datetime.timedelta(microseconds=1)
+_MICROSECONDS_PER_SECOND: Final = 1_000_000
+
+
+def build_result_set(answer: RequestResult) -> ResultSet:
+    """Return the rows of an answer with the type of each column.
+
+    The type is that of the values found: a result carries Python values without
+    the column types of the target.
+
+    :param answer: a complete answer with at least one column.
+    """
+    columns = [
+        _build_column(name, [row[index] for row in answer.rows])
+        for index, name in enumerate(answer.columns)
+    ]
+    return ResultSet(rows=answer.rows, columns=columns)
+
+
+def _build_column(name: str, cells: list[Any]) -> ResultColumn:
+    column_type = _infer_type(cells)
+    if column_type == ColumnType.BLOB:
+        return ResultColumn(name, column_type, character_set=CharacterSet.binary)
+    if column_type == ColumnType.TIME:
+        return ResultColumn(name, column_type, text_encoder=_encode_time)
+    return ResultColumn(name, column_type)
+
+
+def _infer_type(cells: list[Any]) -> ColumnType:
+    types = set(map(type, cells)) - {type(None)}
+    if len(types) != 1:
+        return ColumnType.DOUBLE if types == {int, float} else ColumnType.VAR_STRING
+    column_type = _TYPES.get(types.pop(), ColumnType.VAR_STRING)
+    if column_type == ColumnType.LONGLONG and _exceeds_signed(cells):
+        return ColumnType.NEWDECIMAL
+    return column_type
+
+
+def _exceeds_signed(cells: list[Any]) -> bool:
+    # The library's columns have no unsigned flag, so a greater number would change its sign.
+    return any(cell is not None and cell > _MAX_SIGNED for cell in cells)
+
+
+def _encode_time(column: ResultColumn, span: datetime.timedelta) -> bytes:
+    total = abs(span) // _MICROSECOND
+    seconds, micros = divmod(total, _MICROSECONDS_PER_SECOND)
+    hours, rest = divmod(seconds, _SECONDS_PER_HOUR)
+    minutes, rest = divmod(rest, _SECONDS_PER_MINUTE)
+    sign = '-' if span < datetime.timedelta(0) else ''
+    fraction = f'.{micros:06d}' if micros else ''
+    return f'{sign}{hours:02d}:{minutes:02d}:{rest:02d}{fraction}'.encode()
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -0,0 +1,158 @@
+"""Service that listens for callers."""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from mode import Service
+from mysql_mimic.control import LocalControl
+from mysql_mimic.stream import MysqlStream
+
+from bergamotcart.entry._actions import Reply
+from bergamotcart.entry._inputs import (
+    EntryInput,
+    GroupSelected,
+    RequestArrived,
+    SessionClosed,
+    SessionOpened,
+)
+from bergamotcart.outcomes import Outcome
+from bergamotcart_daemon.addresses import Address
+from bergamotcart_daemon.callers._connection import CallerConnection
+from bergamotcart_daemon.callers._reader import CallerReader
+from bergamotcart_daemon.callers._session import AnyCaller, CallerSession, StatementHandler
+from bergamotcart_daemon.metrics import Metrics
+
+# Callers of a whole VM may reconnect at once when another proxy leaves.
+_BACKLOG: Final = 1024
+_CLOSE_WAIT_S: Final = 5.0
+_CLOSE_CHECK_S: Final = 0.01
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    session_id: int
+    arrived_at: float
+    answer: asyncio.Future[Outcome | None]
+
+
+class CallerServer(Service, StatementHandler):
+    """MySQL server whose statements go to the entry engine.
+
+    :param listen: listening address, as ``host:port``.
+    :param submit: takes the inputs of the engine.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        metrics: Metrics,
+        submit: Callable[[EntryInput], None],
+    ) -> None:
+        """Keep the parameters; the socket is opened at start."""
+        super().__init__()
+        self._listen = Address.parse(listen)
+        self._metrics = metrics
+        self._submit = submit
+        self._session_ids = itertools.count(1)
+        self._request_ids = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+        self._running: dict[int, int] = {}
+        self._connections: dict[CallerConnection, asyncio.StreamWriter] = {}
+        self._control = LocalControl()
+        self._identities = AnyCaller()
+
+    async def on_start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            self._build_protocol,
+            self._listen.host,
+            self._listen.port,
+            backlog=_BACKLOG,
+        )
+        self.exit_stack.callback(server.close)
+
+    async def on_stop(self) -> None:
+        """Let answers that are being written end, then close all connections."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + _CLOSE_WAIT_S
+        while any(connection.busy for connection in self._connections):
+            if loop.time() > deadline:
+                break
+            await asyncio.sleep(_CLOSE_CHECK_S)
+        for writer in self._connections.values():
+            writer.close()
+
+    def open_session(self, caller: str, group: str | None) -> int:
+        """Start a session and return its identifier."""
+        session_id = next(self._session_ids)
+        self._submit(SessionOpened(session_id, caller, group))
+        return session_id
+
+    def select_group(self, session_id: int, group: str) -> None:
+        """Change the group of a session."""
+        self._submit(GroupSelected(session_id, group))
+
+    def close_session(self, session_id: int) -> None:
+        """End a session; its running statement gets no answer any more."""
+        self._submit(SessionClosed(session_id))
+        request_id = self._running.get(session_id)
+        if request_id is not None:
+            self._finish(request_id, None)
+
+    async def execute(self, session_id: int, sql: str) -> Outcome | None:
+        """Run a statement; ``None`` means that the session ended meanwhile."""
+        loop = asyncio.get_running_loop()
+        request_id = next(self._request_ids)
+        answer: asyncio.Future[Outcome | None] = loop.create_future()
+        self._pending[request_id] = _Pending(session_id, loop.time(), answer)
+        self._running[session_id] = request_id
+        self._submit(RequestArrived(request_id, session_id, sql))
+        return await answer
+
+    def reply(self, action: Reply) -> None:
+        """Answer a request; the answer to a caller that has left is dropped."""
+        pending = self._finish(action.request_id, action.outcome)
+        if pending is not None:
+            now = asyncio.get_running_loop().time()
+            self._metrics.observe_statement(now - pending.arrived_at)
+
+    def _finish(self, request_id: int, outcome: Outcome | None) -> _Pending | None:
+        pending = self._pending.pop(request_id, None)
+        if pending is None:
+            return None
+        self._running.pop(pending.session_id, None)
+        if not pending.answer.done():
+            pending.answer.set_result(outcome)
+        return pending
+
+    def _build_protocol(self) -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(CallerReader(), self._serve)
+
+    async def _serve(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
+        session = CallerSession(self)
+        connection = CallerConnection(
+            stream=MysqlStream(reader, writer),
+            session=session,
+            control=self._control,
+            identity_provider=self._identities,
+        )
+        connection.connection_id = await self._control.add(connection)
+        self._connections[connection] = writer
+        reader.on_lost = session.end
+        try:
+            await connection.start()
+        except (OSError, EOFError):
+            _logger.debug('connection %s of a caller broke', connection.connection_id)
+        except Exception:
+            _logger.warning('handshake with a caller failed', exc_info=True)
+        finally:
+            self._connections.pop(connection, None)
+            writer.close()
+            await self._control.remove(connection.connection_id)
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
@@ -0,0 +1,171 @@
+"""Guards against answers that callers cannot read or that tell them a wrong verdict."""
+
+import asyncio
+import contextlib
+import datetime
+import decimal
+import socket
+from collections.abc import AsyncIterator
+
+import aiomysql
+import pymysql
+import pytest
+
+from bergamotcart.entry import _actions as actions
+from bergamotcart.entry import _inputs as inputs
+from bergamotcart.outcomes import (
+    MayHaveRun,
+    NotRun,
+    Outcome,
+    Ran,
+    Reason,
+    RequestResult,
+    TargetError,
+)
+from bergamotcart_daemon.callers import CallerServer
+from bergamotcart_daemon.metrics import Metrics
+
+
+class _Engine:
+    """Answers each request with the outcome set by the test, or not at all."""
+
+    def __init__(self) -> None:
+        self.received: list[object] = []
+        self.outcome: Outcome | None = Ran()
+        self.server: CallerServer | None = None
+        self.port = 0
+
+    def submit(self, received: object) -> None:
+        self.received.append(received)
+        if isinstance(received, inputs.RequestArrived) and self.outcome is not None:
+            reply = actions.Reply(received.request_id, self.outcome)
+            asyncio.get_running_loop().call_soon(self.server.reply, reply)
+
+    def take(self, kind: type) -> list[object]:
+        return [received for received in self.received if isinstance(received, kind)]
+
+    async def connect(self, **fields: object) -> aiomysql.Connection:
+        defaults = {'host': '127.0.0.1', 'port': self.port, 'user': 'desk', 'db': 'tickets'}
+        return await aiomysql.connect(autocommit=None, **(defaults | fields))
+
+    async def wait_for(self, kind: type) -> object:
+        async with asyncio.timeout(5):
+            while not self.take(kind):
+                await asyncio.sleep(0.01)
+        return self.take(kind)[0]
+
+
+@contextlib.asynccontextmanager
+async def _open_engine() -> AsyncIterator[_Engine]:
+    engine = _Engine()
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        engine.port = probe.getsockname()[1]
+    server = CallerServer(f'127.0.0.1:{engine.port}', Metrics(dict), engine.submit)
+    engine.server = server
+    async with server:
+        yield engine
+
+
+async def _query(connection: aiomysql.Connection, sql: str) -> aiomysql.Cursor:
+    cursor = await connection.cursor()
+    await cursor.execute(sql)
+    return cursor
+
+
+async def test_rows_reach_the_caller_with_their_types():
+    """A value that changes its type or becomes NULL on the way is a wrong answer."""
+    row = (
+        1,
+        None,
+        'Kigali é',
+        b'\xff\x00',
+        decimal.Decimal('1.50'),
+        1.5,
+        datetime.datetime(2026, 2, 3, 4, 5, 6, 7),
+        datetime.date(2026, 2, 3),
+        -datetime.timedelta(hours=30, seconds=1),
+        2**64 - 1,
+    )
+    columns = tuple(f'column{index}' for index in range(len(row)))
+
+    async with _open_engine() as engine:
+        engine.outcome = Ran(RequestResult(columns, (row, (None,) * len(row))))
+        async with await engine.connect() as connection:
+            cursor = await _query(connection, 'SELECT all')
+            rows = await cursor.fetchall()
+        assert rows == (row, (None,) * len(row))
+        assert tuple(column[0] for column in cursor.description) == columns
+
+
+async def test_counts_reach_the_caller_and_only_for_their_statement():
+    """A repeated count would make a caller believe that its next write changed rows."""
+
+    async with _open_engine() as engine:
+        engine.outcome = Ran(RequestResult(affected_rows=3, last_insert_id=9))
+        async with await engine.connect() as connection:
+            cursor = await _query(connection, 'INSERT')
+            assert (cursor.rowcount, cursor.lastrowid) == (3, 9)
+            engine.outcome = Ran()
+            cursor = await _query(connection, 'UPDATE')
+            assert (cursor.rowcount, cursor.lastrowid) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'code', 'text'),
+    [
+        (NotRun(Reason.queue_full, retry_after=0.25), 15001, 'verdict=not_run'),
+        (MayHaveRun(Reason.connection_lost), 15002, 'verdict=may_have_run'),
+        (Ran(None, Reason.recorded), 15003, 'verdict=ran; reason=recorded'),
+        (NotRun(Reason.bad_token), 15004, 'reason=bad_token; retry_after=none'),
+        (NotRun(Reason.discarded_branch), 15005, 'reason=discarded_branch'),
+        (NotRun(Reason.identifier_reused), 15006, 'reason=identifier_reused'),
+        (
+            NotRun(Reason.target_error, error=TargetError(1054, '42S22', 'no column')),
+            1054,
+            'no column',
+        ),
+    ],
+)
+async def test_each_verdict_has_its_error(outcome, code, text):
+    """A caller that reads the wrong verdict repeats what already ran."""
+
+    async with _open_engine() as engine:
+        engine.outcome = outcome
+        async with await engine.connect() as connection:
+            with pytest.raises(pymysql.MySQLError, match=text) as caught:
+                await _query(connection, 'SELECT')
+            assert caught.value.args[0] == code
+            engine.outcome = Ran()
+            await _query(connection, 'the connection still works')
+
+
+async def test_sessions_and_groups_follow_the_connection():
+    """A statement must not go to the group of an earlier ``USE``."""
+
+    async with _open_engine() as engine:
+        async with await engine.connect(password='ignored') as connection:
+            await _query(connection, '/* note */ use `members`;')
+            await connection.select_db('orders')
+        closed = await engine.wait_for(inputs.SessionClosed)
+        opened = engine.take(inputs.SessionOpened)
+        assert [(session.caller, session.group) for session in opened] == [('desk', 'tickets')]
+        selected = [change.group for change in engine.take(inputs.GroupSelected)]
+        assert selected == ['members', 'orders']
+        assert closed.session_id == opened[0].session_id
+
+
+async def test_a_caller_that_leaves_during_its_statement_closes_its_session_once():
+    """The transaction of a lost caller must not go on until its statement ends."""
+
+    async with _open_engine() as engine:
+        engine.outcome = None
+        connection = await engine.connect()
+        running = asyncio.ensure_future(_query(connection, 'SELECT SLEEP'))
+        request = await engine.wait_for(inputs.RequestArrived)
+        connection.close()
+        await engine.wait_for(inputs.SessionClosed)
+        engine.server.reply(actions.Reply(request.request_id, Ran()))
+        await asyncio.gather(running, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        assert len(engine.take(inputs.SessionClosed)) == 1
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP servers of both roles."""
+
+from bergamotcart_daemon.http._control import OperatorApi
+from bergamotcart_daemon.http._entry import AnnouncementApi
+from bergamotcart_daemon.http._server import Health, HttpServer
+
+__all__ = ('AnnouncementApi', 'Health', 'HttpServer', 'OperatorApi')
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_server.py
@@ -0,0 +1,82 @@
+"""HTTP server with the endpoints that both roles have."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+from aiohttp import web
+from mode import Service
+
+from bergamotcart_daemon.addresses import Address
+from bergamotcart_daemon.metrics import Metrics
+
+# The greatest body is a section of the operator document.
+MAX_BODY_BYTES: Final = 1024 * 1024
+_SHUTDOWN_S: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Health:
+    """Answer to ``GET /health``.
+
+    :param serving: whether the platform may send work here.
+    :param details: JSON body, with the state under ``state``.
+    """
+
+    serving: bool
+    details: dict[str, object]
+
+
+def respond_json(status: int, body: object) -> web.Response:
+    """Build a JSON answer."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(body),
+        content_type='application/json',
+    )
+
+
+class HttpServer(Service):
+    """Serves ``/health``, ``/metrics`` and the routes of the role.
+
+    :param listen: listening address, as ``host:port``.
+    :param read_health: returns the current health.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        routes: Sequence[web.RouteDef],
+        metrics: Metrics,
+        read_health: Callable[[], Health],
+    ) -> None:
+        """Keep the parameters; the socket is opened at start."""
+        super().__init__()
+        self._listen = Address.parse(listen)
+        self._routes = routes
+        self._metrics = metrics
+        self._read_health = read_health
+
+    async def on_start(self) -> None:
+        """Listen."""
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application.add_routes(
+            [
+                web.get('/health', self._handle_health),
+                web.get('/metrics', self._handle_metrics),
+                *self._routes,
+            ],
+        )
+        runner = web.AppRunner(application, access_log=None, shutdown_timeout=_SHUTDOWN_S)
+        self.async_exit_stack.push_async_callback(runner.cleanup)
+        await runner.setup()
+        await web.TCPSite(runner, self._listen.host, self._listen.port).start()
+
+    async def _handle_health(self, request: web.Request) -> web.Response:
+        health = self._read_health()
+        return respond_json(200 if health.serving else 503, health.details)
+
+    async def _handle_metrics(self, request: web.Request) -> web.Response:
+        rendered = self._metrics.render(request.headers.get('Accept', '*/*'))
+        return web.Response(body=rendered.body, headers=rendered.headers)
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
@@ -0,0 +1,120 @@
+"""Guards against announcements that are accepted although wrong, and forwarding loops."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+import pytest
+
+from bergamotcart import messages
+from bergamotcart.control._events import OperatorReply, OperatorRequest
+from bergamotcart_daemon.http import AnnouncementApi, Health, HttpServer, OperatorApi
+from bergamotcart_daemon.metrics import Metrics
+
+_SERVING = Health(serving=True, details={'state': 'serving'})
+_ANNOUNCEMENT = messages.Announcement(
+    group='tickets',
+    instance='a',
+    availability_zone='kigali',
+    address='127.0.0.1:3306',
+    admin_address='127.0.0.1:3307',
+    role=messages.TargetRole.primary,
+    term=1,
+    log_term=1,
+    position=5,
+    slots=5,
+    connection_limit=35,
+    incarnation='i',
+    sequence=1,
+)
+
+
+def _find_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+@contextlib.asynccontextmanager
+async def _open(
+    address: str,
+    routes: tuple = (),
+    health: Health = _SERVING,
+) -> AsyncIterator[aiohttp.ClientSession]:
+    async with HttpServer(address, routes, Metrics(dict), lambda: health):
+        async with aiohttp.ClientSession(f'http://{address}') as session:
+            yield session
+
+
+class _Member:
+    """A control member whose engine answers as a leader or as a follower."""
+
+    def __init__(self, name: str, leader: str, addresses: dict[str, str]) -> None:
+        self.name = name
+        self.leads = False
+        self.tokens: list[str] = []
+        self.api = OperatorApi(addresses, lambda: leader, self._submit)
+
+    def _submit(self, request: OperatorRequest) -> None:
+        self.tokens.append(request.token)
+        reply = OperatorReply(
+            request_id=request.request_id,
+            status=200 if self.leads else 421,
+            body={'by': self.name},
+        )
+        asyncio.get_running_loop().call_soon(self.api.reply, reply)
+
+
+@pytest.mark.parametrize(
+    ('change', 'status'),
+    [
+        ({}, 200),
+        ({'slots': '5'}, 400),
+        ({'slots': 0}, 400),
+        ({'extra': 1}, 400),
+        ({'address': 'nowhere'}, 400),
+        ({'role': 'leader'}, 400),
+        ({'group': ''}, 400),
+    ],
+)
+async def test_only_valid_announcements_reach_the_engine(change, status):
+    """A malformed announcement must not put a target into the table."""
+    received: list[object] = []
+    api = AnnouncementApi(Metrics(dict), lambda: 12.5, received.append)
+    async with _open(_find_address(), api.build_routes()) as session:
+        body = msgspec.to_builtins(_ANNOUNCEMENT) | change
+        async with session.post('/announcements', json=body) as response:
+            answer = await response.json()
+            assert response.status == status
+    assert len(received) == int(status == 200)
+    assert ('echo' in answer) == bool(received)
+
+
+async def test_health_is_unavailable_while_draining():
+    """The platform must stop sending callers to a process that leaves."""
+    health = Health(serving=False, details={'state': 'draining'})
+    async with _open(_find_address(), health=health) as session:
+        async with session.get('/health') as response:
+            assert response.status == 503
+            assert await response.json() == {'state': 'draining'}
+
+
+async def test_a_follower_forwards_to_the_leader_and_never_in_a_loop():
+    """Two followers that take each other for the leader must not forward for ever."""
+    first, second = _find_address(), _find_address()
+    addresses = {'c1': first, 'c2': second}
+    follower = _Member('c1', 'c2', addresses)
+    leader = _Member('c2', 'c1', addresses)
+    leader.leads = True
+    headers = {'Authorization': 'Bearer t1'}
+    async with follower.api, leader.api, _open(second, leader.api.build_routes()):
+        async with _open(first, follower.api.build_routes()) as session:
+            async with session.post('/v1/changes', json={'a': 1}, headers=headers) as response:
+                assert await response.json() == {'by': 'c2'}
+            assert leader.tokens == ['t1']
+            leader.leads = False
+            async with session.get('/v1/status') as response:
+                assert response.status == 503
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/__init__.py
@@ -0,0 +1,5 @@
+"""JSON log lines of the daemon."""
+
+from bergamotcart_daemon.logs._logs import DecisionLog, configure_logging
+
+__all__ = ('DecisionLog', 'configure_logging')
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
@@ -0,0 +1,63 @@
+"""Configuration of logging and the log of decisions."""
+
+import logging
+import sys
+from typing import Final
+
+from pythonjsonlogger.msgspec import MsgspecFormatter
+
+from bergamotcart.actions import Decision
+
+_FIELDS: Final = ('levelname', 'name', 'message')
+_OPTIONAL_FIELDS: Final = ('request', 'session', 'caller', 'group', 'target', 'term')
+
+
+def configure_logging(level: str, role: str, process: str) -> None:
+    """Write one JSON object per line to standard error.
+
+    :param level: least level that is written, in lower case.
+    :param role: role of this process, added to each line.
+    :param process: name of this process, added to each line.
+    """
+    formatter = MsgspecFormatter(
+        list(_FIELDS),
+        timestamp=True,
+        rename_fields={'levelname': 'level', 'name': 'logger'},
+        static_fields={'role': role, 'node': process},
+    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    # The library logs each refused statement and each connection; decisions cover both.
+    logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
+    logging.getLogger('mode').setLevel(logging.WARNING)
+
+
+class DecisionLog:
+    """Writes one line for each decision."""
+
+    __slots__ = ('_logger',)
+
+    def __init__(self) -> None:
+        """Use the logger ``bergamotcart.decisions``."""
+        self._logger = logging.getLogger('bergamotcart.decisions')
+
+    def write(self, decision: Decision) -> None:
+        """Write a decision with its fields.
+
+        :param decision: what an engine decided.
+        """
+        if not self._logger.isEnabledFor(logging.INFO):
+            return
+        fields: dict[str, object] = {
+            'system': decision.system,
+            'action': decision.action,
+            'reason': decision.reason,
+        }
+        for name in _OPTIONAL_FIELDS:
+            field = getattr(decision, name)
+            if field is not None:
+                fields[name] = field
+        if decision.detail:
+            fields['detail'] = decision.detail
+        self._logger.info('decision', extra=fields)
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/main.py
@@ -0,0 +1,64 @@
+"""Command line of ``bergamotcartd``."""
+
+import sys
+from typing import Final
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.exceptions import CleoError
+from cleo.helpers import option
+
+from bergamotcart_daemon.logs import configure_logging
+from bergamotcart_daemon.runtime import run_daemon
+from bergamotcart_daemon.settings import FLAGS, SettingsError, load_settings
+
+_VERSION: Final = '0.1.0'
+_USAGE: Final = 2
+
+
+class RunCommand(Command):
+    """Runs one process of bergamotcart."""
+
+    name = 'bergamotcartd'
+    description = 'Runs one process of bergamotcart in the role entry or control.'
+    options = [
+        option(flag.name, None, flag.description, flag=False, multiple=flag.repeatable)
+        for flag in FLAGS
+    ]
+
+    def handle(self) -> int:
+        """Check the settings and run the process."""
+        given = {flag.field: self.option(flag.name) for flag in FLAGS}
+        flags = {name: text for name, text in given.items() if text not in (None, [])}
+        try:
+            settings = load_settings(flags)
+        except SettingsError as error:
+            return _fail(error.problems)
+        configure_logging(settings.log_level, settings.role, settings.name)
+        return run_daemon(settings)
+
+
+class _DaemonApplication(Application):
+    def __init__(self, command: Command) -> None:
+        super().__init__('bergamotcartd', _VERSION)
+        self.auto_exits(auto_exits=False)
+        self.catch_exceptions(catch_exceptions=False)
+        self.add(command)
+        self._default_command = command.name
+        self._single_command = True
+
+
+def main() -> int:
+    """Run the command line.
+
+    :returns: exit status; 2 if flags or settings are wrong.
+    """
+    try:
+        return _DaemonApplication(RunCommand()).run()
+    except CleoError as error:
+        return _fail((str(error),))
+
+
+def _fail(problems: tuple[str, ...]) -> int:
+    sys.stderr.write(''.join(f'bergamotcartd: {problem}\n' for problem in problems))
+    return _USAGE
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_control.py
@@ -0,0 +1,138 @@
+"""Process of the role control."""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from mode import Service
+
+from bergamotcart.actions import Decision, Send
+from bergamotcart.control import ControlEngine
+from bergamotcart.control import _events as events
+from bergamotcart.control._config import ControlConfig, ControlStatus
+from bergamotcart_daemon import storage
+from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.http import Health, HttpServer, OperatorApi
+from bergamotcart_daemon.logs import DecisionLog
+from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.runtime._daemon import Daemon, read_clock
+from bergamotcart_daemon.runtime._loop import EngineLoop
+from bergamotcart_daemon.runtime._writer import BatchWriter
+from bergamotcart_daemon.settings import ControlSettings
+from bergamotcart_daemon.targets import OrderRunner
+from bergamotcart_daemon.transport import Identity, Transport
+
+_SEED_BITS = 63
+
+
+class ControlDaemon(Daemon):
+    """Connects a control engine to its disk, peers, targets and operators."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        """Load the durable state and build the engine and its adapters."""
+        super().__init__()
+        store = self.exit_stack.enter_context(storage.Storage(settings.data_folder))
+        durable = store.load()
+        self._engine = ControlEngine(_build_config(settings), durable)
+        self._metrics = Metrics(self._read_gauges)
+        self._decisions = DecisionLog()
+        self._engine_loop = EngineLoop(self._engine)
+        translation = AddressTranslation(settings.address_translation)
+        submit = self._engine_loop.submit
+        self._writer = BatchWriter(store.write, submit)
+        self._transport = Transport(
+            settings.peer_listen,
+            Identity(
+                settings.control_domain,
+                settings.name,
+                durable.hard.incarnation,
+                settings.advertised_address,
+            ),
+            translation,
+            self._metrics,
+            submit,
+        )
+        self._orders = OrderRunner(translation, submit)
+        self._operators = OperatorApi(settings.operator_address, self._read_leader, submit)
+        self._http = HttpServer(
+            settings.http_listen,
+            self._operators.build_routes(),
+            self._metrics,
+            self._read_health,
+        )
+        self._engine_loop.register(self._build_handlers())
+
+    def on_init_dependencies(self) -> Iterable[Service]:
+        """Start the operators' endpoints last and stop them first."""
+        adapters = (self._writer, self._transport, self._orders)
+        return (*adapters, self._engine_loop, self._operators, self._http)
+
+    def begin_shutdown(self) -> None:
+        """Leave at once: the other members carry on, and all accepted state is synced."""
+        self.finish()
+
+    def _build_handlers(self) -> dict[type, Callable[[Any], None]]:
+        return {
+            Send: self._transport.send,
+            Decision: self._note_decision,
+            events.Persist: self._writer.write,
+            events.Order: self._orders.send,
+            events.OperatorReply: self._operators.reply,
+        }
+
+    def _note_decision(self, decision: Decision) -> None:
+        self._metrics.count_decision(decision)
+        self._decisions.write(decision)
+
+    def _read_status(self) -> ControlStatus:
+        return self._engine.status(read_clock())
+
+    def _read_leader(self) -> str | None:
+        return self._read_status().leader
+
+    def _read_health(self) -> Health:
+        status = self._read_status()
+        state = 'serving' if status.leader else 'not_ready'
+        if self.stop_requested:
+            state = 'draining'
+        return Health(
+            state == 'serving',
+            {
+                'state': state,
+                'leader': status.leader,
+                'leads': status.leads,
+                'voter': status.voter,
+                'term': status.term,
+                'commit_index': status.commit_index,
+                'revision': status.revision,
+            },
+        )
+
+    def _read_gauges(self) -> dict[str, float]:
+        status = self._read_status()
+        return {
+            'leads': int(status.leads),
+            'voter': int(status.voter),
+            'term': status.term,
+            'commit_index': status.commit_index,
+            'revision': status.revision,
+        }
+
+
+def _build_config(settings: ControlSettings) -> ControlConfig:
+    return ControlConfig(
+        name=settings.name,
+        availability_zone=settings.availability_zone,
+        address=settings.advertised_address,
+        initial_members=tuple(
+            (name, address, settings.control_zone[name])
+            for name, address in settings.control_member.items()
+        ),
+        admin_token=settings.admin_token.get_secret_value(),
+        lease_duration_s=settings.lease_duration,
+        lease_renewal_s=settings.lease_renewal,
+        silence_timeout_s=settings.silence_timeout,
+        leader_heartbeat_s=settings.leader_heartbeat,
+        election_timeout_s=(settings.election_timeout_min, settings.election_timeout_max),
+        seed=random.SystemRandom().getrandbits(_SEED_BITS),
+    )
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_entry.py
@@ -0,0 +1,129 @@
+"""Process of the role entry."""
+
+import random
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from mode import Service
+
+from bergamotcart.actions import Decision, Send
+from bergamotcart.entry import EntryEngine
+from bergamotcart.entry import _actions as actions
+from bergamotcart.entry._config import EntryConfig, EntryHealth
+from bergamotcart.entry._inputs import DrainRequested
+from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.callers import CallerServer
+from bergamotcart_daemon.http import AnnouncementApi, Health, HttpServer
+from bergamotcart_daemon.logs import DecisionLog
+from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.runtime._daemon import Daemon, read_clock
+from bergamotcart_daemon.runtime._loop import EngineLoop
+from bergamotcart_daemon.settings import EntrySettings
+from bergamotcart_daemon.targets import ReplicationPositionDialect, Targets, TargetSettings
+from bergamotcart_daemon.transport import Identity, Transport
+
+_SEED_BITS = 63
+
+
+class EntryDaemon(Daemon):
+    """Connects an entry engine to callers, targets, peers and the platform."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Build the engine and its adapters; nothing is opened yet."""
+        super().__init__()
+        config = _build_config(settings)
+        self._engine = EntryEngine(config)
+        self._metrics = Metrics(self._read_gauges)
+        self._decisions = DecisionLog()
+        self._engine_loop = EngineLoop(self._engine)
+        translation = AddressTranslation(settings.address_translation)
+        submit = self._engine_loop.submit
+        self._transport = Transport(
+            settings.peer_listen,
+            Identity(settings.control_domain, config.name, config.incarnation, config.address),
+            translation,
+            self._metrics,
+            submit,
+        )
+        target_settings = TargetSettings(
+            translation=translation,
+            connect_timeout_s=settings.connect_timeout,
+            dialect=ReplicationPositionDialect(),
+        )
+        self._targets = Targets(target_settings, submit)
+        self._callers = CallerServer(settings.mysql_listen, self._metrics, submit)
+        announcements = AnnouncementApi(self._metrics, read_clock, submit)
+        self._http = HttpServer(
+            settings.http_listen,
+            announcements.build_routes(),
+            self._metrics,
+            self._read_health,
+        )
+        self._engine_loop.register(self._build_handlers())
+
+    def on_init_dependencies(self) -> Iterable[Service]:
+        """Start callers last and stop them first."""
+        return (self._transport, self._targets, self._engine_loop, self._http, self._callers)
+
+    def begin_shutdown(self) -> None:
+        """Ask the engine to drain; it answers with ``Drained``."""
+        self._engine_loop.submit(DrainRequested())
+
+    def _build_handlers(self) -> dict[type, Callable[[Any], None]]:
+        return {
+            Send: self._transport.send,
+            Decision: self._note_decision,
+            actions.Execute: self._targets.execute,
+            actions.Probe: self._targets.probe,
+            actions.ReleasePin: self._targets.release_pin,
+            actions.LimitConnections: self._targets.limit_connections,
+            actions.Reply: self._callers.reply,
+            actions.Drained: self._note_drained,
+        }
+
+    def _note_decision(self, decision: Decision) -> None:
+        self._metrics.count_decision(decision)
+        self._decisions.write(decision)
+
+    def _note_drained(self, action: actions.Drained) -> None:
+        self.finish()
+
+    def _read_health(self) -> Health:
+        status = self._engine.status(read_clock())
+        health = EntryHealth.draining if self.stop_requested else status.health
+        return Health(
+            health == EntryHealth.serving,
+            {
+                'state': health,
+                'lease_left_s': round(status.lease_left_s, 3),
+                'applied_index': status.applied_index,
+                'revision': status.revision,
+                'groups': status.groups,
+            },
+        )
+
+    def _read_gauges(self) -> dict[str, float]:
+        status = self._engine.status(read_clock())
+        return {
+            'lease_left_s': status.lease_left_s,
+            'applied_index': status.applied_index,
+            'revision': status.revision,
+            'sessions': status.sessions,
+            'requests': status.requests,
+            'serving': int(status.health == EntryHealth.serving),
+        }
+
+
+def _build_config(settings: EntrySettings) -> EntryConfig:
+    return EntryConfig(
+        name=settings.name,
+        incarnation=uuid.uuid4().hex,
+        availability_zone=settings.availability_zone,
+        address=settings.advertised_address,
+        control_members=tuple(settings.control_member.items()),
+        session_key=settings.session_key.get_secret_value().encode(),
+        silence_timeout_s=settings.silence_timeout,
+        statement_timeout_s=settings.statement_timeout,
+        seed=random.SystemRandom().getrandbits(_SEED_BITS),
+    )
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_loop.py
@@ -0,0 +1,105 @@
+"""Loop that drives one engine."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any, Final, Protocol
+
+from mode import Service
+
+# An engine that asks for a tick in the past must not keep the event loop busy.
+_MIN_TICK_S: Final = 0.001
+
+
+class Outbox(Protocol):
+    """Result of a step of either engine."""
+
+    actions: tuple[Any, ...]
+    next_tick: float
+
+
+class Engine(Protocol):
+    """What both engines have in common."""
+
+    def step(self, now: float, inbox: tuple[Any, ...]) -> Outbox:
+        """Handle inputs and elapsed time."""
+
+
+class EngineLoop(Service):
+    """Steps an engine as soon as inputs arrive, and at the time that the engine asks for.
+
+    All inputs that arrive in one turn of the event loop go into one step. A fault in
+    the engine crashes the process: its state can no longer be trusted, and every
+    promise of the system holds across a restart.
+    """
+
+    def __init__(self, engine: Engine) -> None:
+        """Keep the engine."""
+        super().__init__()
+        self._engine = engine
+        self._handlers: Mapping[type, Callable[[Any], None]] = {}
+        self._inbox: list[Any] = []
+        self._step_planned = False
+        self._tick: asyncio.TimerHandle | None = None
+        self._running: asyncio.AbstractEventLoop | None = None
+
+    async def on_start(self) -> None:
+        """Run the first step."""
+        self._running = asyncio.get_running_loop()
+        self.exit_stack.callback(self._cancel_tick)
+        self._plan_step()
+
+    def register(self, handlers: Mapping[type, Callable[[Any], None]]) -> None:
+        """Set the functions that carry out each type of action, without blocking."""
+        self._handlers = handlers
+
+    def submit(self, received: Any) -> None:
+        """Add an input; the engine steps in this turn of the event loop."""
+        self._inbox.append(received)
+        self._plan_step()
+
+    def _plan_step(self) -> None:
+        if self._step_planned or self._running is None:
+            return
+        self._step_planned = True
+        self._running.call_soon(self._run_step)
+
+    def _run_step(self) -> None:
+        self._step_planned = False
+        if self.should_stop:
+            return
+        inbox = tuple(self._inbox)
+        self._inbox.clear()
+        try:
+            outbox = self._engine.step(self._running.time(), inbox)
+        except Exception as error:
+            self._fail(error)
+            return
+        self._plan_tick(outbox.next_tick)
+        for action in outbox.actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: Any) -> None:
+        try:
+            self._handlers[type(action)](action)
+        except Exception as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        self._cancel_tick()
+        self.add_future(self.crash(error))
+
+    def _plan_tick(self, next_tick: float) -> None:
+        if self._tick is not None:
+            if self._tick.when() == next_tick and not self._tick.cancelled():
+                return
+            self._tick.cancel()
+        earliest = self._running.time() + _MIN_TICK_S
+        self._tick = self._running.call_at(max(next_tick, earliest), self._run_tick)
+
+    def _run_tick(self) -> None:
+        self._tick = None
+        self._plan_step()
+
+    def _cancel_tick(self) -> None:
+        if self._tick is not None:
+            self._tick.cancel()
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_load.py
@@ -0,0 +1,71 @@
+"""Loading of settings with all errors at once."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from pydantic import ValidationError
+from pydantic_core import ErrorDetails
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from bergamotcart_daemon.settings._models import (
+    CommonSettings,
+    ControlSettings,
+    EntrySettings,
+    Role,
+)
+from bergamotcart_daemon.settings._options import ENVIRONMENT_PREFIX, FLAGS
+
+_MODELS: Mapping[Role, type[CommonSettings]] = MappingProxyType(
+    {Role.entry: EntrySettings, Role.control: ControlSettings},
+)
+_VARIABLES: Mapping[str, str] = MappingProxyType({flag.field: flag.variable for flag in FLAGS})
+
+
+class SettingsError(ValueError):
+    """The settings are wrong; ``problems`` has one line for each fault."""
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        """Keep the problems found."""
+        super().__init__('\n'.join(problems))
+        self.problems = problems
+
+
+class _RoleSettings(BaseSettings):
+    model_config = SettingsConfigDict(env_prefix=ENVIRONMENT_PREFIX, env_ignore_empty=True)
+
+    role: Role
+
+
+def load_settings(flags: Mapping[str, object]) -> EntrySettings | ControlSettings:
+    """Read flags and environment variables; a flag wins over its variable.
+
+    :param flags: given flags by field name.
+    :returns: the settings of the chosen role.
+    :raises SettingsError: listing every fault with the flag that it concerns.
+    """
+    role = _read_role(flags)
+    try:
+        return _MODELS.get(role, CommonSettings)(**flags)
+    except ValidationError as error:
+        details = error.errors(include_url=False)
+    raise SettingsError(tuple(_describe(detail, role) for detail in details))
+
+
+def _read_role(flags: Mapping[str, object]) -> Role | None:
+    given = {'role': flags['role']} if 'role' in flags else {}
+    try:
+        return _RoleSettings(**given).role
+    except ValidationError:
+        return None
+
+
+def _describe(detail: ErrorDetails, role: Role | None) -> str:
+    field = str(detail['loc'][0])
+    flag = f'--{field.replace("_", "-")}'
+    if detail['type'] == 'missing':
+        return f'{flag}: required (or set {_VARIABLES[field]})'
+    if detail['type'] == 'extra_forbidden':
+        return f'{flag}: not a setting of the role {role}'
+    path = ''.join(f'[{part}]' for part in detail['loc'][1:])
+    message = detail['msg'].removeprefix('Value error, ')
+    return f'{flag}{path}: {message}'
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_models.py
@@ -0,0 +1,153 @@
+"""Typed settings of both roles."""
+
+import enum
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BeforeValidator, Field, SecretStr, field_validator
+from pydantic_core.core_schema import ValidationInfo
+from pydantic_settings import BaseSettings, NoDecode, SettingsConfigDict
+
+from bergamotcart_daemon.addresses import Address
+from bergamotcart_daemon.settings._options import ENVIRONMENT_PREFIX
+
+_MIN_SESSION_KEY_BYTES = 16
+
+
+@enum.unique
+class Role(enum.StrEnum):
+    """Role of a process."""
+
+    entry = 'entry'
+    control = 'control'
+
+
+def _check_address(text: str) -> str:
+    return str(Address.parse(text))
+
+
+def _split_pairs(given: object) -> object:
+    # An environment variable holds all pairs in one string; a flag gives a list of them.
+    texts = given.split(',') if isinstance(given, str) else given
+    if not isinstance(texts, (list, tuple)):
+        return given
+    pairs: dict[str, str] = {}
+    for text in texts:
+        name, _, target = str(text).strip().partition('=')
+        if not name or not target:
+            raise ValueError(f'{text!r} is not of the form NAME=VALUE')
+        if name in pairs:
+            raise ValueError(f'{name!r} is given twice')
+        pairs[name] = target
+    return pairs
+
+
+def _check_translations(pairs: dict[str, str]) -> dict[str, str]:
+    return {_check_address(source): target for source, target in pairs.items()}
+
+
+Name = Annotated[str, Field(pattern='^[A-Za-z0-9_.-]{1,64}$')]
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+AddressText = Annotated[str, AfterValidator(_check_address)]
+NameMap = Annotated[dict[Name, Name], NoDecode, BeforeValidator(_split_pairs)]
+AddressMap = Annotated[dict[Name, AddressText], NoDecode, BeforeValidator(_split_pairs)]
+TranslationMap = Annotated[
+    dict[str, AddressText],
+    NoDecode,
+    BeforeValidator(_split_pairs),
+    AfterValidator(_check_translations),
+]
+
+
+class CommonSettings(BaseSettings):
+    """Settings of both roles; times are in seconds."""
+
+    model_config = SettingsConfigDict(
+        env_prefix=ENVIRONMENT_PREFIX,
+        env_ignore_empty=True,
+        extra='forbid',
+        hide_input_in_errors=True,
+    )
+
+    role: Role
+    name: Name
+    availability_zone: Name
+    control_domain: Name = 'default'
+    peer_listen: AddressText
+    http_listen: AddressText
+    peer_advertise: AddressText | None = None
+    control_member: Annotated[AddressMap, Field(min_length=1)]
+    operator_address: AddressMap = Field(default_factory=dict)
+    address_translation: TranslationMap = Field(default_factory=dict)
+    silence_timeout: Seconds = 0.8
+    log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
+
+    @property
+    def advertised_address(self) -> str:
+        """Address at which peers reach this process."""
+        return self.peer_advertise or self.peer_listen
+
+
+class EntrySettings(CommonSettings):
+    """Settings of the role entry."""
+
+    mysql_listen: AddressText
+    session_key: SecretStr
+    connect_timeout: Seconds = 0.5
+    statement_timeout: Seconds = 30.0
+
+    @field_validator('session_key')
+    @classmethod
+    def check_session_key(cls, key: SecretStr) -> SecretStr:
+        """Refuse a key that is too short to authenticate anything."""
+        if len(key.get_secret_value().encode()) < _MIN_SESSION_KEY_BYTES:
+            raise ValueError(f'must have at least {_MIN_SESSION_KEY_BYTES} bytes')
+        return key
+
+
+class ControlSettings(CommonSettings):
+    """Settings of the role control."""
+
+    control_zone: Annotated[NameMap, Field(validate_default=True)] = Field(default_factory=dict)
+    data_folder: Path
+    admin_token: Annotated[SecretStr, Field(min_length=1)]
+    lease_duration: Seconds = 1.0
+    lease_renewal: Seconds = 0.25
+    leader_heartbeat: Seconds = 0.1
+    election_timeout_min: Seconds = 0.4
+    election_timeout_max: Seconds = 0.8
+
+    @field_validator('control_zone')
+    @classmethod
+    def check_zones(cls, zones: dict[str, str], info: ValidationInfo) -> dict[str, str]:
+        """Require one availability zone for each initial control member."""
+        members = info.data.get('control_member', {})
+        missing = sorted(set(members) - set(zones))
+        unknown = sorted(set(zones) - set(members))
+        if members and (missing or unknown):
+            raise ValueError(f'members without zone: {missing}, unknown members: {unknown}')
+        return zones
+
+    @field_validator('lease_renewal')
+    @classmethod
+    def check_renewal(cls, renewal: float, info: ValidationInfo) -> float:
+        """Require that a lease can be renewed before it ends."""
+        if renewal >= info.data.get('lease_duration', float('inf')):
+            raise ValueError('must be shorter than --lease-duration')
+        return renewal
+
+    @field_validator('election_timeout_min')
+    @classmethod
+    def check_election_min(cls, least: float, info: ValidationInfo) -> float:
+        """Require that a heartbeat comes before an election."""
+        if least <= info.data.get('leader_heartbeat', 0):
+            raise ValueError('must be longer than --leader-heartbeat')
+        return least
+
+    @field_validator('election_timeout_max')
+    @classmethod
+    def check_election_max(cls, greatest: float, info: ValidationInfo) -> float:
+        """Require a non-empty range of election timeouts."""
+        if greatest <= info.data.get('election_timeout_min', 0):
+            raise ValueError('must be longer than --election-timeout-min')
+        return greatest
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_options.py
@@ -0,0 +1,91 @@
+"""Flags of the daemon as its command line shows them."""
+
+from dataclasses import dataclass
+from typing import Final
+
+ENVIRONMENT_PREFIX: Final = 'BERGAMOTCART_'
+_BOTH: Final = 'both'
+_CONTROL: Final = 'control'
+_ENTRY: Final = 'entry'
+
+
+@dataclass(frozen=True, slots=True)
+class Flag:
+    """One flag; ``roles`` names the roles that accept it."""
+
+    name: str
+    roles: str
+    text: str
+    repeatable: bool = False
+
+    @property
+    def field(self) -> str:
+        """Name of the settings field."""
+        return self.name.replace('-', '_')
+
+    @property
+    def variable(self) -> str:
+        """Name of the environment variable."""
+        return f'{ENVIRONMENT_PREFIX}{self.field.upper()}'
+
+    @property
+    def description(self) -> str:
+        """Complete text for the help page."""
+        repeatable = ' Repeatable.' if self.repeatable else ''
+        return f'[{self.roles}] {self.text}{repeatable} (environment: {self.variable})'
+
+
+FLAGS: Final = (
+    Flag('role', _BOTH, 'Role of this process: entry or control.'),
+    Flag('name', _BOTH, 'Name of the process, unique in its control domain.'),
+    Flag('availability-zone', _BOTH, 'Availability zone of its VM.'),
+    Flag('control-domain', _BOTH, 'Control domain, "default" if not given.'),
+    Flag('peer-listen', _BOTH, 'Address for messages between processes, host:port.'),
+    Flag('http-listen', _BOTH, 'Address for HTTP, host:port.'),
+    Flag('peer-advertise', _BOTH, 'Address at which peers reach it; the listening one by default.'),
+    Flag(
+        'control-member',
+        _BOTH,
+        'Initial control member and its inter-process address, NAME=ADDRESS.',
+        repeatable=True,
+    ),
+    Flag(
+        'control-zone',
+        _CONTROL,
+        'Availability zone of an initial control member, NAME=ZONE.',
+        repeatable=True,
+    ),
+    Flag(
+        'operator-address',
+        _BOTH,
+        'HTTP address of a control member, NAME=ADDRESS.',
+        repeatable=True,
+    ),
+    Flag(
+        'address-translation',
+        _BOTH,
+        'Connect to TO wherever a peer or target advertised FROM, FROM=TO.',
+        repeatable=True,
+    ),
+    Flag('mysql-listen', _ENTRY, 'Address for callers, host:port.'),
+    Flag(
+        'session-key',
+        _ENTRY,
+        'Secret of at least 16 bytes that authenticates session tokens; the same on all entries.',
+    ),
+    Flag('data-folder', _CONTROL, 'Folder for durable state.'),
+    Flag('admin-token', _CONTROL, 'Bearer token of the administrator.'),
+    Flag('lease-duration', _CONTROL, 'Length of a lease in seconds, default 1.0.'),
+    Flag('lease-renewal', _CONTROL, 'Seconds between lease renewals, default 0.25.'),
+    Flag(
+        'silence-timeout',
+        _BOTH,
+        'Seconds until a silent target counts as unreachable, default 0.8.',
+    ),
+    Flag('leader-heartbeat', _CONTROL, 'Seconds between heartbeats of the leader, default 0.1.'),
+    Flag('election-timeout-min', _CONTROL, 'Least election timeout in seconds, default 0.4.'),
+    Flag('election-timeout-max', _CONTROL, 'Greatest election timeout in seconds, default 0.8.'),
+    Flag('connect-timeout', _ENTRY, 'Seconds to open a connection to a target, default 0.5.'),
+    Flag('statement-timeout', _ENTRY, 'Seconds that a statement may take, default 30.'),
+    Flag('log-level', _BOTH, 'debug, info, warning or error; default info.'),
+)
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
@@ -0,0 +1,124 @@
+"""One connection to a target."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final, Self
+
+import aiomysql
+from pymysql.constants import CLIENT
+from pymysql.protocol import MysqlPacket
+
+from bergamotcart.outcomes import RequestResult
+from bergamotcart_daemon.addresses import Address
+from bergamotcart_daemon.targets._errors import ReportedError, describe_connect_error
+
+_USER: Final = 'bergamotcart'
+_CHARSET: Final = 'utf8mb4'
+_ERROR_HEAD_BYTES: Final = 3
+_SQLSTATE_END: Final = 9
+_UNKNOWN_SQLSTATE: Final = 'HY000'
+
+
+class _Packet(MysqlPacket):
+    def raise_for_error(self) -> None:
+        payload = self.get_all_data()
+        code = int.from_bytes(payload[1:_ERROR_HEAD_BYTES], 'little')
+        if payload[_ERROR_HEAD_BYTES : _ERROR_HEAD_BYTES + 1] == b'#':
+            sqlstate = payload[_ERROR_HEAD_BYTES + 1 : _SQLSTATE_END].decode('ascii', 'replace')
+            text = payload[_SQLSTATE_END:]
+        else:
+            sqlstate = _UNKNOWN_SQLSTATE
+            text = payload[_ERROR_HEAD_BYTES:]
+        raise ReportedError(code, sqlstate, text.decode('utf-8', 'replace'))
+
+
+class _Tap:
+    """Calls a function after another one."""
+
+    __slots__ = ('_first', '_then')
+
+    def __init__(self, first: Callable[..., None], then: Callable[[], None]) -> None:
+        self._first = first
+        self._then = then
+
+    def __call__(self, *arguments: Any) -> None:
+        self._first(*arguments)
+        self._then()
+
+
+class TargetConnection(aiomysql.Connection):
+    """Runs one statement at a time; several statements in one text are not allowed."""
+
+    def __init__(self, address: Address, group: str) -> None:
+        """Prepare a connection that is not open yet.
+
+        :param group: selected as the schema.
+        """
+        super().__init__(
+            host=address.host,
+            port=address.port,
+            user=_USER,
+            db=group,
+            charset=_CHARSET,
+            autocommit=None,
+        )
+        # A second statement hidden in a text would escape the classification of the first.
+        self.client_flag &= ~CLIENT.MULTI_STATEMENTS
+        self.on_broken: Callable[[Self], None] | None = None
+        self._broken = False
+
+    @property
+    def usable(self) -> bool:
+        """False once either side has closed the connection."""
+        return not self._broken and not self.closed
+
+    @classmethod
+    async def open(cls, address: Address, group: str, timeout_s: float) -> Self:
+        """Connect and log in.
+
+        :param timeout_s: seconds for both.
+        :raises ConnectError: if that fails.
+        """
+        connection = cls(address, group)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await connection._connect()
+        except Exception as error:
+            connection.close()
+            raise describe_connect_error(error) from error
+        connection._watch()
+        return connection
+
+    async def run(self, sql: str) -> RequestResult:
+        """Run a statement and read its complete answer.
+
+        :raises ReportedError: if the target reports an error.
+        """
+        await self.query(sql)
+        answer = self._result
+        while answer.has_next:
+            await self.next_result()
+            if not answer.field_count:
+                answer = self._result
+        if answer.field_count:
+            names = tuple(column[0] for column in answer.description)
+            return RequestResult(columns=names, rows=answer.rows)
+        return RequestResult(
+            affected_rows=answer.affected_rows,
+            last_insert_id=answer.insert_id,
+        )
+
+    async def _read_packet(self, packet_type: type[MysqlPacket] = _Packet) -> MysqlPacket:
+        return await super()._read_packet(packet_type)
+
+    def _watch(self) -> None:
+        # A connection that breaks while it is idle must not be used for the next statement,
+        # since the statement would then count as sent.
+        reader = self._reader
+        reader.feed_eof = _Tap(reader.feed_eof, self._note_broken)
+        reader.set_exception = _Tap(reader.set_exception, self._note_broken)
+
+    def _note_broken(self) -> None:
+        self._broken = True
+        if self.on_broken is not None:
+            self.on_broken(self)
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_errors.py
@@ -0,0 +1,57 @@
+"""Errors of connections to targets."""
+
+import asyncio
+from typing import Final
+
+import pymysql
+from pymysql.constants import CR
+
+from bergamotcart.outcomes import TargetError
+
+_LOST_CODES: Final = frozenset((CR.CR_SERVER_LOST, CR.CR_SERVER_GONE_ERROR))
+UNKNOWN_TABLE: Final = 1146
+DUPLICATE_KEY: Final = 1062
+
+
+class ReportedError(pymysql.MySQLError):
+    """An error packet of the target, with its SQLSTATE, which ``pymysql`` does not keep."""
+
+    def __init__(self, code: int, sqlstate: str, message: str) -> None:
+        """Keep the fields of the packet."""
+        super().__init__(code, message)
+        self.error = TargetError(code, sqlstate, message)
+
+
+class ConnectError(Exception):
+    """A connection could not be opened.
+
+    :param refused: the target's host refused or reset it, rather than staying silent.
+    :param error: error that the target itself reported, which shows that it is alive.
+    """
+
+    def __init__(self, refused: bool, error: TargetError | None = None) -> None:
+        """Keep the cause."""
+        super().__init__('connection not opened')
+        self.refused = refused
+        self.error = error
+
+
+def describe_connect_error(error: BaseException) -> ConnectError:
+    """Classify an error that occurred while a connection was opened."""
+    if isinstance(error, ReportedError):
+        return ConnectError(refused=False, error=error.error)
+    return ConnectError(refused=is_refusal(error))
+
+
+def is_refusal(error: BaseException) -> bool:
+    """Tell whether a connection was refused or reset, rather than silent.
+
+    :param error: what a read, a write or a connection attempt raised.
+    """
+    if isinstance(error, pymysql.OperationalError):
+        code = error.args[0] if error.args else None
+        return code in _LOST_CODES or isinstance(error.__cause__, ConnectionError)
+    if isinstance(error, (TimeoutError, asyncio.CancelledError)):
+        return False
+    # aiomysql raises InterfaceError for a connection that the peer has closed.
+    return isinstance(error, (ConnectionError, EOFError, pymysql.InterfaceError))
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
@@ -0,0 +1,146 @@
+"""Connections to one target that executions share."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+
+from bergamotcart_daemon.addresses import Address
+from bergamotcart_daemon.targets._connection import TargetConnection
+
+
+class ConnectionPool:
+    """Keeps at most ``limit`` connections; the most recently used idle one is taken first.
+
+    :param on_count: takes the number of open connections after each change.
+    """
+
+    __slots__ = (
+        '_address',
+        '_connect_timeout_s',
+        '_group',
+        '_idle',
+        '_limit',
+        '_on_count',
+        '_open',
+        '_reserved',
+        '_waiting',
+    )
+
+    def __init__(
+        self,
+        address: Address,
+        group: str,
+        connect_timeout_s: float,
+        on_count: Callable[[int], None],
+    ) -> None:
+        """Start without connections.
+
+        :param connect_timeout_s: seconds to open a connection.
+        """
+        self._address = address
+        self._group = group
+        self._connect_timeout_s = connect_timeout_s
+        self._on_count = on_count
+        # Until the engine sets a limit, one connection is allowed: each entry owns at least one.
+        self._limit = 1
+        self._open: set[TargetConnection] = set()
+        self._idle: list[TargetConnection] = []
+        self._reserved = 0
+        self._waiting: collections.deque[asyncio.Future[None]] = collections.deque()
+
+    @property
+    def address(self) -> Address:
+        """Address of the target."""
+        return self._address
+
+    def change_limit(self, limit: int) -> None:
+        """Change the number of allowed connections; surplus idle ones are closed at once."""
+        self._limit = limit
+        while self._idle and self._used > limit:
+            self.discard(self._idle[0])
+        self._wake()
+
+    async def acquire(self) -> TargetConnection:
+        """Return a connection that nobody else uses, waiting for one if necessary.
+
+        :raises ConnectError: if a new connection cannot be opened.
+        """
+        while True:
+            if self._idle:
+                return self._idle.pop()
+            if self._used < self._limit:
+                return await self._connect()
+            await self._wait()
+
+    def release(self, connection: TargetConnection) -> None:
+        """Take back a clean connection; it is closed if there are too many."""
+        if connection not in self._open:
+            return
+        if not connection.usable or self._used > self._limit:
+            self.discard(connection)
+            return
+        connection.on_broken = self._note_broken
+        self._idle.append(connection)
+        self._wake()
+
+    def discard(self, connection: TargetConnection) -> None:
+        """Close a connection and forget it."""
+        connection.on_broken = None
+        connection.close()
+        if connection not in self._open:
+            return
+        self._open.remove(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._on_count(self._used)
+        self._wake()
+
+    def close(self) -> None:
+        """Close all connections, also those in use."""
+        self._limit = 0
+        for connection in tuple(self._open):
+            self.discard(connection)
+
+    @property
+    def _used(self) -> int:
+        return len(self._open) + self._reserved
+
+    async def _connect(self) -> TargetConnection:
+        self._reserved += 1
+        try:
+            connection = await TargetConnection.open(
+                self._address,
+                self._group,
+                self._connect_timeout_s,
+            )
+        except BaseException:
+            self._reserved -= 1
+            self._wake()
+            raise
+        self._reserved -= 1
+        self._open.add(connection)
+        connection.on_broken = self._note_broken
+        self._on_count(self._used)
+        return connection
+
+    def _note_broken(self, connection: TargetConnection) -> None:
+        # One in use reports the fault to whoever uses it.
+        if connection in self._idle:
+            self.discard(connection)
+
+    async def _wait(self) -> None:
+        turn = asyncio.get_running_loop().create_future()
+        self._waiting.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._wake()
+            raise
+
+    def _wake(self) -> None:
+        while self._waiting and (self._idle or self._used < self._limit):
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
@@ -0,0 +1,133 @@
+"""Service that owns all connections to targets."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Final
+
+from mode import Service
+
+from bergamotcart.discovery import TargetKey
+from bergamotcart.entry._actions import Execute, LimitConnections, Probe, ReleasePin
+from bergamotcart.entry._inputs import ConnectionCount, EntryInput
+from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.targets._dialect import PositionDialect
+from bergamotcart_daemon.targets._executor import Executor
+from bergamotcart_daemon.targets._ledger import CREATE_TABLE
+from bergamotcart_daemon.targets._pool import ConnectionPool
+from bergamotcart_daemon.targets._probes import Prober
+
+_IDLE_CHECK_S: Final = 10.0
+# Targets are probed far more often, so an unused prober belongs to one that is gone.
+_IDLE_PROBER_S: Final = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetSettings:
+    """How targets are reached.
+
+    :param connect_timeout_s: seconds to open a connection.
+    """
+
+    translation: AddressTranslation
+    connect_timeout_s: float
+    dialect: PositionDialect
+
+
+class Targets(Service):
+    """Carries out executions, probes and connection limits.
+
+    :param submit: takes the inputs of the engine.
+    """
+
+    def __init__(self, settings: TargetSettings, submit: Callable[[EntryInput], None]) -> None:
+        """Start without connections."""
+        super().__init__()
+        self._settings = settings
+        self._submit = submit
+        self._pools: dict[TargetKey, ConnectionPool] = {}
+        self._limits: dict[TargetKey, int] = {}
+        self._probers: dict[TargetKey, Prober] = {}
+        self._executor = Executor(
+            settings.dialect,
+            submit,
+            lambda action: self._find_pool(action.target, action.address),
+            self._create_ledger,
+        )
+
+    async def on_start(self) -> None:
+        """Make sure that every connection is closed in the end."""
+        self.exit_stack.callback(self._close_all)
+
+    @Service.timer(_IDLE_CHECK_S)
+    async def close_idle_probers(self) -> None:
+        """Close the probe connections of targets that are not probed any more."""
+        limit = asyncio.get_running_loop().time() - _IDLE_PROBER_S
+        idle = [target for target, prober in self._probers.items() if prober.last_used < limit]
+        for target in idle:
+            self._probers.pop(target).close()
+
+    def execute(self, action: Execute) -> None:
+        """Start an execution."""
+        self._executor.start(action)
+
+    def probe(self, action: Probe) -> None:
+        """Start a probe."""
+        self._find_prober(action.target, action.address).start(action)
+
+    def release_pin(self, action: ReleasePin) -> None:
+        """Close a pinned connection."""
+        self._executor.release_pin(action.session_id)
+
+    def limit_connections(self, action: LimitConnections) -> None:
+        """Change the limit of a target's pool."""
+        self._limits[action.target] = action.limit
+        self._find_pool(action.target, action.address).change_limit(action.limit)
+
+    def _find_pool(self, target: TargetKey, address: str) -> ConnectionPool:
+        reached = self._settings.translation.translate(address)
+        pool = self._pools.get(target)
+        if pool is not None and pool.address == reached:
+            return pool
+        if pool is not None:
+            pool.close()
+        pool = ConnectionPool(
+            reached,
+            target.group,
+            self._settings.connect_timeout_s,
+            partial(self._report_count, target),
+        )
+        self._pools[target] = pool
+        pool.change_limit(self._limits.get(target, 1))
+        return pool
+
+    def _find_prober(self, target: TargetKey, address: str) -> Prober:
+        reached = self._settings.translation.translate(address)
+        prober = self._probers.get(target)
+        if prober is not None and prober.address == reached:
+            return prober
+        if prober is not None:
+            prober.close()
+        prober = Prober(
+            target,
+            reached,
+            self._settings.connect_timeout_s,
+            self._settings.dialect,
+            self._submit,
+        )
+        self._probers[target] = prober
+        return prober
+
+    async def _create_ledger(self, action: Execute) -> None:
+        await self._find_prober(action.target, action.address).run(CREATE_TABLE)
+
+    def _report_count(self, target: TargetKey, count: int) -> None:
+        self._submit(ConnectionCount(target, count))
+
+    def _close_all(self) -> None:
+        self._executor.close()
+        for prober in self._probers.values():
+            prober.close()
+        for pool in self._pools.values():
+            pool.close()
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_executions.py
@@ -0,0 +1,230 @@
+"""Guards against wrong reports of what a target did with an execution."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from bergamotcart import messages
+from bergamotcart.discovery import Position, TargetKey
+from bergamotcart.entry import _actions as actions
+from bergamotcart.entry import _inputs as inputs
+from bergamotcart.entry._execution import (
+    ConnectionUse,
+    ExecutionStatus,
+    LedgerKey,
+    Step,
+    StepKind,
+)
+from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.targets import ReplicationPositionDialect, Targets, TargetSettings
+from bergamotcart_daemon.targets.tests.fake_target import FakeTarget, stay_silent
+
+_TARGET = TargetKey('tickets', 'a')
+_LEDGER_STEPS = (
+    Step(StepKind.begin),
+    Step(StepKind.ledger_insert),
+    Step(StepKind.statement, 'UPDATE seats'),
+    Step(StepKind.ledger_record),
+    Step(StepKind.commit),
+    Step(StepKind.position),
+)
+
+
+class _Harness:
+    """Runs actions on a fake target and collects the inputs for the engine."""
+
+    def __init__(self, target: FakeTarget, targets: Targets, inbox: asyncio.Queue) -> None:
+        self.target = target
+        self.targets = targets
+        self._inbox = inbox
+        self._executions = 0
+
+    async def receive(self, kind: type) -> object:
+        while True:
+            received = await asyncio.wait_for(self._inbox.get(), 5)
+            if isinstance(received, kind):
+                return received
+
+    def start(self, *steps: Step, **fields: object) -> int:
+        self._executions += 1
+        defaults: dict[str, object] = {
+            'session_id': 1,
+            'address': self.target.address,
+            'use': ConnectionUse.shared,
+            'timeout_s': 5.0,
+        }
+        action = actions.Execute(
+            execution_id=self._executions,
+            request_id=self._executions,
+            target=_TARGET,
+            steps=steps,
+            **(defaults | fields),
+        )
+        self.targets.execute(action)
+        return self._executions
+
+    async def execute(self, *steps: Step, **fields: object) -> inputs.ExecutionFinished:
+        self.start(*steps, **fields)
+        return await self.receive(inputs.ExecutionFinished)
+
+
+@contextlib.asynccontextmanager
+async def _open_harness() -> AsyncIterator[_Harness]:
+    inbox: asyncio.Queue = asyncio.Queue()
+    settings = TargetSettings(
+        translation=AddressTranslation({}),
+        connect_timeout_s=0.5,
+        dialect=ReplicationPositionDialect(),
+    )
+    async with FakeTarget() as target, Targets(settings, inbox.put_nowait) as targets:
+        yield _Harness(target, targets, inbox)
+
+
+def _statement(sql: str = 'SELECT 1') -> Step:
+    return Step(StepKind.statement, sql)
+
+
+def _ledger(fingerprint: str = 'f1') -> dict[str, object]:
+    return {'ledger': LedgerKey('desk', 'r1', fingerprint, None)}
+
+
+async def test_rows_keep_their_values_and_null():
+    """A NULL or a number must not reach the engine as text."""
+
+    async with _open_harness() as harness:
+        finished = await harness.execute(_statement())
+        assert finished.status == ExecutionStatus.completed
+        assert finished.result.rows == ((1, 'one', None),)
+        assert finished.clean
+
+
+@pytest.mark.parametrize('has_table', [True, False])
+async def test_a_ledger_execution_runs_its_statement_once(has_table):
+    """A missing ledger table must neither fail the first request nor run it twice."""
+
+    async with _open_harness() as harness:
+        harness.target.ledger = {} if has_table else None
+        first = await harness.execute(*_LEDGER_STEPS, **_ledger())
+        assert first.status == ExecutionStatus.completed
+        assert first.report.position == Position(3, 41)
+        second = await harness.execute(*_LEDGER_STEPS, **_ledger('f2'))
+        assert second.status == ExecutionStatus.duplicate
+        assert second.record.fingerprint == 'f1'
+        assert second.record.affected_rows == 2
+        assert second.clean
+        assert harness.target.statements.count('UPDATE seats') == 1
+
+
+async def test_a_failing_statement_is_rolled_back_and_reported_with_its_error():
+    """A transaction left open on a shared connection would mix with the next one."""
+
+    async with _open_harness() as harness:
+        harness.target.fail('UPDATE seats', 1205, 'lock wait timeout')
+        finished = await harness.execute(*_LEDGER_STEPS, **_ledger())
+        assert finished.status == ExecutionStatus.target_error
+        assert finished.failed_step == StepKind.statement
+        assert finished.error.code == 1205
+        assert finished.clean
+        assert harness.target.statements[-1] == 'ROLLBACK'
+
+
+async def test_a_refused_connection_is_not_sent_and_a_silent_statement_is_lost():
+    """Reporting a sent statement as not sent would let it run twice."""
+
+    async with _open_harness() as harness:
+        refused = await harness.execute(_statement(), address='127.0.0.1:1')
+        assert refused.status == ExecutionStatus.not_sent
+        assert refused.refused
+        harness.target.hooks['SELECT 1'] = stay_silent
+        lost = await harness.execute(_statement(), timeout_s=0.2)
+        assert lost.status == ExecutionStatus.lost
+        assert lost.failed_step == StepKind.statement
+        assert not lost.refused
+        assert not lost.clean
+        harness.target.hooks.clear()
+        assert (await harness.execute(_statement())).status == ExecutionStatus.completed
+
+
+async def test_a_connection_that_breaks_during_a_statement_is_lost_and_refused():
+    """A target that was killed must be told from one that is silent."""
+
+    async with _open_harness() as harness:
+        harness.target.hooks['SELECT 1'] = harness.target.disconnect_all
+        lost = await harness.execute(_statement())
+        assert lost.status == ExecutionStatus.lost
+        assert lost.refused
+
+
+async def test_no_more_connections_are_open_than_allowed():
+    """More connections than the quota would take those of other entries."""
+
+    async with _open_harness() as harness:
+        limit = actions.LimitConnections(_TARGET, harness.target.address, 2)
+        harness.targets.limit_connections(limit)
+        for _ in range(6):
+            harness.start(_statement('SELECT SLEEP'))
+        for _ in range(6):
+            await harness.receive(inputs.ExecutionFinished)
+        assert harness.target.most_running == 2
+        assert harness.target.connections == 2
+        harness.targets.limit_connections(
+            actions.LimitConnections(_TARGET, harness.target.address, 1),
+        )
+        assert (await harness.receive(inputs.ConnectionCount)).open == 1
+
+
+async def test_a_pinned_connection_serves_only_its_session_until_it_is_unpinned():
+    """Statements of two transactions must never share a connection."""
+
+    async with _open_harness() as harness:
+        begin = Step(StepKind.begin)
+        await harness.execute(begin, use=ConnectionUse.pin, session_id=1)
+        waiting = harness.start(_statement('SELECT 2'), session_id=2)
+        await harness.execute(_statement(), use=ConnectionUse.pinned, session_id=1)
+        assert 'SELECT 2' not in harness.target.statements
+        commit = harness.start(
+            Step(StepKind.commit),
+            use=ConnectionUse.unpin,
+            session_id=1,
+        )
+        ended = [await harness.receive(inputs.ExecutionFinished) for _ in range(2)]
+        assert [finished.execution_id for finished in ended] == [commit, waiting]
+        assert harness.target.connections == 1
+
+
+async def test_a_pinned_connection_that_breaks_while_idle_is_reported():
+    """A session must not go on with a transaction that the target has rolled back."""
+
+    async with _open_harness() as harness:
+        await harness.execute(Step(StepKind.begin), use=ConnectionUse.pin)
+        await harness.target.disconnect_all()
+        assert (await harness.receive(inputs.PinLost)).session_id == 1
+        late = await harness.execute(_statement(), use=ConnectionUse.pinned)
+        assert late.status == ExecutionStatus.not_sent
+
+
+async def test_probes_report_positions_and_tell_refusing_from_silent_targets():
+    """A silent target counts as unreachable later than one that refuses."""
+
+    async with _open_harness() as harness:
+        probe = actions.Probe(
+            target=_TARGET,
+            address=harness.target.address,
+            wait_for=None,
+            timeout_s=0.2,
+        )
+        harness.targets.probe(probe)
+        first = await harness.receive(inputs.ProbeFinished)
+        assert first.report.position == Position(3, 41)
+        harness.target.hooks['SHOW REPLICATION POSITION'] = stay_silent
+        harness.targets.probe(probe)
+        silent = await harness.receive(inputs.ProbeFinished)
+        assert silent.failure == messages.Reachability.silent
+        harness.target.hooks.clear()
+        harness.targets.probe(probe)
+        await harness.receive(inputs.ProbeFinished)
+        await harness.target.stop()
+        refused = await harness.receive(inputs.ProbeFinished)
+        assert refused.failure == messages.Reachability.refusing
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_identity.py
@@ -0,0 +1,31 @@
+"""How a process names itself to its peers."""
+
+from dataclasses import dataclass
+
+from bergamotcart import messages
+from bergamotcart.actions import Send
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Fields that each envelope of this process carries.
+
+    :param address: inter-process address that peers use.
+    """
+
+    domain: str
+    name: str
+    incarnation: str
+    address: str
+
+    def wrap(self, send: Send) -> messages.Envelope:
+        """Put a message into an envelope of this process."""
+        return messages.Envelope(
+            version=messages.FORMAT_VERSION,
+            domain=self.domain,
+            sender=self.name,
+            incarnation=self.incarnation,
+            sender_address=self.address,
+            recipient=send.recipient,
+            body=send.body,
+        )
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
@@ -0,0 +1,120 @@
+"""Service that receives and sends messages."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+import pynng
+from mode import Service
+
+from bergamotcart import messages
+from bergamotcart.actions import MessageReceived, Send
+from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.transport._identity import Identity
+from bergamotcart_daemon.transport._peers import PeerSockets
+
+# Longer messages end the connection before they take memory; those in between are counted.
+_RECEIVE_LIMIT_BYTES: Final = 2 * messages.MAX_MESSAGE_BYTES
+_RECEIVE_BUFFER_MESSAGES: Final = 256
+# Messages read in one turn of the event loop, so that other work is not delayed.
+_MESSAGES_PER_TURN: Final = 64
+_IDLE_CHECK_S: Final = 30.0
+_IDLE_SOCKET_S: Final = 60.0
+_LOG_INTERVAL_S: Final = 1.0
+
+_logger = logging.getLogger(__name__)
+
+
+class Transport(Service):
+    """Owns one listening ``Pull0`` socket and one ``Push0`` socket per peer address.
+
+    :param listen: listening address, as ``host:port``.
+    :param submit: takes each received message.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        identity: Identity,
+        translation: AddressTranslation,
+        metrics: Metrics,
+        submit: Callable[[MessageReceived], None],
+    ) -> None:
+        """Keep the parameters; sockets are opened at start."""
+        super().__init__()
+        self._listen = listen
+        self._identity = identity
+        self._translation = translation
+        self._metrics = metrics
+        self._submit = submit
+        self._peers = PeerSockets()
+        self._pull: pynng.Pull0 | None = None
+        self._next_log = 0.0
+
+    async def on_start(self) -> None:
+        """Open the listening socket."""
+        pull = pynng.Pull0(
+            recv_buffer_size=_RECEIVE_BUFFER_MESSAGES,
+            recv_max_size=_RECEIVE_LIMIT_BYTES,
+        )
+        self.exit_stack.callback(pull.close)
+        self.exit_stack.callback(self._peers.close)
+        pull.listen(f'tcp://{self._listen}')
+        self._pull = pull
+        # The file descriptor is readable while messages wait; no thread has to wake this loop.
+        loop = asyncio.get_running_loop()
+        descriptor = pull.recv_fd
+        loop.add_reader(descriptor, self._read_messages)
+        self.exit_stack.callback(loop.remove_reader, descriptor)
+
+    @Service.timer(_IDLE_CHECK_S)
+    async def close_idle_sockets(self) -> None:
+        """Close sockets to addresses that are not used any more."""
+        self._peers.close_idle(asyncio.get_running_loop().time() - _IDLE_SOCKET_S)
+
+    def send(self, action: Send) -> None:
+        """Send a message, or drop it if it cannot be sent at once."""
+        try:
+            encoded = messages.encode(self._identity.wrap(action))
+            address = str(self._translation.translate(action.address))
+        except ValueError as error:
+            self._report('message_not_sent', f'{action.recipient}: {error}')
+            return
+        if not self._peers.send(address, encoded, asyncio.get_running_loop().time()):
+            self._metrics.count_event('message_dropped')
+
+    def _read_messages(self) -> None:
+        for _ in range(_MESSAGES_PER_TURN):
+            try:
+                encoded = self._pull.recv(block=False)
+            except pynng.TryAgain:
+                return
+            except pynng.exceptions.NNGException as error:
+                self._report('receive_failed', str(error))
+                return
+            except RuntimeError:
+                # The library cannot unpack a message without any bytes.
+                self._report('message_malformed', 'empty message')
+                continue
+            self._receive(encoded)
+
+    def _receive(self, encoded: bytes) -> None:
+        try:
+            envelope = messages.decode(encoded, self._identity.domain)
+        except messages.DecodeError as error:
+            self._report('message_malformed', str(error))
+            return
+        if envelope.recipient != self._identity.name:
+            self._report('message_misdirected', f'addressed to {envelope.recipient!r}')
+            return
+        self._submit(MessageReceived(envelope))
+
+    def _report(self, event: str, detail: str) -> None:
+        # Every event is counted, but a flood of bad input must not become a flood of log lines.
+        self._metrics.count_event(event)
+        now = asyncio.get_running_loop().time()
+        if now >= self._next_log:
+            self._next_log = now + _LOG_INTERVAL_S
+            _logger.warning('%s: %s', event, detail)
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_transport.py
@@ -0,0 +1,60 @@
+"""Guards against bad input that stops a process, and senders that wait for dead peers."""
+
+import asyncio
+import socket
+
+import pynng
+
+from bergamotcart import messages
+from bergamotcart.actions import MessageReceived, Send
+from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.transport import Identity, Transport
+
+_ADVERTISED = '10.9.9.9:1'
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def _build(name: str, address: str, peer: str, submit) -> Transport:
+    identity = Identity('default', name, f'{name}-1', address)
+    translation = AddressTranslation({_ADVERTISED: peer})
+    return Transport(address, identity, translation, Metrics(dict), submit)
+
+
+async def test_messages_arrive_and_bad_input_is_dropped():
+    """One malformed message must not end or block the receiver."""
+    first, second = (f'127.0.0.1:{_find_port()}' for _ in range(2))
+    received: asyncio.Queue[MessageReceived] = asyncio.Queue()
+
+    sender = _build('e1', first, second, received.put_nowait)
+    receiver = _build('c1', second, first, received.put_nowait)
+    async with sender, receiver:
+        with pynng.Push0() as stranger:
+            stranger.dial(f'tcp://{second}', block=False)
+            for garbage in (b'', b'\xc1', b'x' * 100):
+                await stranger.asend(garbage)
+            sender.send(Send('c2', _ADVERTISED, messages.RelayPull(sent_at=1.0)))
+            sender.send(Send('c1', _ADVERTISED, messages.RelayPull(sent_at=2.0)))
+            arrived = await asyncio.wait_for(received.get(), 5)
+    assert arrived.envelope.sender == 'e1'
+    assert arrived.envelope.sender_address == first
+    assert arrived.envelope.body == messages.RelayPull(sent_at=2.0)
+
+
+async def test_sending_to_a_dead_peer_drops_and_never_waits():
+    """A process that waits for a dead peer cannot serve the living ones."""
+    address, dead = (f'127.0.0.1:{_find_port()}' for _ in range(2))
+
+    transport = _build('e1', address, dead, list().append)
+    async with transport:
+        for _ in range(500):
+            transport.send(Send('c1', _ADVERTISED, messages.RelayPull(sent_at=1.0)))
+        transport.send(Send('c1', 'no address', messages.RelayPull(sent_at=1.0)))
+        rendered = transport._metrics.render('*/*').body.decode()
+    assert 'message_dropped' in rendered
+    assert 'message_not_sent' in rendered
--- a/packages/bergamotcart/src/bergamotcart/entry/_actions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_actions.py
@@ -16,6 +16,8 @@
     the row exists, it rolls back, reads the row and reports ``duplicate``.
 
     :param timeout_s: seconds until the adapter closes the connection and reports ``lost``.
+    :param ledger_retention_s: age in seconds from which a request identifier is refused; the
+        adapter prunes rows of twice that age, and none if it is ``None``.
     """
 
     execution_id: int
@@ -27,6 +29,7 @@
     use: ConnectionUse
     timeout_s: float
     ledger: LedgerKey | None = None
+    ledger_retention_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
