Add the stand-in target

Other parts need instances of a database group to work against. The target speaks MySQL on an in-memory storage, keeps a log with terms and positions, replicates it asynchronously, takes the orders of control and announces itself to the entries. Its log file lets a killed instance restart with its data, since the acknowledgement rule counts on instances that keep their log.

--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_files.py
@@ -0,0 +1,131 @@
+"""Files of a stand-in target: its log and its execution history."""
+
+from pathlib import Path
+from typing import BinaryIO, Final
+
+import msgspec
+
+from bergamotcart_testkit.target._records import Event, LogRecord
+
+
+class _Truncation(msgspec.Struct, frozen=True, tag=True):
+    length: int
+
+
+class _Term(msgspec.Struct, frozen=True, tag=True):
+    term: int
+
+
+class _Appended(msgspec.Struct, frozen=True, tag=True):
+    record: LogRecord
+
+
+_NEWLINE: Final = b'\n'
+_LINE = _Truncation | _Term | _Appended
+
+
+class LogFile:
+    """Journal of the log and the term, so that an instance restarts with its data.
+
+    The lines survive a killed process, not a power loss: they are written without sync.
+    """
+
+    __slots__ = ('_stream', 'records', 'term')
+
+    def __init__(self, path: Path | None) -> None:
+        """Load the journal, and open it to append.
+
+        :param path: file, or ``None`` to keep nothing.
+        """
+        self.records: list[LogRecord] = []
+        self.term = 0
+        self._stream: BinaryIO | None = None
+        if path:
+            self._load(path)
+            self._stream = path.open('ab', buffering=0)
+
+    def append(self, record: LogRecord) -> None:
+        """Keep one more record."""
+        self._write(_Appended(record))
+
+    def truncate(self, length: int) -> None:
+        """Discard the records after the first ``length`` ones."""
+        self._write(_Truncation(length))
+
+    def keep_term(self, term: int) -> None:
+        """Keep the newest term."""
+        self._write(_Term(term))
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._stream:
+            self._stream.close()
+
+    def _load(self, path: Path) -> None:
+        if not path.exists():
+            return
+        content = path.read_bytes()
+        complete = content.rpartition(b'\n')[0]
+        for line in complete.splitlines():
+            self._replay(msgspec.json.decode(line, type=_LINE))
+        # A line that a kill cut off must not be joined with the next one.
+        path.write_bytes(b''.join((complete, _NEWLINE)) if complete else b'')
+
+    def _replay(self, line: _LINE) -> None:
+        if isinstance(line, _Truncation):
+            self.records = self.records[: line.length]
+        elif isinstance(line, _Term):
+            self.term = line.term
+        else:
+            self.records.append(line.record)
+
+    def _write(self, line: _LINE) -> None:
+        if self._stream:
+            self._stream.write(_encode_line(line))
+
+
+class History:
+    """Executed statements, in memory and optionally in a file that survives a kill."""
+
+    __slots__ = ('_stream', 'events')
+
+    def __init__(self, path: Path | None) -> None:
+        """Start an empty history.
+
+        :param path: file to which finished events are appended, or ``None``.
+        """
+        self.events: list[Event] = []
+        self._stream: BinaryIO | None = path.open('ab', buffering=0) if path else None
+
+    def add(self, event: Event) -> None:
+        """Add an event; its outcome may still be open."""
+        self.events.append(event)
+        if event.committed is not None:
+            self._write(event)
+
+    def finish(self, event: Event, committed: bool, log_term: int, position: int) -> None:
+        """Set the outcome of an event of a transaction that has ended."""
+        event.committed = committed
+        if committed:
+            event.log_term = log_term
+            event.position = position
+        self._write(event)
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._stream:
+            self._stream.close()
+
+    def _write(self, event: Event) -> None:
+        if self._stream:
+            self._stream.write(_encode_line(event))
+
+
+def _encode_line(line: object) -> bytes:
+    return b''.join((msgspec.json.encode(line), _NEWLINE))
+
+
+def read_history(path: Path) -> list[Event]:
+    """Load a history file; a line that a kill cut off is ignored."""
+    complete = path.read_bytes().rpartition(b'\n')[0]
+    return [msgspec.json.decode(line, type=Event) for line in complete.splitlines()]
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_orders.py
@@ -0,0 +1,113 @@
+"""Orders of control to a stand-in target."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from bergamotcart_testkit.target._instance import Instance
+from bergamotcart_testkit.target._replication import Replication
+
+
+class TermBody(msgspec.Struct, frozen=True):
+    """Body of the orders to stop following and to promote."""
+
+    term: int
+
+
+class FollowBody(msgspec.Struct, frozen=True):
+    """Body of the order to follow a primary."""
+
+    term: int
+    primary: str
+    address: str
+    admin_address: str
+
+
+class StatusBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to every order; the fields of ``control.InstanceStatus``."""
+
+    group: str
+    instance: str
+    role: str
+    term: int
+    log_term: int
+    position: int
+    following: str | None
+    accepted: bool = True
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _OrderKey:
+    name: str
+    term: int
+    primary: str = ''
+
+
+class Orders:
+    """Accepts orders once each, in the order of their terms.
+
+    A repeated order is accepted again without effect: a late copy of an order to stop following
+    must not demote an instance that was promoted at that term in the meantime. The answer shows
+    the current state, since an outdated position would mislead the collection.
+    """
+
+    __slots__ = ('_accepted', '_instance', '_replication')
+
+    def __init__(self, instance: Instance, replication: Replication) -> None:
+        """Serve the orders for one instance."""
+        self._instance = instance
+        self._replication = replication
+        self._accepted: set[_OrderKey] = set()
+
+    def status(self, accepted: bool = True) -> StatusBody:
+        """Describe the instance."""
+        instance = self._instance
+        return StatusBody(
+            group=instance.settings.group,
+            instance=instance.settings.instance,
+            role=instance.role.value,
+            term=instance.term,
+            log_term=instance.log_term,
+            position=instance.position,
+            following=instance.following,
+            accepted=accepted,
+            leaving=instance.leaving,
+        )
+
+    async def stop_following(self, order: TermBody) -> StatusBody:
+        """Stop replication and demote; refuse an older term."""
+        if not self._is_new(_OrderKey('stop_following', order.term)):
+            return self._repeated(order.term)
+        self._instance.stop_following(order.term)
+        await self._replication.stop()
+        return self.status()
+
+    async def promote(self, order: TermBody) -> StatusBody:
+        """Take writes from now on; refuse an older term."""
+        if not self._is_new(_OrderKey('promote', order.term)):
+            return self._repeated(order.term)
+        await self._replication.stop()
+        self._instance.promote(order.term)
+        return self.status()
+
+    async def follow(self, order: FollowBody) -> StatusBody:
+        """Replicate from a primary; refuse an older term and a second primary of one term."""
+        instance = self._instance
+        is_own_term = instance.is_primary and order.term == instance.term
+        if is_own_term or order.primary == instance.settings.instance:
+            return self.status(accepted=False)
+        if not self._is_new(_OrderKey('follow', order.term, order.primary)):
+            return self._repeated(order.term)
+        instance.follow(order.term, order.primary)
+        await self._replication.start(order.admin_address)
+        return self.status()
+
+    def _is_new(self, key: _OrderKey) -> bool:
+        if key.term < self._instance.term or key in self._accepted:
+            return False
+        self._accepted.add(key)
+        return True
+
+    def _repeated(self, term: int) -> StatusBody:
+        return self.status(accepted=term >= self._instance.term)
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_program.py
@@ -0,0 +1,128 @@
+"""The program that runs a stand-in target."""
+
+import asyncio
+import logging
+import signal
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import MappingProxyType
+from typing import Final
+
+from aiohttp import ClientSession, web
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from bergamotcart_testkit.target._admin import AdminServer
+from bergamotcart_testkit.target._announcements import announce_to_all
+from bergamotcart_testkit.target._files import History, LogFile
+from bergamotcart_testkit.target._instance import Instance
+from bergamotcart_testkit.target._mysql import MysqlListener
+from bergamotcart_testkit.target._orders import Orders
+from bergamotcart_testkit.target._replication import Replication
+from bergamotcart_testkit.target._settings import Address, TargetSettings, Tuning
+from bergamotcart_testkit.target._slots import Slots
+
+_TUNING_OPTIONS: Final = MappingProxyType(
+    {
+        'slots': 'statements executed at the same time',
+        'connections': 'open client connections that are accepted',
+        'connect-delay': 'seconds until a new connection is answered',
+        'lag': 'seconds by which a replica stays behind',
+        'execution-time': 'least duration of a statement, in seconds',
+        'lock-wait': 'seconds that a writing transaction waits for another one',
+    }
+)
+_LOG_FILE: Final = 'log.jsonl'
+
+
+async def run_target(settings: TargetSettings) -> None:
+    """Serve until the process gets SIGTERM or SIGINT."""
+    async with AsyncExitStack() as stack:
+        folder = settings.data_folder
+        log_file = LogFile(folder / _LOG_FILE if folder else None)
+        instance = Instance(settings, log_file, History(settings.history_file))
+        stack.callback(instance.close)
+        http = await stack.enter_async_context(ClientSession())
+        replication = Replication(instance, http)
+        stack.push_async_callback(replication.stop)
+        await _serve_admin(stack, AdminServer(instance, Orders(instance, replication)), settings)
+        listener = MysqlListener(instance, Slots(instance.tuning))
+        stack.push_async_callback(listener.stop)
+        await listener.start()
+        announcing = asyncio.create_task(announce_to_all(instance, http))
+        stack.callback(announcing.cancel)
+        await _wait_for_signal()
+
+
+async def _serve_admin(
+    stack: AsyncExitStack, server: AdminServer, settings: TargetSettings
+) -> None:
+    runner = web.AppRunner(server.application(), access_log=None, shutdown_timeout=0.1)
+    stack.push_async_callback(runner.cleanup)
+    await runner.setup()
+    address = settings.admin_listen
+    await web.TCPSite(runner, address.host, address.port).start()
+
+
+async def _wait_for_signal() -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
+class TargetCommand(Command):
+    """Runs one instance of a database group."""
+
+    name = 'target'
+    description = 'Runs a stand-in target'
+    options = [
+        option('group', None, 'database group', flag=False),
+        option('instance', None, 'name of the instance', flag=False),
+        option('availability-zone', None, 'availability zone', flag=False),
+        option('mysql-listen', None, 'address for connections', flag=False),
+        option('admin-listen', None, 'address for orders', flag=False),
+        option('entry', None, 'HTTP address of an entry', flag=False, multiple=True),
+        option('address-translation', None, 'FROM=TO', flag=False, multiple=True),
+        option('data-folder', None, 'folder that keeps the log', flag=False),
+        option('history-file', None, 'file that keeps the history', flag=False),
+        *(
+            option(name, None, text, flag=False, default=getattr(Tuning(), name.replace('-', '_')))
+            for name, text in _TUNING_OPTIONS.items()
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Run the target."""
+        logging.basicConfig(level=logging.INFO, format='%(asctime)s %(levelname)s %(message)s')
+        # The library logs every error that a caller gets.
+        logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
+        asyncio.run(run_target(self._settings()))
+        return 0
+
+    def _settings(self) -> TargetSettings:
+        folder = self.option('data-folder')
+        history = self.option('history-file')
+        return TargetSettings(
+            group=self.option('group'),
+            instance=self.option('instance'),
+            availability_zone=self.option('availability-zone'),
+            mysql_listen=Address.parse(self.option('mysql-listen')),
+            admin_listen=Address.parse(self.option('admin-listen')),
+            entries=tuple(self.option('entry')),
+            address_translation=dict(
+                pair.split('=', 1) for pair in self.option('address-translation')
+            ),
+            data_folder=Path(folder) if folder else None,
+            history_file=Path(history) if history else None,
+            tuning=self._tuning(),
+        )
+
+    def _tuning(self) -> Tuning:
+        defaults = Tuning()
+        figures = {}
+        for name in _TUNING_OPTIONS:
+            attribute = name.replace('-', '_')
+            figures[attribute] = type(getattr(defaults, attribute))(self.option(name))
+        return Tuning(**figures)
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_settings.py
@@ -0,0 +1,69 @@
+"""Settings of a stand-in target."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """A listening or remote address."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> 'Address':
+        """Read ``host:port``.
+
+        :raises ValueError: if the text has another form.
+        """
+        host, separator, port = text.rpartition(':')
+        if not separator or not host:
+            raise ValueError(f'{text!r} is not host:port')
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclass(slots=True, kw_only=True)
+class Tuning:
+    """Figures that can be changed at run time.
+
+    :param slots: statements executed at the same time.
+    :param connections: open client connections that are accepted.
+    :param connect_delay: seconds until a new connection is answered.
+    :param lag: seconds by which a replica stays behind.
+    :param execution_time: least duration of a statement, in seconds.
+    :param lock_wait: seconds that a writing transaction waits for another one.
+    """
+
+    slots: int = 5
+    connections: int = 35
+    connect_delay: float = 0.01
+    lag: float = 0.0
+    execution_time: float = 0.001
+    lock_wait: float = 5.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetSettings:
+    """What a stand-in target is told at start.
+
+    :param entries: HTTP addresses of the entries to announce itself to.
+    :param address_translation: addresses to connect to instead of advertised ones.
+    :param data_folder: where the log is kept, or ``None`` to restart empty.
+    :param history_file: where the execution history is kept, if anywhere.
+    """
+
+    group: str
+    instance: str
+    availability_zone: str
+    mysql_listen: Address
+    admin_listen: Address
+    entries: tuple[str, ...] = ()
+    address_translation: dict[str, str] = field(default_factory=dict)
+    data_folder: Path | None = None
+    history_file: Path | None = None
+    tuning: Tuning = field(default_factory=Tuning)
