Add the fault-injecting relay and the deployment launcher

Tests, the demo and the measurements need real processes in several availability zones with links that delay, lose and break. The launcher owns every process through exit stacks and signals only its own ones; ports lie outside the range of outgoing connections, so that a restarted process finds its port free.

--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/__init__.py
@@ -0,0 +1,33 @@
+"""Launcher of deployments on the loopback interface."""
+
+from bergamotcart_testkit.deployment._clients import (
+    HttpClient,
+    RelayClient,
+    Reply,
+    TargetClient,
+    TargetStatus,
+)
+from bergamotcart_testkit.deployment._deployment import Deployment
+from bergamotcart_testkit.deployment._layout import LAYOUTS, Layout
+from bergamotcart_testkit.deployment._plan import ADMIN_TOKEN, ControlPlan, EntryPlan, TargetPlan
+from bergamotcart_testkit.deployment._process import ManagedProcess
+from bergamotcart_testkit.deployment._waiting import HANG_TIMEOUT_S, ConditionError, wait_until
+
+__all__ = (
+    'ADMIN_TOKEN',
+    'HANG_TIMEOUT_S',
+    'LAYOUTS',
+    'ConditionError',
+    'ControlPlan',
+    'Deployment',
+    'EntryPlan',
+    'HttpClient',
+    'Layout',
+    'ManagedProcess',
+    'RelayClient',
+    'Reply',
+    'TargetClient',
+    'TargetPlan',
+    'TargetStatus',
+    'wait_until',
+)
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_deployment.py
@@ -0,0 +1,257 @@
+"""A running deployment."""
+
+import shutil
+import tempfile
+import uuid
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import aiohttp
+import yaml
+
+from bergamotcart_testkit.addresses import Address
+from bergamotcart_testkit.deployment._clients import (
+    UNREACHABLE,
+    HttpClient,
+    RelayClient,
+    Reply,
+    TargetClient,
+    TargetStatus,
+)
+from bergamotcart_testkit.deployment._layout import Layout
+from bergamotcart_testkit.deployment._network import CALLERS
+from bergamotcart_testkit.deployment._plan import (
+    ADMIN_TOKEN,
+    EntryPlan,
+    Plan,
+    TargetPlan,
+    make_plan,
+)
+from bergamotcart_testkit.deployment._process import ManagedProcess
+from bergamotcart_testkit.deployment._waiting import wait_until
+from bergamotcart_testkit.relay import Drop, LinkSettings
+
+
+class Deployment:
+    """Starts all processes of a layout, and ends them when it is closed.
+
+    Use it as an asynchronous context manager.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        seed: int = 0,
+        folder: Path | None = None,
+        extra_control: tuple[str, ...] = (),
+    ) -> None:
+        """Plan a deployment.
+
+        :param seed: seed of the relays.
+        :param folder: folder for logs and data; a temporary one is removed at the end.
+        :param extra_control: further options of the control processes.
+        """
+        self.layout = layout
+        self.seed = seed
+        self._own_folder = folder is None
+        self.folder = folder or Path(tempfile.mkdtemp(prefix='bergamotcart-'))
+        self.plan: Plan = make_plan(layout, self.folder, extra_control)
+        self.relays: dict[str, RelayClient] = {}
+        self._stack = AsyncExitStack()
+        self._http: HttpClient | None = None
+        self._processes: dict[str, ManagedProcess] = {}
+
+    async def __aenter__(self) -> 'Deployment':
+        """Start relays and processes, without waiting for them to be ready."""
+        async with AsyncExitStack() as stack:
+            self._stack = stack
+            await self._start_all()
+            # From here on, closing the deployment ends the processes.
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """End all processes by their identifiers."""
+        for process in self._processes.values():
+            process.resume()
+            process.terminate()
+        await self._stack.aclose()
+
+    @property
+    def http(self) -> HttpClient:
+        """Client for the HTTP interfaces."""
+        if self._http is None:
+            raise RuntimeError('the deployment is not started')
+        return self._http
+
+    @property
+    def group(self) -> str:
+        """First group of the layout."""
+        return self.layout.groups[0]
+
+    @property
+    def processes(self) -> dict[str, ManagedProcess]:
+        """All processes by name."""
+        return self._processes
+
+    def entry(self, availability_zone: str, number: int = 1) -> EntryPlan:
+        """Return an entry of an availability zone."""
+        name = f'entry-{availability_zone}-{number}'
+        return next(entry for entry in self.plan.entries if entry.name == name)
+
+    def target_plan(self, instance: str) -> TargetPlan:
+        """Return the plan of an instance."""
+        return next(target for target in self.plan.targets if target.name == instance)
+
+    def target(self, instance: str) -> TargetClient:
+        """Return a client of an instance."""
+        return TargetClient(self.http, self.target_plan(instance).admin)
+
+    async def ready(self, apply_document: bool = True) -> None:
+        """Wait until every entry serves and every group has a primary with its replicas.
+
+        :param apply_document: define the groups first.
+        """
+        if apply_document:
+            await self.apply_default_document()
+        await wait_until(self._all_serving, 'all entries serve')
+        for group in self.layout.groups:
+            await self.group_settled(group)
+
+    async def apply_default_document(self) -> None:
+        """Define the groups of the layout, and a policy whose reads tolerate age."""
+        groups = {
+            group: {'instances': len(self.layout.availability_zones)}
+            for group in self.layout.groups
+        }
+        await self.apply('databases', 'groups', {'groups': groups})
+        policies = [
+            {'name': 'aged', 'callers': ['aged'], 'max_age_s': 5.0},
+            {'name': 'default'},
+        ]
+        await self.apply('callers', 'policies', {'policies': policies})
+
+    async def apply(self, section: str, kind: str, body: object, base_version: int = 0) -> Reply:
+        """Apply a section through any control process that answers.
+
+        :returns: the answer that accepts the change.
+        """
+        change = {
+            'section': section,
+            'kind': kind,
+            'base_version': base_version,
+            'change_id': uuid.uuid4().hex,
+            'body': yaml.safe_dump(body),
+            'dry_run': False,
+        }
+
+        async def accepted() -> Reply | None:  # noqa: WPS430
+            for control in self.plan.controls:
+                reply = await self.change(control.http, change)
+                if reply and reply.is_ok:
+                    return reply
+            return None
+
+        return await wait_until(accepted, f'the change of {section} is accepted')
+
+    async def change(self, address: Address, change: dict[str, object]) -> Reply | None:
+        """Send one change to one control process; ``None`` means that nobody answered."""
+        try:
+            return await self.http.post(address, '/v1/changes', change, ADMIN_TOKEN)
+        except UNREACHABLE:
+            return None
+
+    async def group_settled(self, group: str) -> TargetStatus:
+        """Wait until a group has one primary that all its running replicas follow.
+
+        :returns: the status of the primary.
+        """
+        return await wait_until(lambda: self.settled_primary(group), f'{group} settles')
+
+    async def primary(self, group: str) -> TargetStatus | None:
+        """Return the primary of the newest term, if any answers."""
+        statuses = await _statuses(self, group)
+        primaries = [status for status in statuses if status.role == 'primary']
+        return max(primaries, key=lambda status: status.term, default=None)
+
+    async def settled_primary(self, group: str) -> TargetStatus | None:
+        """Return the primary if all instances that answer agree on it."""
+        statuses = await _statuses(self, group)
+        primary = await self.primary(group)
+        if primary is None:
+            return None
+        others = [status for status in statuses if status.instance != primary.instance]
+        follow = all(
+            status.following == primary.instance and status.log_term == primary.log_term
+            for status in others
+        )
+        return primary if follow and others else None
+
+    async def cut_off(self, availability_zone: str, drop: Drop = Drop.both) -> None:
+        """Cut an availability zone off from the others; callers still reach it."""
+        await _change_links(self, availability_zone, LinkSettings(drop=drop))
+
+    async def reconnect(self, availability_zone: str) -> None:
+        """End the isolation of an availability zone."""
+        settings = self.plan.network.settings(availability_zone)
+        await _change_links(self, availability_zone, settings)
+
+    def empty_data_folder(self, name: str) -> None:
+        """Empty the data folder of a process that does not run."""
+        process = self._processes[name]
+        if process.is_running:
+            raise RuntimeError(f'{name} still runs')
+        shutil.rmtree(process.data_folder)
+
+    async def serves(self, entry: EntryPlan) -> bool:
+        """Tell whether an entry reports that it serves."""
+        reply = await self.http.try_get(entry.http, '/health')
+        return reply is not None and reply.is_ok
+
+    async def _start_all(self) -> None:
+        if self._own_folder:
+            self._stack.callback(shutil.rmtree, self.folder, ignore_errors=True)
+        session = aiohttp.ClientSession()
+        self._http = HttpClient(await self._stack.enter_async_context(session))
+        for source in (*self.layout.availability_zones, CALLERS):
+            self._start_relay(source)
+        for plan in (*self.plan.controls, *self.plan.targets, *self.plan.entries):
+            self._start(plan.process)
+
+    async def _all_serving(self) -> bool:
+        for entry in self.plan.entries:
+            if not await self.serves(entry):
+                return False
+        return True
+
+    def _start(self, process: ManagedProcess) -> None:
+        self._processes[process.name] = process
+        self._stack.push_async_callback(process.stop)
+        process.start()
+
+    def _start_relay(self, source: str) -> None:
+        network = self.plan.network
+        address = next(network.free)
+        settings = network.settings(source)
+        arguments = ['-m', 'bergamotcart_testkit.relay', '--http-listen', str(address)]
+        arguments.extend(('--delay', str(settings.delay), '--jitter', str(settings.jitter)))
+        arguments.extend(('--seed', str(self.seed)))
+        for link in network.links_from(source):
+            arguments.extend(('--link', f'{link.name}={link.listen}={link.target}'))
+        self.relays[source] = RelayClient(self.http, address)
+        name = f'relay-{source}'
+        self._start(ManagedProcess(name, tuple(arguments), self.folder / name))
+
+
+async def _change_links(deployment: Deployment, zone: str, settings: LinkSettings) -> None:
+    for other in deployment.layout.availability_zones:
+        if other != zone:
+            await deployment.relays[zone].change(f'{zone}>{other}:*', settings)
+            await deployment.relays[other].change(f'{other}>{zone}:*', settings)
+
+
+async def _statuses(deployment: Deployment, group: str) -> list[TargetStatus]:
+    targets = [target for target in deployment.plan.targets if target.group == group]
+    running = [target.name for target in targets if target.process.is_running]
+    statuses = [await deployment.target(name).status() for name in running]
+    return [status for status in statuses if status]
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
@@ -0,0 +1,119 @@
+"""Processes of a deployment."""
+
+import asyncio
+import ctypes
+import os
+import signal
+import subprocess  # noqa: S404
+import sys
+from pathlib import Path
+from typing import Final
+
+_STOP_TIMEOUT_S: Final = 5.0
+_POLL_S: Final = 0.02
+_SET_PARENT_DEATH_SIGNAL: Final = 1
+_LIBC: Final = ctypes.CDLL(None)
+
+
+class ManagedProcess:
+    """One process, which is only ever signalled by its own identifier.
+
+    The kernel kills it when the launcher itself is killed, so nothing is left behind.
+    """
+
+    def __init__(self, name: str, arguments: tuple[str, ...], folder: Path) -> None:
+        """Prepare a process that is not started yet.
+
+        :param arguments: arguments of the Python interpreter.
+        :param folder: folder for its log and its data.
+        """
+        self.name = name
+        self.folder = folder
+        self.arguments = arguments
+        self.data_folder = folder / 'data'
+        self.log_file = folder / 'log.txt'
+        self._popen: subprocess.Popen[bytes] | None = None
+        self._paused = False
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def pid(self) -> int:
+        """Identifier of the running process."""
+        return self._running().pid
+
+    @property
+    def exit_status(self) -> int | None:
+        """Exit status of the last run, or ``None`` while it runs."""
+        return self._popen.poll() if self._popen else None
+
+    def start(self) -> None:
+        """Start the process; its output is appended to its log file."""
+        self.data_folder.mkdir(parents=True, exist_ok=True)
+        with self.log_file.open('ab') as output:
+            self._popen = subprocess.Popen(  # noqa: S603
+                (sys.executable, *self.arguments),
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                preexec_fn=_die_with_parent,
+            )
+
+    def kill(self) -> None:
+        """Kill the process at once."""
+        self._signal(signal.SIGKILL)
+        self._running().wait()
+
+    def terminate(self) -> None:
+        """Ask the process to shut down."""
+        self._signal(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Stop the process without its noticing."""
+        self._signal(signal.SIGSTOP)
+        self._paused = True
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._signal(signal.SIGCONT)
+        self._paused = False
+
+    async def wait(self, timeout_s: float) -> int:
+        """Wait until the process has ended.
+
+        :param timeout_s: seconds.
+        :returns: the exit status.
+        :raises TimeoutError: if it still runs.
+        """
+        async with asyncio.timeout(timeout_s):
+            while self.is_running:
+                await asyncio.sleep(_POLL_S)
+        return self._running().returncode
+
+    async def stop(self) -> None:
+        """End the process in any case."""
+        if not self.is_running:
+            return
+        if self._paused:
+            self.resume()
+        self.terminate()
+        try:
+            await self.wait(_STOP_TIMEOUT_S)
+        except TimeoutError:
+            self.kill()
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.is_running:
+            os.kill(self._running().pid, number)
+
+    def _running(self) -> 'subprocess.Popen[bytes]':
+        if self._popen is None:
+            raise RuntimeError(f'{self.name} was never started')
+        return self._popen
+
+
+def _die_with_parent() -> None:
+    _LIBC.prctl(_SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_waiting.py
@@ -0,0 +1,35 @@
+"""Waiting for conditions."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeVar
+
+# Ends only a run that hangs; nothing is measured by it.
+HANG_TIMEOUT_S: Final = 60.0
+_POLL_S: Final = 0.05
+Answer = TypeVar('Answer')
+
+
+class ConditionError(AssertionError):
+    """A condition did not become true."""
+
+
+async def wait_until(
+    condition: Callable[[], Awaitable[Answer | None]],
+    description: str,
+    timeout_s: float = HANG_TIMEOUT_S,
+) -> Answer:
+    """Poll a condition until it answers something true, and return that.
+
+    :param description: what is waited for.
+    :param timeout_s: seconds after which the run counts as hung.
+    :raises ConditionError: if the condition did not become true.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_s
+    while loop.time() < deadline:
+        answer = await condition()
+        if answer:
+            return answer
+        await asyncio.sleep(_POLL_S)
+    raise ConditionError(f'still waiting after {timeout_s:g} s: {description}')
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_relay.py
@@ -0,0 +1,110 @@
+"""A relay with many links, changeable at run time over HTTP."""
+
+from fnmatch import fnmatchcase
+from http import HTTPStatus
+
+import msgspec
+from aiohttp import web
+
+from bergamotcart_testkit.relay._link import Link
+from bergamotcart_testkit.relay._settings import LinkAddress, LinkChange, LinkReset, LinkSettings
+
+
+class Relay:
+    """Relays TCP connections and injects faults.
+
+    Use it as an asynchronous context manager, so that every link is closed.
+    """
+
+    def __init__(self, settings: LinkSettings, seed: int = 0) -> None:
+        """Start without links.
+
+        :param settings: settings of links that are added.
+        :param seed: seed of the jitter.
+        """
+        self._settings = settings
+        self._seed = seed
+        self._links: dict[str, Link] = {}
+
+    async def __aenter__(self) -> 'Relay':
+        """Return the relay."""
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            await link.stop()
+
+    @property
+    def links(self) -> tuple[Link, ...]:
+        """All links."""
+        return tuple(self._links.values())
+
+    async def add(self, address: LinkAddress) -> Link:
+        """Add a link and listen."""
+        link = Link(address, self._settings, self._seed)
+        await link.start()
+        self._links[link.name] = link
+        return link
+
+    def change(self, change: LinkChange) -> int:
+        """Change the matching links.
+
+        :returns: how many links match.
+        """
+        matching = self._matching(change.pattern)
+        for link in matching:
+            link.change(change.settings)
+        return len(matching)
+
+    def reset(self, reset: LinkReset) -> int:
+        """Reset the connections of the matching links.
+
+        :returns: how many links match.
+        """
+        matching = self._matching(reset.pattern)
+        for link in matching:
+            link.reset()
+        return len(matching)
+
+    def application(self) -> web.Application:
+        """Return the HTTP application that changes the links."""
+        application = web.Application()
+        application.add_routes(
+            (
+                web.get('/links', self._get_links),
+                web.post('/links', self._post_links),
+                web.post('/settings', self._post_settings),
+                web.post('/reset', self._post_reset),
+            )
+        )
+        return application
+
+    def _matching(self, pattern: str) -> list[Link]:
+        return [link for name, link in self._links.items() if fnmatchcase(name, pattern)]
+
+    async def _get_links(self, request: web.Request) -> web.Response:
+        return _json([link.state() for link in self.links])
+
+    async def _post_links(self, request: web.Request) -> web.Response:
+        for address in msgspec.json.decode(await request.read(), type=list[LinkAddress]):
+            await self.add(address)
+        return _json(len(self._links))
+
+    async def _post_settings(self, request: web.Request) -> web.Response:
+        change = msgspec.json.decode(await request.read(), type=LinkChange)
+        return _count(self.change(change))
+
+    async def _post_reset(self, request: web.Request) -> web.Response:
+        reset = msgspec.json.decode(await request.read(), type=LinkReset)
+        return _count(self.reset(reset))
+
+
+def _count(matching: int) -> web.Response:
+    """Answer with the number of links; a pattern that matches none is an error of the caller."""
+    return _json(matching, HTTPStatus.OK if matching else HTTPStatus.NOT_FOUND)
+
+
+def _json(body: object, status: HTTPStatus = HTTPStatus.OK) -> web.Response:
+    content = msgspec.json.encode(body)
+    return web.Response(body=content, content_type='application/json', status=status)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/__init__.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/__init__.py
@@ -3,10 +3,9 @@
 from bergamotcart_testkit.target._files import read_history
 from bergamotcart_testkit.target._program import TargetCommand, run_target
 from bergamotcart_testkit.target._records import Event, EventKind, LogPage, LogRecord
-from bergamotcart_testkit.target._settings import Address, TargetSettings, Tuning
+from bergamotcart_testkit.target._settings import TargetSettings, Tuning
 
 __all__ = (
-    'Address',
     'Event',
     'EventKind',
     'LogPage',
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_admin.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_admin.py
@@ -58,6 +58,7 @@
                 web.post('/leave', self._leave),
                 web.post('/settings', self._settings),
                 web.get('/log', self._log),
+                web.get('/records', self._records),
                 web.get('/history', self._history),
             )
         )
@@ -94,6 +95,10 @@
             return web.Response(status=HTTPStatus.CONFLICT, text='not the primary of this term')
         return _json(instance.page(log_term, position))
 
+    async def _records(self, request: web.Request) -> web.Response:
+        """Answer the records after a position on any instance, for tests."""
+        return _json(self._instance.records_after(int(request.query.get('after', '0'))))
+
     async def _history(self, request: web.Request) -> web.Response:
         after = int(request.query.get('after', '0'))
         return _json(self._instance.history.events[after:])
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_instance.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_instance.py
@@ -90,6 +90,10 @@
         """Return the records after a replica's last one."""
         if not self.has_position(log_term, position):
             return LogPage(diverged=True, terms=term_ends(self._records))
+        return self.records_after(position)
+
+    def records_after(self, position: int) -> LogPage:
+        """Return some records after a position, without any check."""
         return LogPage(records=tuple(self._records[position : position + PAGE_RECORDS]))
 
     def discard_divergence(self, terms: tuple[tuple[int, int], ...]) -> int:
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_program.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_program.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import logging
-import signal
 from contextlib import AsyncExitStack
 from pathlib import Path
 from types import MappingProxyType
 from typing import Final
 
-from aiohttp import ClientSession, web
+from aiohttp import ClientSession
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from bergamotcart_testkit.addresses import Address
+from bergamotcart_testkit.services import serve_http, wait_for_signal
 from bergamotcart_testkit.target._admin import AdminServer
 from bergamotcart_testkit.target._announcements import announce_to_all
 from bergamotcart_testkit.target._files import History, LogFile
@@ -19,7 +20,7 @@
 from bergamotcart_testkit.target._mysql import MysqlListener
 from bergamotcart_testkit.target._orders import Orders
 from bergamotcart_testkit.target._replication import Replication
-from bergamotcart_testkit.target._settings import Address, TargetSettings, Tuning
+from bergamotcart_testkit.target._settings import TargetSettings, Tuning
 from bergamotcart_testkit.target._slots import Slots
 
 _TUNING_OPTIONS: Final = MappingProxyType(
@@ -45,31 +46,14 @@
         http = await stack.enter_async_context(ClientSession())
         replication = Replication(instance, http)
         stack.push_async_callback(replication.stop)
-        await _serve_admin(stack, AdminServer(instance, Orders(instance, replication)), settings)
+        admin = AdminServer(instance, Orders(instance, replication))
+        await serve_http(stack, admin.application(), settings.admin_listen)
         listener = MysqlListener(instance, Slots(instance.tuning))
         stack.push_async_callback(listener.stop)
         await listener.start()
         announcing = asyncio.create_task(announce_to_all(instance, http))
         stack.callback(announcing.cancel)
-        await _wait_for_signal()
-
-
-async def _serve_admin(
-    stack: AsyncExitStack, server: AdminServer, settings: TargetSettings
-) -> None:
-    runner = web.AppRunner(server.application(), access_log=None, shutdown_timeout=0.1)
-    stack.push_async_callback(runner.cleanup)
-    await runner.setup()
-    address = settings.admin_listen
-    await web.TCPSite(runner, address.host, address.port).start()
-
-
-async def _wait_for_signal() -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+        await wait_for_signal()
 
 
 class TargetCommand(Command):
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_settings.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_settings.py
@@ -3,28 +3,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """A listening or remote address."""
-
-    host: str
-    port: int
-
-    @classmethod
-    def parse(cls, text: str) -> 'Address':
-        """Read ``host:port``.
-
-        :raises ValueError: if the text has another form.
-        """
-        host, separator, port = text.rpartition(':')
-        if not separator or not host:
-            raise ValueError(f'{text!r} is not host:port')
-        return cls(host, int(port))
-
-    def __str__(self) -> str:
-        """Return ``host:port``."""
-        return f'{self.host}:{self.port}'
+from bergamotcart_testkit.addresses import Address
 
 
 @dataclass(slots=True, kw_only=True)
