Add callers, a mixed load, and the oracle that checks their answers

Faults of a proxy show only as answers that do not fit what the targets did. The load judges each answer on arrival; the oracle compares verdicts with the histories of all instances, including the branches that a failover discarded.

--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_deployment.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_deployment.py
@@ -4,6 +4,7 @@
 import tempfile
 import uuid
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 
 import aiohttp
@@ -114,7 +115,7 @@
         """
         if apply_document:
             await self.apply_default_document()
-        await wait_until(self._all_serving, 'all entries serve')
+        await wait_until(partial(_all_serving, self), 'all entries serve')
         for group in self.layout.groups:
             await self.group_settled(group)
 
@@ -145,14 +146,8 @@
             'dry_run': False,
         }
 
-        async def accepted() -> Reply | None:  # noqa: WPS430
-            for control in self.plan.controls:
-                reply = await self.change(control.http, change)
-                if reply and reply.is_ok:
-                    return reply
-            return None
-
-        return await wait_until(accepted, f'the change of {section} is accepted')
+        description = f'the change of {section} is accepted'
+        return await wait_until(partial(self._try_change, change), description)
 
     async def change(self, address: Address, change: dict[str, object]) -> Reply | None:
         """Send one change to one control process; ``None`` means that nobody answered."""
@@ -208,6 +203,13 @@
         reply = await self.http.try_get(entry.http, '/health')
         return reply is not None and reply.is_ok
 
+    async def _try_change(self, change: dict[str, object]) -> Reply | None:
+        for control in self.plan.controls:
+            reply = await self.change(control.http, change)
+            if reply and reply.is_ok:
+                return reply
+        return None
+
     async def _start_all(self) -> None:
         if self._own_folder:
             self._stack.callback(shutil.rmtree, self.folder, ignore_errors=True)
@@ -218,12 +220,6 @@
         for plan in (*self.plan.controls, *self.plan.targets, *self.plan.entries):
             self._start(plan.process)
 
-    async def _all_serving(self) -> bool:
-        for entry in self.plan.entries:
-            if not await self.serves(entry):
-                return False
-        return True
-
     def _start(self, process: ManagedProcess) -> None:
         self._processes[process.name] = process
         self._stack.push_async_callback(process.stop)
@@ -255,3 +251,10 @@
     running = [target.name for target in targets if target.process.is_running]
     statuses = [await deployment.target(name).status() for name in running]
     return [status for status in statuses if status]
+
+
+async def _all_serving(deployment: Deployment) -> bool:
+    for entry in deployment.plan.entries:
+        if not await deployment.serves(entry):
+            return False
+    return True
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
@@ -4,7 +4,7 @@
 import ctypes
 import os
 import signal
-import subprocess  # noqa: S404
+import subprocess
 import sys
 from pathlib import Path
 from typing import Final
@@ -54,7 +54,7 @@
         """Start the process; its output is appended to its log file."""
         self.data_folder.mkdir(parents=True, exist_ok=True)
         with self.log_file.open('ab') as output:
-            self._popen = subprocess.Popen(  # noqa: S603
+            self._popen = subprocess.Popen(
                 (sys.executable, *self.arguments),
                 stdin=subprocess.DEVNULL,
                 stdout=output,
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/__init__.py
@@ -0,0 +1,31 @@
+"""Callers, their sessions, and a mixed load that judges each answer."""
+
+from bergamotcart_testkit.load._caller import (
+    Answer,
+    Caller,
+    Directives,
+    UnreachableError,
+    Verdict,
+)
+from bergamotcart_testkit.load._load import MIXED, MOSTLY_READS, Load, LoadSettings, run_setup
+from bergamotcart_testkit.load._operations import Journal, Operation, OperationKind
+from bergamotcart_testkit.load._session import MAX_AGE_S, Session, SessionSettings
+
+__all__ = (
+    'MAX_AGE_S',
+    'MIXED',
+    'MOSTLY_READS',
+    'Answer',
+    'Caller',
+    'Directives',
+    'Journal',
+    'Load',
+    'LoadSettings',
+    'Operation',
+    'OperationKind',
+    'Session',
+    'SessionSettings',
+    'UnreachableError',
+    'Verdict',
+    'run_setup',
+)
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_load.py
@@ -0,0 +1,219 @@
+"""A mixed load of many sessions."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from types import MappingProxyType
+from typing import Final
+
+from bergamotcart_testkit.deployment import Deployment, EntryPlan, wait_until
+from bergamotcart_testkit.load import _schema as schema
+from bergamotcart_testkit.load._caller import Caller, UnreachableError
+from bergamotcart_testkit.load._operations import Journal
+from bergamotcart_testkit.load._session import Session, SessionSettings
+
+_STOP_GRACE_S: Final = 15.0
+_REFUSED_PAUSE_S: Final = 0.05
+_REPEAT_SHARE: Final = 0.4
+_CONCURRENT_SHARE: Final = 0.3
+
+# Weights of the steps of a session.
+MIXED: Final[Mapping[str, int]] = MappingProxyType(
+    {
+        'write': 25,
+        'read_own': 20,
+        'read_other': 10,
+        'read_aged': 10,
+        'order': 15,
+        'transaction': 8,
+        'read_pair': 8,
+        'move': 4,
+    }
+)
+MOSTLY_READS: Final[Mapping[str, int]] = MappingProxyType(
+    {
+        'write': 7,
+        'read_own': 50,
+        'read_other': 20,
+        'read_aged': 20,
+        'order': 2,
+        'transaction': 1,
+        'move': 1,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadSettings:
+    """What a load does.
+
+    :param sessions: sessions for each group.
+    :param pause: greatest time between two requests of a session, in seconds.
+    :param weights: relative frequency of each step.
+    :param entries: entries to use, or nothing for all.
+    """
+
+    seed: int
+    sessions: int = 6
+    pause: float = 0.05
+    weights: Mapping[str, int] = field(default_factory=lambda: MIXED)
+    entries: Sequence[EntryPlan] = ()
+    user: str = 'desk'
+
+
+Step = Callable[['Load', Session], Awaitable[None]]
+
+
+class Load:
+    """Runs sessions until it is closed; use it as an asynchronous context manager."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, deployment: Deployment, settings: LoadSettings) -> None:
+        """Prepare the sessions."""
+        self.journal = Journal()
+        self._settings = settings
+        self._entries = tuple(settings.entries) or tuple(deployment.plan.entries)
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._number = next(self._numbers)
+        self.sessions = [
+            Session(self._session_settings(group, number), self.journal)
+            for group in deployment.layout.groups
+            for number in range(settings.sessions)
+        ]
+
+    async def __aenter__(self) -> 'Load':
+        """Create the tables and the rows, and start all sessions."""
+        await self._create_rows()
+        self._tasks = [asyncio.create_task(self._run(session)) for session in self.sessions]
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Let each session finish its request, then close it."""
+        await self.stop()
+
+    async def stop(self) -> None:
+        """End the load."""
+        self._stopping.set()
+        if self._tasks:
+            _, late = await asyncio.wait(self._tasks, timeout=_STOP_GRACE_S)
+            for task in late:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        for session in self.sessions:
+            await session.close()
+
+    async def acknowledged(self, count: int, group: str) -> None:
+        """Wait until this many more writes to a group were acknowledged."""
+        target = self.journal.acknowledged_writes(group) + count
+        description = f'{count} more acknowledged writes to {group}'
+        await wait_until(partial(self._has_acknowledged, group, target), description)
+
+    async def _has_acknowledged(self, group: str, count: int) -> bool:
+        return self.journal.acknowledged_writes(group) >= count
+
+    def _session_settings(self, group: str, number: int) -> SessionSettings:
+        return SessionSettings(
+            name=f'load{self._number}-{group}-{number}',
+            group=group,
+            user=self._settings.user,
+            entries=self._entries,
+            seed=self._settings.seed,
+        )
+
+    async def _create_rows(self) -> None:
+        groups: dict[str, list[str]] = {}
+        for session in self.sessions:
+            statements = groups.setdefault(session.settings.group, list(schema.TABLES))
+            statements.extend(schema.rows_of_session(session.name))
+        async with asyncio.TaskGroup() as tasks:
+            for group, statements in groups.items():
+                tasks.create_task(run_setup(self._entries, group, statements))
+
+    async def _run(self, session: Session) -> None:
+        settings = self._settings
+        names = list(settings.weights)
+        weights = list(settings.weights.values())
+        while not self._stopping.is_set():
+            chosen = session.generator.choices(names, weights)
+            await self._steps[chosen[0]](self, session)
+            await asyncio.sleep(settings.pause * session.generator.random())
+
+    async def _write(self, session: Session) -> None:
+        operation = await session.write_register()
+        if operation.is_acknowledged_write and session.generator.random() < _REPEAT_SHARE:
+            await session.remember_token(await session.connect())
+        if not operation.is_acknowledged_write:
+            await asyncio.sleep(max(operation.answer.retry_after, _REFUSED_PAUSE_S))
+
+    async def _read_own(self, session: Session) -> None:
+        await session.read_own()
+
+    async def _read_other(self, session: Session) -> None:
+        await session.read_other(self._other(session))
+
+    async def _read_aged(self, session: Session) -> None:
+        await session.read_aged(self._other(session))
+
+    async def _order(self, session: Session) -> None:
+        """Send an order; often repeat it blindly, also at the same time through another entry."""
+        generator = session.generator
+        request = f'{session.name}.order{len(self.journal.operations)}'
+        entry = generator.choice(self._entries)
+        if generator.random() < _CONCURRENT_SHARE:
+            await asyncio.gather(
+                session.order(request),
+                session.repeat_order(request, entry),
+            )
+            return
+        operation = await session.order(request)
+        if not operation.is_acknowledged_write or generator.random() < _REPEAT_SHARE:
+            await session.repeat_order(request, entry)
+
+    async def _transaction(self, session: Session) -> None:
+        await session.transaction()
+
+    async def _read_pair(self, session: Session) -> None:
+        await session.read_pair(self._other(session))
+
+    async def _move(self, session: Session) -> None:
+        await session.move()
+
+    def _other(self, session: Session) -> str:
+        group = session.settings.group
+        names = [other.name for other in self.sessions if other.settings.group == group]
+        return session.generator.choice(names)
+
+    _steps: Mapping[str, Step] = MappingProxyType(
+        {
+            'write': _write,
+            'read_own': _read_own,
+            'read_other': _read_other,
+            'read_aged': _read_aged,
+            'order': _order,
+            'transaction': _transaction,
+            'read_pair': _read_pair,
+            'move': _move,
+        }
+    )
+
+
+async def run_setup(entries: Sequence[EntryPlan], group: str, statements: Sequence[str]) -> None:
+    """Run idempotent statements through any entry, each until it ran."""
+    turns = itertools.cycle(entries)
+    for sql in statements:
+        await wait_until(partial(_run_once, turns, group, sql), f'{sql} ran in {group}')
+
+
+async def _run_once(turns: Iterator[EntryPlan], group: str, sql: str) -> bool:
+    entry = next(turns)
+    try:
+        caller = await Caller.connect(entry.name, entry.callers, 'setup', group)
+    except UnreachableError:
+        return False
+    answer = await caller.execute(sql)
+    caller.close()
+    return answer.ran
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_session.py
@@ -0,0 +1,283 @@
+"""One session of a caller that moves between entries."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from typing import Final
+
+from bergamotcart_testkit.deployment import EntryPlan
+from bergamotcart_testkit.load import _schema as schema
+from bergamotcart_testkit.load._caller import (
+    DISCARDED_BRANCH,
+    NO_DIRECTIVES,
+    Answer,
+    Caller,
+    Directives,
+    UnreachableError,
+    Verdict,
+)
+from bergamotcart_testkit.load._operations import Journal, Operation, OperationKind
+
+MAX_AGE_S: Final = 5.0
+_RECONNECT_PAUSE_S: Final = 0.02
+_FIRST_MARK: Final = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SessionSettings:
+    """Identity of a session.
+
+    :param entries: entries that it may use, in no particular order.
+    :param user: name of the caller.
+    """
+
+    name: str
+    group: str
+    user: str
+    entries: Sequence[EntryPlan]
+    seed: int
+
+
+class Session:
+    """Sends requests, remembers what it must see, and judges each answer.
+
+    :ivar floor: least version of its own register that the present connection must show.
+    """
+
+    def __init__(self, settings: SessionSettings, journal: Journal) -> None:
+        """Start without a connection."""
+        self.settings = settings
+        self.name = settings.name
+        self.floor = 0
+        self.journal = journal
+        self.generator = random.Random(f'{settings.seed}:{settings.name}')
+        self._caller: Caller | None = None
+        self._arrived = 0.0
+        self._token: str | None = None
+        self._token_floor = 0
+        self._version = 0
+        self._marks = itertools.count(_FIRST_MARK)
+
+    async def close(self) -> None:
+        """Break the connection."""
+        if self._caller:
+            self._caller.close()
+
+    async def connect(self, entry: EntryPlan | None = None) -> Caller:
+        """Return the open connection, or make one, to a random entry if none is named."""
+        while entry or self._caller is None or not self._caller.is_open:
+            chosen = entry or self.generator.choice(self.settings.entries)
+            entry = None
+            await self._open(chosen)
+        return self._caller
+
+    async def move(self, entry: EntryPlan | None = None) -> None:
+        """Go on at another entry, with the token of the session."""
+        caller = await self.connect()
+        await self.remember_token(caller)
+        caller.close()
+        await self.connect(entry or self.generator.choice(self.settings.entries))
+
+    async def remember_token(self, caller: Caller) -> None:
+        """Keep the token of the session; it covers all writes acknowledged before."""
+        floor = self.floor
+        token = await caller.token()
+        if token:
+            self._token = token
+            self._token_floor = floor
+
+    async def write_register(self, directives: Directives = NO_DIRECTIVES) -> Operation:
+        """Write the next version of the session's own register."""
+        caller = await self.connect()
+        self._version += 1
+        version, mark = self._version, self._mark()
+        sql = schema.write_register(self.name, version, mark)
+        answer = await self._execute(caller, sql, directives)
+        if answer.ran or answer.verdict is Verdict.ran_without_answer:
+            self.floor = max(self.floor, version)
+        fault = ''
+        if answer.ran and answer.affected_rows != 1:
+            fault = f'an update of one row answered {answer.affected_rows} rows'
+        return self._add(
+            OperationKind.register_write, caller, mark, self.name, version, answer, fault
+        )
+
+    async def read_own(self) -> Operation:
+        """Read the session's own register, which must show what was acknowledged."""
+        return await self._read(OperationKind.own_read, self.name, NO_DIRECTIVES)
+
+    async def read_other(self, key: str) -> Operation:
+        """Read another register; it shows at least what was acknowledged before arrival."""
+        return await self._read(OperationKind.other_read, key, NO_DIRECTIVES)
+
+    async def read_aged(self, key: str) -> Operation:
+        """Read another register that may be some seconds old."""
+        return await self._read(OperationKind.aged_read, key, Directives(max_age=f'{MAX_AGE_S:g}s'))
+
+    async def order(self, request: str | None = None) -> Operation:
+        """Insert a row under a request identifier that must run at most once."""
+        caller = await self.connect()
+        return await self._send_order(caller, request or self._mark())
+
+    async def repeat_order(self, request: str, entry: EntryPlan) -> Operation | None:
+        """Send a request again through some entry, on a connection of its own.
+
+        :returns: the operation, or ``None`` if the entry accepted no connection.
+        """
+        settings = self.settings
+        try:
+            caller = await Caller.connect(entry.name, entry.callers, settings.user, settings.group)
+        except UnreachableError:
+            return None
+        async with AsyncExitStack() as stack:
+            stack.callback(caller.close)
+            return await self._send_order(caller, request)
+
+    async def transaction(self) -> Operation:
+        """Write both halves of a pair in one transaction."""
+        caller = await self.connect()
+        mark = self._mark()
+        statements = (
+            'BEGIN',
+            schema.write_half('left', self.name, mark),
+            schema.write_half('right', self.name, mark),
+        )
+        answer = await self._execute(caller, statements[0], NO_DIRECTIVES)
+        for sql in statements[1:]:
+            if answer.ran:
+                answer = await caller.execute(sql)
+        if answer.ran:
+            answer = await caller.execute('COMMIT')
+        elif answer.verdict is not Verdict.not_run:
+            # Nothing is committed without COMMIT, whatever became of a single statement.
+            answer = _not_committed(answer)
+        if not answer.ran:
+            caller.close()
+        return self._add(OperationKind.transaction, caller, mark, self.name, 0, answer)
+
+    async def read_pair(self, key: str) -> Operation:
+        """Read both halves of a pair, which must agree."""
+        caller = await self.connect()
+        mark = self._mark()
+        answer = await self._execute(caller, schema.read_pair(key, mark), NO_DIRECTIVES)
+        fault = _judge_pair(answer, mark) if answer.ran else ''
+        return self._add(OperationKind.pair_read, caller, mark, key, 0, answer, fault)
+
+    async def _send_order(self, caller: Caller, request: str) -> Operation:
+        sql = schema.insert_order(request, self.name)
+        directives = Directives(request=request, repeatable='no')
+        answer = await self._execute(caller, sql, directives)
+        return self._add(OperationKind.order, caller, request, request, 0, answer)
+
+    async def _read(self, kind: OperationKind, key: str, directives: Directives) -> Operation:
+        caller = await self.connect()
+        mark = self._mark()
+        least = self._least_version(kind, key)
+        answer = await self._execute(caller, schema.read_register(key, mark), directives)
+        fault = _judge_read(answer, mark, key, least) if answer.ran else ''
+        return self._add(kind, caller, mark, key, least, answer, fault)
+
+    def _least_version(self, kind: OperationKind, key: str) -> int:
+        if key == self.name:
+            return self.floor
+        if kind is OperationKind.aged_read:
+            return self.journal.acknowledged_version(key, time.monotonic() - MAX_AGE_S)
+        if self._arrived:
+            return self.journal.acknowledged_version(key, self._arrived)
+        return 0
+
+    async def _open(self, entry: EntryPlan) -> None:
+        if self._caller:
+            self._caller.close()
+        started = time.monotonic()
+        try:
+            self._caller = await Caller.connect(
+                entry.name, entry.callers, self.settings.user, self.settings.group
+            )
+        except UnreachableError:
+            self._caller = None
+            await asyncio.sleep(_RECONNECT_PAUSE_S)
+            return
+        # A session without a token sees all that was acknowledged before it arrived; one with a
+        # token sees what the token covers.
+        if self._token:
+            self.floor = self._token_floor
+            self._arrived = 0.0
+            await self._present_token(self._caller)
+        else:
+            self._arrived = started
+            self.floor = self.journal.acknowledged_version(self.name, started)
+
+    async def _present_token(self, caller: Caller) -> None:
+        answer = await caller.execute('SELECT 1', Directives(session=self._token))
+        if answer.ran:
+            return
+        if answer.code == DISCARDED_BRANCH:
+            self._token = None
+        caller.close()
+        await asyncio.sleep(_RECONNECT_PAUSE_S)
+
+    async def _execute(self, caller: Caller, sql: str, directives: Directives) -> Answer:
+        answer = await caller.execute(sql, directives)
+        if answer.code == DISCARDED_BRANCH:
+            self._token = None
+            caller.close()
+        return answer
+
+    def _mark(self) -> str:
+        return f'{self.name}.{next(self._marks)}'
+
+    def _add(
+        self,
+        kind: OperationKind,
+        caller: Caller,
+        mark: str,
+        key: str,
+        version: int,
+        answer: Answer,
+        fault: str = '',
+    ) -> Operation:
+        operation = Operation(
+            kind=kind,
+            session=self.name,
+            group=self.settings.group,
+            entry=caller.entry,
+            mark=mark,
+            key=key,
+            version=version,
+            answer=answer,
+            fault=fault,
+        )
+        self.journal.add(operation)
+        return operation
+
+
+def _judge_read(answer: Answer, mark: str, key: str, least: int) -> str:
+    identities = [row[:2] for row in answer.rows]
+    if identities != [(mark, key)]:
+        return f'asked for {key} with mark {mark}, got {answer.rows!r}'
+    version = int(str(answer.rows[0][2]))
+    if version < least:
+        return f'stale: {key} shows version {version}, not the acknowledged {least}'
+    return ''
+
+
+def _judge_pair(answer: Answer, mark: str) -> str:
+    if len(answer.rows) != 1 or answer.rows[0][0] != mark:
+        return f'asked with mark {mark}, got {answer.rows!r}'
+    left, right = answer.rows[0][1:]
+    return '' if left == right else f'mixed: the halves are {left!r} and {right!r}'
+
+
+def _not_committed(answer: Answer) -> Answer:
+    return Answer(
+        verdict=Verdict.not_run,
+        started=answer.started,
+        ended=answer.ended,
+        code=answer.code,
+        message=answer.message,
+    )
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/oracle/tests/test_checks.py
@@ -0,0 +1,110 @@
+"""Tests of the oracle: each broken promise must be found."""
+
+import pytest
+
+from bergamotcart_testkit.load import Answer, Journal, Operation, OperationKind, Verdict
+from bergamotcart_testkit.oracle import GroupEvidence, ViolationKind, find_violations
+from bergamotcart_testkit.target import Event, EventKind, LogRecord
+
+LEFT = "UPDATE left_halves SET mark = 's.1' WHERE id = 's'"
+RIGHT = "UPDATE right_halves SET mark = 's.1' WHERE id = 's'"
+OTHER = "UPDATE right_halves SET mark = 'r.7' WHERE id = 'r'"
+
+
+def _record(position: int, *statements: str) -> LogRecord:
+    return LogRecord(position=position, term=1, transaction='t', statements=statements)
+
+
+def _event(statement: str, committed: bool = True) -> Event:
+    return Event(
+        time=0.0,
+        connection=1,
+        user='desk',
+        transaction='t',
+        kind=EventKind.write,
+        statement=statement,
+        committed=committed,
+        role='primary',
+        term=1,
+        log_term=1,
+        position=1,
+    )
+
+
+def _violations(
+    kind: OperationKind,
+    verdict: Verdict,
+    log: tuple[LogRecord, ...] = (),
+    events: tuple[Event, ...] = (),
+    fault: str = '',
+) -> set[ViolationKind]:
+    journal = Journal()
+    operation = Operation(
+        kind=kind,
+        session='s',
+        group='g',
+        entry='e',
+        mark='s.1',
+        key='s',
+        version=1,
+        answer=Answer(verdict=verdict, started=0.0, ended=1.0),
+        fault=fault,
+    )
+    journal.add(operation)
+    evidence = GroupEvidence(group='g', log=log, histories={'a': events})
+    return {violation.kind for violation in find_violations(journal, [evidence])}
+
+
+def test_accepts_a_kept_write():
+    """Guards against an oracle that reports right answers."""
+    log = (_record(1, LEFT, RIGHT),)
+    assert not _violations(
+        OperationKind.transaction, Verdict.ran, log, (_event(LEFT), _event(RIGHT))
+    )
+
+
+@pytest.mark.parametrize('verdict', [Verdict.ran, Verdict.ran_without_answer])
+def test_finds_a_lost_write(verdict: Verdict):
+    """Guards against a failover that drops acknowledged writes."""
+    found = _violations(OperationKind.register_write, verdict, (_record(1, OTHER),))
+    assert found == {ViolationKind.lost_write}
+
+
+def test_finds_a_request_that_ran_twice():
+    """Guards against blind repeats that are applied again."""
+    log = (_record(1, LEFT), _record(2, LEFT))
+    found = _violations(OperationKind.register_write, Verdict.ran, log)
+    assert found == {ViolationKind.ran_twice}
+
+
+def test_finds_half_a_transaction():
+    """Guards against a transaction of which one statement was committed alone."""
+    found = _violations(OperationKind.transaction, Verdict.ran, (_record(1, LEFT),))
+    assert found == {ViolationKind.torn_transaction}
+
+
+def test_finds_mixed_transactions():
+    """Guards against statements of two requests on one connection."""
+    log = (_record(1, LEFT, RIGHT),)
+    events = (_event(LEFT), _event(OTHER))
+    found = _violations(OperationKind.transaction, Verdict.ran, log, events)
+    assert found == {ViolationKind.mixed_transaction}
+
+
+@pytest.mark.parametrize('verdict', [Verdict.not_run, Verdict.target_error])
+def test_finds_a_wrong_not_run(verdict: Verdict):
+    """Guards against a refusal of a request that was committed, even on a lost branch."""
+    found = _violations(OperationKind.register_write, verdict, events=(_event(LEFT),))
+    assert found == {ViolationKind.wrong_not_run}
+
+
+def test_accepts_a_request_rolled_back():
+    """Guards against an oracle that takes an attempt for an effect."""
+    events = (_event(LEFT, committed=False),)
+    assert not _violations(OperationKind.transaction, Verdict.not_run, events=events)
+
+
+def test_reports_faults_found_on_arrival():
+    """Guards against stale answers that nobody counts."""
+    found = _violations(OperationKind.own_read, Verdict.ran, fault='stale')
+    assert found == {ViolationKind.wrong_answer}
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/tests/test_relay.py
@@ -0,0 +1,86 @@
+"""Tests of the relay."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from bergamotcart_testkit.addresses import Address, free_addresses
+from bergamotcart_testkit.relay import Drop, LinkAddress, LinkChange, LinkSettings, Relay
+
+PLAIN = LinkSettings(delay=0.002, jitter=0.005)
+HANG_TIMEOUT_S = 10
+
+
+@asynccontextmanager
+async def _echo_through_relay() -> AsyncIterator[tuple[Relay, Address]]:
+    free = free_addresses()
+    listen, target = next(free), next(free)
+    server = await asyncio.start_server(_echo, target.host, target.port)
+    async with server, Relay(PLAIN, seed=1) as relay:
+        await relay.add(LinkAddress(name='a>b:echo', listen=str(listen), target=str(target)))
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            yield relay, listen
+
+
+async def _echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while content := await reader.read(4096):
+        writer.write(content)
+    writer.close()
+
+
+async def _connect(address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection(address.host, address.port)
+
+
+async def test_keeps_order_despite_jitter():
+    """Guards against a relay that reorders the bytes of a stream."""
+    async with _echo_through_relay() as (_, listen):
+        reader, writer = await _connect(listen)
+        parts = [number.to_bytes(2, 'big') for number in range(200)]
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0)
+        assert await reader.readexactly(400) == b''.join(parts)
+        writer.close()
+
+
+@pytest.mark.parametrize('drop', [Drop.both, Drop.to_target, Drop.to_source])
+async def test_loses_everything_and_resets_when_healed(drop: Drop):
+    """Guards against a stream that goes on with a gap after an isolation."""
+    async with _echo_through_relay() as (relay, listen):
+        reader, writer = await _connect(listen)
+        writer.write(b'one')
+        assert await reader.readexactly(3) == b'one'
+        relay.change(LinkChange(pattern='a>*', settings=LinkSettings(drop=drop)))
+        writer.write(b'two')
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(3), 0.05)
+        relay.change(LinkChange(pattern='a>*', settings=PLAIN))
+        with pytest.raises(ConnectionError):
+            await reader.readexactly(3)
+
+
+async def test_hold_delivers_late():
+    """Guards against a relay that loses what it should only delay."""
+    async with _echo_through_relay() as (relay, listen):
+        reader, writer = await _connect(listen)
+        relay.change(LinkChange(pattern='*', settings=LinkSettings(hold=True)))
+        writer.write(b'late')
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(4), 0.05)
+        relay.change(LinkChange(pattern='*', settings=PLAIN))
+        assert await reader.readexactly(4) == b'late'
+        writer.close()
+
+
+async def test_refused_target_resets_the_caller():
+    """Guards against a dead process that looks silent behind the relay."""
+    free = free_addresses()
+    listen, nobody = next(free), next(free)
+    async with Relay(PLAIN) as relay, asyncio.timeout(HANG_TIMEOUT_S):
+        await relay.add(LinkAddress(name='x', listen=str(listen), target=str(nobody)))
+        reader, _ = await _connect(listen)
+        with pytest.raises(ConnectionError):
+            await reader.readexactly(1)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_storage.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_storage.py
@@ -65,7 +65,7 @@
 
     def copy_from(self, other: 'Storage') -> None:
         """Replace all contents by those of another storage."""
-        other._connection.backup(self._connection)  # noqa: SLF001
+        other._connection.backup(self._connection)
 
     def close(self) -> None:
         """Release the memory."""
