Add the demonstration and the measurement

The page's measures need real processes under load: the demonstration shows one failover to a person, the measurement reports every figure beside its target and breaks each failover down.

--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/demo.py
@@ -0,0 +1,135 @@
+"""Demonstration: a caller goes on while the primary of its group is killed."""
+
+import asyncio
+import logging
+import time
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from bergamotcart_testkit.command import run_command
+from bergamotcart_testkit.deployment import LAYOUTS, Deployment, wait_until
+from bergamotcart_testkit.load import (
+    READ_KINDS,
+    Load,
+    LoadSettings,
+    Operation,
+    Session,
+    SessionSettings,
+)
+from bergamotcart_testkit.oracle import collect_evidence, find_violations, replica_share
+
+_ROUNDS = 9
+_WRITES_AFTER_FAILOVER = 40
+_WRITES_BEFORE_FAILOVER = 40
+_SEED = 7
+
+
+class DemoCommand(Command):
+    """Starts a small deployment, kills a primary, and prints what a caller saw."""
+
+    name = 'demo'
+    description = 'Shows a caller during the failure of a primary'
+    options = [option('seed', None, 'seed of the load', flag=False, default=_SEED)]
+
+    def handle(self) -> int:
+        """Run the demonstration; the exit status is 0 only if every answer was right."""
+        logging.basicConfig(level=logging.WARNING)
+        return asyncio.run(self._run(int(self.option('seed'))))
+
+    async def _run(self, seed: int) -> int:
+        started = time.monotonic()
+        async with Deployment(LAYOUTS['small'], seed=seed) as deployment:
+            await deployment.ready()
+            self.line(f'ready after {time.monotonic() - started:.1f} s: {_describe(deployment)}')
+            settings = LoadSettings(seed=seed, sessions=6)
+            load = Load(deployment, settings)
+            async with load:
+                caller = Session(_caller_settings(deployment, seed), load.journal)
+                await load.create_rows_of((caller,))
+                wrong = await self._write_and_read(deployment, caller)
+                gap = await self._kill_primary(deployment, load)
+                wrong += await self._write_and_read(deployment, caller)
+                await caller.close()
+            return await self._judge(deployment, load, wrong, gap)
+
+    async def _write_and_read(self, deployment: Deployment, caller: Session) -> int:
+        """Write through one entry and read back through the next one, several times."""
+        entries = deployment.plan.entries
+        wrong = 0
+        for turn in range(_ROUNDS):
+            await caller.move(entries[turn % len(entries)])
+            written = await caller.write_register()
+            await caller.move(entries[(turn + 1) % len(entries)])
+            seen = await caller.read_own()
+            self.line(f'  {_told(written)}; then {_told(seen)}')
+            wrong += bool(seen.fault) + (not written.answer.ran) + (not seen.answer.ran)
+        return wrong
+
+    async def _kill_primary(self, deployment: Deployment, load: Load) -> float:
+        group = deployment.group
+        primary = await deployment.group_settled(group)
+        await load.acknowledged(_WRITES_BEFORE_FAILOVER, group)
+        killed = time.monotonic()
+        deployment.processes[primary.instance].kill()
+        self.line(f'killed the primary {primary.instance}')
+        await load.acknowledged(_WRITES_AFTER_FAILOVER, group)
+        resumed = load.journal.acknowledged_after(group, killed)
+        successor = await deployment.group_settled(group)
+        self.line(f'writes resumed at {successor.instance}, term {successor.term}')
+        deployment.processes[primary.instance].start()
+        await wait_until(deployment.target(primary.instance).status, 'the old primary is back')
+        return resumed - killed if resumed else float('inf')
+
+    async def _judge(self, deployment: Deployment, load: Load, wrong: int, gap: float) -> int:
+        evidence = await collect_evidence(deployment)
+        violations = find_violations(load.journal, evidence)
+        operations = load.journal.operations
+        share = replica_share(load.journal, evidence, READ_KINDS)
+        self.line(f'failover gap: {gap:.3f} s (target: 0.5 s at the median)')
+        self.line(f'reads served by replicas: {share or 0.0:.0%} in this mixed load')
+        self.line(f'requests: {len(operations)}, refused or unknown: {_not_ran(operations)}')
+        for violation in violations:
+            self.line(f'VIOLATION {violation.kind}: {violation.detail}')
+        right = not violations and not wrong
+        self.line('every answer was right' if right else 'some answers were wrong or missing')
+        return 0 if right else 1
+
+
+def _describe(deployment: Deployment) -> str:
+    plan = deployment.plan
+    zones = ', '.join(deployment.layout.availability_zones)
+    return (
+        f'{len(plan.controls)} control processes, {len(plan.entries)} entries and '
+        f'{len(plan.targets)} instances in {zones}'
+    )
+
+
+def _caller_settings(deployment: Deployment, seed: int) -> SessionSettings:
+    return SessionSettings(
+        name='teacher',
+        group=deployment.group,
+        user='teacher',
+        entries=deployment.plan.entries,
+        seed=seed,
+    )
+
+
+def _told(operation: Operation) -> str:
+    answer = operation.answer
+    what = f'{operation.kind} through {operation.entry}'
+    if operation.fault:
+        return f'{what}: WRONG, {operation.fault}'
+    if not answer.ran:
+        return f'{what}: {operation.verdict} ({answer.reason})'
+    shown = answer.rows[0][-1] if answer.rows else operation.version
+    duration_ms = (answer.ended - answer.started) * 1000
+    return f'{what}: version {shown} in {duration_ms:.0f} ms'
+
+
+def _not_ran(operations: list[Operation]) -> int:
+    return sum(not operation.answer.ran for operation in operations)
+
+
+if __name__ == '__main__':
+    run_command(DemoCommand())
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_clients.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_clients.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from bergamotcart_testkit.addresses import Address
-from bergamotcart_testkit.relay import LinkChange, LinkReset, LinkSettings
-from bergamotcart_testkit.target import Event, LogPage, LogRecord
+from bergamotcart_testkit.relay import LinkChange, LinkReset, LinkSettings, LinkState
+from bergamotcart_testkit.target import Event, LogPage, LogRecord, OrderEvent
 
 _TIMEOUT: Final = aiohttp.ClientTimeout(total=5.0)
 UNREACHABLE: Final = (aiohttp.ClientError, TimeoutError, OSError)
@@ -111,6 +111,11 @@
         reply = await self._http.get(self._address, f'/history?after={after}')
         return msgspec.json.decode(reply.body, type=list[Event])
 
+    async def orders(self) -> list[OrderEvent]:
+        """Return the orders that arrived since its start."""
+        reply = await self._http.get(self._address, '/orders')
+        return msgspec.json.decode(reply.body, type=list[OrderEvent])
+
     async def log(self) -> list[LogRecord]:
         """Return all records of the log."""
         records: list[LogRecord] = []
@@ -136,6 +141,11 @@
         reply = await self._http.post(self._address, '/settings', change)
         _require_match(reply, pattern)
 
+    async def links(self) -> list[LinkState]:
+        """Return all links with their counters."""
+        reply = await self._http.get(self._address, '/links')
+        return msgspec.json.decode(reply.body, type=list[LinkState])
+
     async def reset(self, pattern: str) -> None:
         """Reset the connections of the matching links."""
         reply = await self._http.post(self._address, '/reset', LinkReset(pattern=pattern))
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_plan.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_plan.py
@@ -31,12 +31,14 @@
 class EntryPlan:
     """An entry process.
 
-    :param callers: address that callers connect to.
+    :param mysql: listening address.
+    :param callers: address that callers connect to, behind their link.
     """
 
     name: str
     availability_zone: str
     http: Address
+    mysql: Address
     callers: Address
     process: ManagedProcess
 
@@ -142,7 +144,12 @@
         options += self.network.translation(zone)
         process = self._process(name, _DAEMON, options)
         return EntryPlan(
-            name=name, availability_zone=zone, http=http, callers=callers, process=process
+            name=name,
+            availability_zone=zone,
+            http=http,
+            mysql=listen,
+            callers=callers,
+            process=process,
         )
 
     def _target(self, group: str, zone: str, mysql: Address, admin: Address) -> TargetPlan:
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_waiting.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_waiting.py
@@ -18,11 +18,13 @@
     condition: Callable[[], Awaitable[Answer | None]],
     description: str,
     timeout_s: float = HANG_TIMEOUT_S,
+    poll_s: float = _POLL_S,
 ) -> Answer:
     """Poll a condition until it answers something true, and return that.
 
     :param description: what is waited for.
     :param timeout_s: seconds after which the run counts as hung.
+    :param poll_s: seconds between two looks at the condition.
     :raises ConditionError: if the condition did not become true.
     """
     loop = asyncio.get_running_loop()
@@ -31,5 +33,5 @@
         answer = await condition()
         if answer:
             return answer
-        await asyncio.sleep(_POLL_S)
+        await asyncio.sleep(poll_s)
     raise ConditionError(f'still waiting after {timeout_s:g} s: {description}')
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/__init__.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/__init__.py
@@ -8,13 +8,14 @@
     Verdict,
 )
 from bergamotcart_testkit.load._load import MIXED, MOSTLY_READS, Load, LoadSettings, run_setup
-from bergamotcart_testkit.load._operations import Journal, Operation, OperationKind
+from bergamotcart_testkit.load._operations import READ_KINDS, Journal, Operation, OperationKind
 from bergamotcart_testkit.load._session import MAX_AGE_S, Session, SessionSettings
 
 __all__ = (
     'MAX_AGE_S',
     'MIXED',
     'MOSTLY_READS',
+    'READ_KINDS',
     'Answer',
     'Caller',
     'Directives',
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_load.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_load.py
@@ -87,7 +87,7 @@
 
     async def __aenter__(self) -> 'Load':
         """Create the tables and the rows, and start all sessions."""
-        await self._create_rows()
+        await self.create_rows_of(self.sessions)
         self._tasks = [asyncio.create_task(self._run(session)) for session in self.sessions]
         return self
 
@@ -112,8 +112,15 @@
         description = f'{count} more acknowledged writes to {group}'
         await wait_until(partial(self._has_acknowledged, group, target), description)
 
-    async def _has_acknowledged(self, group: str, count: int) -> bool:
-        return self.journal.acknowledged_writes(group) >= count
+    async def create_rows_of(self, sessions: Sequence[Session]) -> None:
+        """Create the tables and the rows that some sessions need."""
+        groups: dict[str, list[str]] = {}
+        for session in sessions:
+            statements = groups.setdefault(session.settings.group, list(schema.TABLES))
+            statements.extend(schema.rows_of_session(session.name))
+        async with asyncio.TaskGroup() as tasks:
+            for group, statements in groups.items():
+                tasks.create_task(run_setup(self._entries, group, statements))
 
     def _session_settings(self, group: str, number: int) -> SessionSettings:
         return SessionSettings(
@@ -124,14 +131,8 @@
             seed=self._settings.seed,
         )
 
-    async def _create_rows(self) -> None:
-        groups: dict[str, list[str]] = {}
-        for session in self.sessions:
-            statements = groups.setdefault(session.settings.group, list(schema.TABLES))
-            statements.extend(schema.rows_of_session(session.name))
-        async with asyncio.TaskGroup() as tasks:
-            for group, statements in groups.items():
-                tasks.create_task(run_setup(self._entries, group, statements))
+    async def _has_acknowledged(self, group: str, count: int) -> bool:
+        return self.journal.acknowledged_writes(group) >= count
 
     async def _run(self, session: Session) -> None:
         settings = self._settings
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_operations.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_operations.py
@@ -47,7 +47,7 @@
     @property
     def is_read(self) -> bool:
         """Whether the request changes nothing."""
-        return self.kind in _READS
+        return self.kind in READ_KINDS
 
     @property
     def is_acknowledged_write(self) -> bool:
@@ -56,7 +56,7 @@
         return not self.is_read and self.verdict in told
 
 
-_READS = frozenset(
+READ_KINDS = frozenset(
     (
         OperationKind.own_read,
         OperationKind.other_read,
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/__init__.py
@@ -0,0 +1,18 @@
+"""Measurement of the figures of the design page."""
+
+from bergamotcart_testkit.measure._failovers import Failover, Fault
+from bergamotcart_testkit.measure._figures import Figure, Latencies
+from bergamotcart_testkit.measure._program import MeasureCommand
+from bergamotcart_testkit.measure._report import Report
+from bergamotcart_testkit.measure._run import Measurement, MeasureSettings
+
+__all__ = (
+    'Failover',
+    'Fault',
+    'Figure',
+    'Latencies',
+    'MeasureCommand',
+    'MeasureSettings',
+    'Measurement',
+    'Report',
+)
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/__main__.py
@@ -0,0 +1,6 @@
+"""Runs a measurement."""
+
+from bergamotcart_testkit.command import run_command
+from bergamotcart_testkit.measure import MeasureCommand
+
+run_command(MeasureCommand())
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_failovers.py
@@ -0,0 +1,225 @@
+"""Faults during a load, and the phases of the failovers that they cause."""
+
+import asyncio
+import enum
+import time
+from collections.abc import Iterator
+from datetime import datetime
+from functools import partial
+
+import msgspec
+
+from bergamotcart_testkit.deployment import Deployment, wait_until
+from bergamotcart_testkit.load import Load, Verdict
+
+_RECOVERY_WRITES = 30
+# Control does not replace a primary for silence alone within 5 s of the last change.
+_PAUSE_AFTER_ISOLATION_S = 6.0
+_PAUSE_AFTER_KILL_S = 1.0
+
+
+@enum.unique
+class Fault(enum.StrEnum):
+    """What happens during the load."""
+
+    none = 'none'
+    kill = 'kill'
+    isolate = 'isolate'
+    lag = 'lag'
+    leave = 'leave'
+
+
+class Failover(msgspec.Struct, kw_only=True):
+    """One replacement of a primary; times are seconds since the fault.
+
+    :param at: monotonic clock of the fault, in seconds.
+    :param gap_s: until the first write sent after the fault was acknowledged.
+    :param detection_s: until control froze the group.
+    :param freeze_s: until the first instance was told to stop following.
+    :param collection_s: until the new primary was chosen.
+    :param promotion_s: until the group was opened.
+    :param publication_s: until a write was acknowledged.
+    """
+
+    fault: Fault
+    group: str
+    instance: str
+    at: float
+    gap_s: float | None = None
+    detection_s: float | None = None
+    freeze_s: float | None = None
+    collection_s: float | None = None
+    promotion_s: float | None = None
+    publication_s: float | None = None
+
+
+class ControlDecision(msgspec.Struct, frozen=True, kw_only=True):
+    """A decision about a group in the log of a control process."""
+
+    timestamp: str
+    system: str = ''
+    action: str = ''
+    reason: str = ''
+    group: str = ''
+
+    def monotonic(self) -> float:
+        """Return its time on the monotonic clock of the machine."""
+        offset = time.time() - time.monotonic()
+        return datetime.fromisoformat(self.timestamp).timestamp() - offset
+
+
+def read_decisions(deployment: Deployment, group: str) -> list[ControlDecision]:
+    """Return the failover decisions about a group from all control logs, by time."""
+    decisions: list[ControlDecision] = []
+    for control in deployment.plan.controls:
+        decisions.extend(_decisions_in(control.process.log_file.read_bytes().splitlines()))
+    chosen = [each for each in decisions if each.system == 'failover' and each.group == group]
+    return sorted(chosen, key=lambda each: each.timestamp)
+
+
+async def add_phases(deployment: Deployment, failover: Failover) -> None:
+    """Break a failover down by the control log and the orders that instances got."""
+    decisions = [
+        each
+        for each in read_decisions(deployment, failover.group)
+        if each.monotonic() >= failover.at
+    ]
+    frozen = _first(decisions, 'freeze')
+    ordered = await _first_stop(deployment, failover)
+    chosen = _first(decisions, 'promote')
+    opened = _first(decisions, 'open')
+    written = None if failover.gap_s is None else failover.at + failover.gap_s
+    failover.detection_s = _between(failover.at, frozen)
+    failover.freeze_s = _between(frozen, ordered)
+    failover.collection_s = _between(ordered, chosen)
+    failover.promotion_s = _between(chosen, opened)
+    failover.publication_s = _between(opened, written)
+
+
+async def kill_primaries(deployment: Deployment, load: Load, until: float) -> list[Failover]:
+    """Kill and restart the primary of one group after the other."""
+    failovers: list[Failover] = []
+    turn = 0
+    while time.monotonic() < until:
+        groups = deployment.layout.groups
+        group = groups[turn % len(groups)]
+        turn += 1
+        primary = await deployment.group_settled(group)
+        process = deployment.processes[primary.instance]
+        fault_at = time.monotonic()
+        process.kill()
+        failover = Failover(fault=Fault.kill, group=group, instance=primary.instance, at=fault_at)
+        await _wait_for_gap(load, failover)
+        await add_phases(deployment, failover)
+        failovers.append(failover)
+        process.start()
+        await wait_until(deployment.target(primary.instance).status, 'the instance is back')
+        await deployment.group_settled(group)
+        await asyncio.sleep(_PAUSE_AFTER_KILL_S)
+    return failovers
+
+
+async def isolate_primaries(deployment: Deployment, load: Load, until: float) -> list[Failover]:
+    """Cut one availability zone after the other off, and reconnect it."""
+    failovers: list[Failover] = []
+    turn = 0
+    while time.monotonic() < until:
+        zones = deployment.layout.availability_zones
+        zone = zones[turn % len(zones)]
+        turn += 1
+        hit = [failover async for failover in _primaries_in(deployment, zone)]
+        isolated_at = time.monotonic()
+        await deployment.cut_off(zone)
+        for failover in hit:
+            failover.at = isolated_at
+            await _wait_for_gap(load, failover)
+            await add_phases(deployment, failover)
+            failovers.append(failover)
+        await deployment.reconnect(zone)
+        for group in deployment.layout.groups:
+            await deployment.group_settled(group)
+        await asyncio.sleep(_PAUSE_AFTER_ISOLATION_S)
+    return failovers
+
+
+async def delay_replicas(deployment: Deployment, lag_s: float, until: float) -> None:
+    """Let one replica of each group fall behind."""
+    for group in deployment.layout.groups:
+        primary = await deployment.group_settled(group)
+        names = [target.name for target in deployment.plan.targets if target.group == group]
+        replica = next(name for name in names if name != primary.instance)
+        await deployment.target(replica).configure(lag=lag_s)
+    await asyncio.sleep(max(0.0, until - time.monotonic()))
+
+
+async def let_replica_leave(deployment: Deployment, until: float) -> float:
+    """Make a replica announce that it leaves.
+
+    :returns: seconds between the announcement and the last statement that it executed.
+    """
+    group = deployment.group
+    primary = await deployment.group_settled(group)
+    names = [target.name for target in deployment.plan.targets if target.group == group]
+    leaving = next(name for name in names if name != primary.instance)
+    left_at = time.monotonic()
+    await deployment.target(leaving).leave()
+    await asyncio.sleep(max(0.0, until - time.monotonic()))
+    history = await deployment.target(leaving).history()
+    return max([event.time - left_at for event in history] + [0.0])
+
+
+def writes_per_interval(load: Load, interval_s: float) -> Iterator[tuple[float, int]]:
+    """Yield the acknowledged writes of each interval, by its start."""
+    ends = sorted(
+        operation.answer.ended
+        for operation in load.journal.operations
+        if operation.is_acknowledged_write and operation.verdict is Verdict.ran
+    )
+    counts: dict[int, int] = {}
+    for end in ends:
+        bucket = int(end / interval_s)
+        counts[bucket] = counts.get(bucket, 0) + 1
+    for bucket in range(min(counts, default=0), max(counts, default=-1) + 1):
+        yield bucket * interval_s, counts.get(bucket, 0)
+
+
+async def _wait_for_gap(load: Load, failover: Failover) -> None:
+    condition = partial(_resumed_at, load, failover)
+    resumed = await wait_until(condition, f'writes to {failover.group} resume')
+    failover.gap_s = resumed - failover.at
+    await load.acknowledged(_RECOVERY_WRITES, failover.group)
+
+
+async def _resumed_at(load: Load, failover: Failover) -> float | None:
+    return load.journal.acknowledged_after(failover.group, failover.at)
+
+
+async def _primaries_in(deployment: Deployment, zone: str):
+    for group in deployment.layout.groups:
+        primary = await deployment.group_settled(group)
+        if deployment.target_plan(primary.instance).availability_zone == zone:
+            yield Failover(fault=Fault.isolate, group=group, instance=primary.instance, at=0.0)
+
+
+async def _first_stop(deployment: Deployment, failover: Failover) -> float | None:
+    times: list[float] = []
+    for target in deployment.plan.targets:
+        if target.group == failover.group and target.process.is_running:
+            orders = await deployment.target(target.name).orders()
+            times.extend(order.time for order in orders if order.name == 'stop_following')
+    return min([when for when in times if when >= failover.at], default=None)
+
+
+def _decisions_in(lines: list[bytes]) -> Iterator[ControlDecision]:
+    for line in lines:
+        if b'"failover"' in line:
+            yield msgspec.json.decode(line, type=ControlDecision)
+
+
+def _first(decisions: list[ControlDecision], action: str) -> float | None:
+    times = [each.monotonic() for each in decisions if each.action == action]
+    return min(times, default=None)
+
+
+def _between(start: float | None, end: float | None) -> float | None:
+    return None if start is None or end is None else end - start
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_run.py
@@ -0,0 +1,149 @@
+"""One measurement."""
+
+import asyncio
+import time
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from pathlib import Path
+from types import MappingProxyType
+
+from bergamotcart_testkit.deployment import Deployment, Layout
+from bergamotcart_testkit.load import MOSTLY_READS, READ_KINDS, Load, LoadSettings, OperationKind
+from bergamotcart_testkit.measure import _failovers as failovers
+from bergamotcart_testkit.measure import _static as static
+from bergamotcart_testkit.measure._figures import Figure, latencies_by_kind, percentile
+from bergamotcart_testkit.measure._plot import plot_writes
+from bergamotcart_testkit.measure._report import Report, count_outcomes
+from bergamotcart_testkit.oracle import (
+    GroupEvidence,
+    Violation,
+    collect_evidence,
+    find_violations,
+    replica_share,
+)
+
+_WRITES_ONLY = MappingProxyType({'write': 1})
+_LAG_S = 3.0
+_AGED = frozenset((OperationKind.aged_read,))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MeasureSettings:
+    """What to measure.
+
+    :param duration_s: length of the mixed load, in seconds.
+    :param plot: file for the plot, or ``None``.
+    """
+
+    layout: Layout
+    fault: failovers.Fault
+    duration_s: float
+    seed: int
+    plot: Path | None = None
+
+
+class Measurement:
+    """Runs a deployment under a mixed load with one kind of fault."""
+
+    def __init__(self, settings: MeasureSettings) -> None:
+        """Prepare a measurement."""
+        self._settings = settings
+        self._figures: list[Figure] = []
+        self._failovers: list[failovers.Failover] = []
+        self._last_work_s: float | None = None
+
+    async def run(self) -> Report:
+        """Measure and return the report."""
+        settings = self._settings
+        async with Deployment(settings.layout, seed=settings.seed) as deployment:
+            await deployment.ready()
+            await self._measure_without_fault(deployment)
+            readers, writers = await self._run_load(deployment)
+            evidence = await collect_evidence(deployment)
+        self._add_failover_figures()
+        self._add_shares(readers, evidence)
+        violations = [
+            violation
+            for load in (readers, writers)
+            for violation in find_violations(load.journal, evidence)
+        ]
+        self._add_violations(violations)
+        if settings.plot:
+            plot_writes(writers, self._failovers, settings.plot)
+        journals = (readers.journal, writers.journal)
+        return Report(
+            layout=settings.layout.name,
+            fault=settings.fault.value,
+            seed=settings.seed,
+            duration_s=settings.duration_s,
+            figures=self._figures,
+            failovers=self._failovers,
+            latencies=latencies_by_kind(journals),
+            outcomes=count_outcomes(journals),
+            violations=[f'{each.kind}: {each.detail}' for each in violations],
+        )
+
+    async def _measure_without_fault(self, deployment: Deployment) -> None:
+        self._figures.extend(await static.measure_idle_cost(deployment))
+        await static.prepare_reads(deployment)
+        self._figures.append(await static.measure_added_latency(deployment))
+        self._figures.append(await static.measure_throughput(deployment))
+        self._figures.append(await static.measure_distribution(deployment))
+
+    async def _run_load(self, deployment: Deployment) -> tuple[Load, Load]:
+        seed = self._settings.seed
+        reading = LoadSettings(seed=seed, sessions=8, pause=0.04, weights=MOSTLY_READS)
+        writing = LoadSettings(seed=seed, sessions=3, pause=0.03, weights=_WRITES_ONLY)
+        readers, writers = Load(deployment, reading), Load(deployment, writing)
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(readers)
+            await stack.enter_async_context(writers)
+            await self._run_fault(deployment, writers)
+        return readers, writers
+
+    async def _run_fault(self, deployment: Deployment, writers: Load) -> None:
+        until = time.monotonic() + self._settings.duration_s
+        match self._settings.fault:
+            case failovers.Fault.kill:
+                self._failovers = await failovers.kill_primaries(deployment, writers, until)
+            case failovers.Fault.isolate:
+                self._failovers = await failovers.isolate_primaries(deployment, writers, until)
+            case failovers.Fault.lag:
+                await failovers.delay_replicas(deployment, _LAG_S, until)
+            case failovers.Fault.leave:
+                self._last_work_s = await failovers.let_replica_leave(deployment, until)
+            case _:
+                await asyncio.sleep(self._settings.duration_s)
+
+    def _add_failover_figures(self) -> None:
+        fault = self._settings.fault
+        gaps = [each.gap_s for each in self._failovers if each.gap_s is not None]
+        killed = gaps if fault is failovers.Fault.kill else []
+        isolated = gaps if fault is failovers.Fault.isolate else []
+        note = f'{len(gaps)} failovers'
+        rows = (
+            ('failover gap, primary killed, p50', percentile(killed, 0.5), 0.5),
+            ('failover gap, primary killed, p99', percentile(killed, 0.99), 1),
+            ('failover gap, primary isolated, p99', percentile(isolated, 0.99), 3),
+            ('last new work on a leaving instance', self._last_work_s, 3),
+        )
+        self._figures.extend(
+            Figure(name=name, measured=measured, target=target, unit='s', note=note)
+            for name, measured, target in rows
+        )
+
+    def _add_shares(self, readers: Load, evidence: list[GroupEvidence]) -> None:
+        rows = (
+            ('reads that tolerate age served by replicas', _AGED, 97),
+            ('all reads served by replicas', READ_KINDS, 90),
+        )
+        for name, kinds, target in rows:
+            share = replica_share(readers.journal, evidence, kinds)
+            measured = None if share is None else 100 * share
+            figure = Figure(name=name, measured=measured, target=target, unit='%', at_least=True)
+            self._figures.append(figure)
+
+    def _add_violations(self, violations: list[Violation]) -> None:
+        name = 'lost, doubled, stale, mixed, wrongly refused'
+        figure = Figure(name=name, measured=len(violations), target=0, unit='requests')
+        self._figures.append(figure)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/oracle/__init__.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/oracle/__init__.py
@@ -7,6 +7,7 @@
     committed_marks,
     marks_in,
 )
+from bergamotcart_testkit.oracle._reads import replica_share
 
 __all__ = (
     'GroupEvidence',
@@ -16,4 +17,5 @@
     'committed_marks',
     'find_violations',
     'marks_in',
+    'replica_share',
 )
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_link.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_link.py
@@ -87,7 +87,7 @@
         for transport in (self.transport, self._target):
             if transport:
                 _reset(transport)
-        self._link.relayed.discard(self)
+        self._link.forget(self)
 
     async def _connect(self) -> None:
         try:
@@ -114,7 +114,7 @@
     def _forget_if_closed(self) -> None:
         transports = (self.transport, self._target)
         if all(transport is None or transport.is_closing() for transport in transports):
-            self._link.relayed.discard(self)
+            self._link.forget(self)
 
 
 class _TargetEnd(_End):
@@ -145,6 +145,13 @@
         self.relayed: set[_Relayed] = set()
         self._server: asyncio.Server | None = None
         self._changed = asyncio.Event()
+        self._finished_bytes = 0
+
+    def forget(self, relayed: _Relayed) -> None:
+        """Count a connection that has ended."""
+        if relayed in self.relayed:
+            self.relayed.remove(relayed)
+            self._finished_bytes += relayed.passed
 
     def current_settings(self) -> LinkSettings:
         """Return the settings in force."""
@@ -158,7 +165,7 @@
             target=str(self.target),
             settings=self.settings,
             connections=len(self.relayed),
-            relayed_bytes=sum(relayed.passed for relayed in self.relayed),
+            relayed_bytes=self._finished_bytes + sum(each.passed for each in self.relayed),
         )
 
     async def start(self) -> None:
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/__init__.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/__init__.py
@@ -1,6 +1,7 @@
 """Stand-in target: one instance of a database group, speaking MySQL and taking orders by HTTP."""
 
 from bergamotcart_testkit.target._files import read_history
+from bergamotcart_testkit.target._orders import OrderEvent
 from bergamotcart_testkit.target._program import TargetCommand, run_target
 from bergamotcart_testkit.target._records import Event, EventKind, LogPage, LogRecord
 from bergamotcart_testkit.target._settings import TargetSettings, Tuning
@@ -10,6 +11,7 @@
     'EventKind',
     'LogPage',
     'LogRecord',
+    'OrderEvent',
     'TargetCommand',
     'TargetSettings',
     'Tuning',
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_admin.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_admin.py
@@ -59,6 +59,7 @@
                 web.post('/settings', self._settings),
                 web.get('/log', self._log),
                 web.get('/records', self._records),
+                web.get('/orders', self._get_orders),
                 web.get('/history', self._history),
             )
         )
@@ -99,6 +100,9 @@
         """Answer the records after a position on any instance, for tests."""
         return _json(self._instance.records_after(int(request.query.get('after', '0'))))
 
+    async def _get_orders(self, request: web.Request) -> web.Response:
+        return _json(self._orders.events)
+
     async def _history(self, request: web.Request) -> web.Response:
         after = int(request.query.get('after', '0'))
         return _json(self._instance.history.events[after:])
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_dialect.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_dialect.py
@@ -23,6 +23,8 @@
         ),
         'INTEGER PRIMARY KEY AUTOINCREMENT',
     ),
+    # Any other type name makes the storage turn texts of digits into numbers.
+    (re.compile(r'\b(?:VAR)?BINARY\s*\(\s*\d+\s*\)', re.I), 'BLOB'),
     (re.compile(r'\bUNSIGNED\b|\bCHARACTER\s+SET\s+\w+|\bCOLLATE\s+utf8\w*', re.I), ''),
 )
 _AUTOCOMMIT: Final = re.compile(r'^SET\s+(?:SESSION\s+)?AUTOCOMMIT\s*=\s*(\w+)', re.I)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_orders.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_orders.py
@@ -1,5 +1,6 @@
 """Orders of control to a stand-in target."""
 
+import time
 from dataclasses import dataclass
 
 import msgspec
@@ -44,6 +45,18 @@
     primary: str = ''
 
 
+class OrderEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """One order that arrived.
+
+    :param time: monotonic clock of the machine, in seconds.
+    """
+
+    time: float
+    name: str
+    term: int
+    accepted: bool
+
+
 class Orders:
     """Accepts orders once each, in the order of their terms.
 
@@ -52,13 +65,14 @@
     the current state, since an outdated position would mislead the collection.
     """
 
-    __slots__ = ('_accepted', '_instance', '_replication')
+    __slots__ = ('_accepted', '_instance', '_replication', 'events')
 
     def __init__(self, instance: Instance, replication: Replication) -> None:
         """Serve the orders for one instance."""
         self._instance = instance
         self._replication = replication
         self._accepted: set[_OrderKey] = set()
+        self.events: list[OrderEvent] = []
 
     def status(self, accepted: bool = True) -> StatusBody:
         """Describe the instance."""
@@ -104,7 +118,10 @@
         return self.status()
 
     def _is_new(self, key: _OrderKey) -> bool:
-        if key.term < self._instance.term or key in self._accepted:
+        accepted = key.term >= self._instance.term and key not in self._accepted
+        now = time.monotonic()
+        self.events.append(OrderEvent(time=now, name=key.name, term=key.term, accepted=accepted))
+        if not accepted:
             return False
         self._accepted.add(key)
         return True
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/tests/test_instance.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/tests/test_instance.py
@@ -145,6 +145,7 @@
         ('SELECT 1 FOR UPDATE', 'SELECT 1'),
         ('INSERT IGNORE INTO t VALUES (1)', 'INSERT OR IGNORE INTO t VALUES (1)'),
         ('CREATE TABLE t (id INT) ENGINE=InnoDB', 'CREATE TABLE t (id INT)'),
+        ('CREATE TABLE t (id VARBINARY(256))', 'CREATE TABLE t (id BLOB)'),
     ],
 )
 def test_translates_mysql_text(text: str, storage_sql: str):
