--- /dev/null
+++ b/integration/tests/test_combinations.py
@@ -0,0 +1,60 @@
+"""Two failures at once, and zones that are all separated."""
+
+from functools import partial
+
+from bergamotcart_testkit.deployment import Deployment, TargetStatus, control_leader, wait_until
+from bergamotcart_testkit.load import LoadSettings, Session, Verdict
+from bergamotcart_testkit.scenario import checked_load, open_session
+
+
+async def _has_newer_primary(deployment: Deployment, old: TargetStatus) -> bool:
+    primary = await deployment.primary(old.group)
+    return primary is not None and primary.term > old.term
+
+
+async def _all_refused(sessions: list[Session]) -> bool:
+    operations = [await session.write_register() for session in sessions]
+    return all(operation.verdict is Verdict.not_run for operation in operations)
+
+
+async def test_primary_and_control_leader_killed_together(deployment: Deployment) -> None:
+    """Guards against a failover that stops with the leader that started it."""
+    async with checked_load(deployment, LoadSettings(seed=41)) as load:
+        await load.acknowledged(30, deployment.group)
+        old = await deployment.group_settled(deployment.group)
+        leader = await control_leader(deployment)
+        deployment.processes[old.instance].kill()
+        deployment.processes[leader].kill()
+        await wait_until(partial(_has_newer_primary, deployment, old), 'the primary is replaced')
+        await load.acknowledged(40, deployment.group)
+
+
+async def test_primary_isolated_and_entry_killed(deployment: Deployment) -> None:
+    """Guards against a freeze that waits for ever for the lease of a dead entry."""
+    async with checked_load(deployment, LoadSettings(seed=42)) as load:
+        await load.acknowledged(30, deployment.group)
+        old = await deployment.group_settled(deployment.group)
+        zone = deployment.target_plan(old.instance).availability_zone
+        entry = next(each for each in deployment.plan.entries if each.availability_zone != zone)
+        await deployment.cut_off(zone)
+        deployment.processes[entry.name].kill()
+        await wait_until(partial(_has_newer_primary, deployment, old), 'the primary is replaced')
+        await load.acknowledged(40, deployment.group)
+
+
+async def test_all_zones_separated(deployment: Deployment) -> None:
+    """Guards against two zones that both take writes while no majority exists."""
+    async with checked_load(deployment, LoadSettings(seed=43)) as load:
+        await load.acknowledged(30, deployment.group)
+        sessions = [
+            await open_session(load, entry.availability_zone, (entry,))
+            for entry in deployment.plan.entries
+        ]
+        for session in sessions:
+            await session.connect()
+        for zone in deployment.layout.availability_zones:
+            await deployment.cut_off(zone)
+        await wait_until(partial(_all_refused, sessions), 'every zone refuses writes as not run')
+        for zone in deployment.layout.availability_zones:
+            await deployment.reconnect(zone)
+        await load.acknowledged(30, deployment.group)
--- /dev/null
+++ b/integration/tests/test_control.py
@@ -0,0 +1,220 @@
+"""Failures of control processes, and operators in conflict."""
+
+import asyncio
+import uuid
+from functools import partial
+from http import HTTPStatus
+
+import msgspec
+import yaml
+
+from bergamotcart_testkit.deployment import (
+    ADMIN_TOKEN,
+    ControlPlan,
+    Deployment,
+    Reply,
+    control_leader,
+    control_status,
+    in_force_everywhere,
+    wait_until,
+)
+from bergamotcart_testkit.load import LoadSettings
+from bergamotcart_testkit.scenario import checked_load
+
+_MISSED_CHANGES = 300
+
+
+def _policies(number: int) -> dict[str, object]:
+    return {'policies': [{'name': 'extra', 'callers': [f'nobody{number}']}]}
+
+
+def _change(section: str, base_version: int, number: int) -> dict[str, object]:
+    return {
+        'section': section,
+        'kind': 'policies',
+        'base_version': base_version,
+        'change_id': uuid.uuid4().hex,
+        'body': yaml.safe_dump(_policies(number)),
+        'dry_run': False,
+    }
+
+
+async def _apply(deployment: Deployment, section: str, base_version: int) -> int:
+    """Apply a change and return the revision of the document afterwards."""
+    await deployment.apply(section, 'policies', _policies(base_version), base_version)
+    status = await control_status(deployment)
+    return int(str(status['revision']))
+
+
+async def _in_force(deployment: Deployment, revision: int) -> None:
+    condition = partial(in_force_everywhere, deployment, revision)
+    await wait_until(condition, f'revision {revision} is in force on all entries')
+
+
+async def _is_voter(deployment: Deployment, name: str, not_incarnation: str = '') -> bool:
+    status = await control_status(deployment)
+    members = msgspec.convert(status['members'], list[dict[str, object]])
+    return any(
+        member['name'] == name and member['voter'] and member['incarnation'] != not_incarnation
+        for member in members
+    )
+
+
+async def _incarnation(deployment: Deployment, name: str) -> str:
+    status = await control_status(deployment)
+    members = msgspec.convert(status['members'], list[dict[str, object]])
+    return next(str(each['incarnation']) for each in members if each['name'] == name)
+
+
+async def _leader_and_followers(deployment: Deployment) -> tuple[ControlPlan, list[ControlPlan]]:
+    leader = await control_leader(deployment)
+    plans = deployment.plan.controls
+    followers = [plan for plan in plans if plan.name != leader]
+    return next(plan for plan in plans if plan.name == leader), followers
+
+
+async def _version(deployment: Deployment, section: str) -> int:
+    reply = await wait_until(partial(_try_document, deployment), 'control answers the document')
+    sections = msgspec.convert(reply.json()['sections'], list[dict[str, object]])
+    versions = {str(each['name']): int(str(each['version'])) for each in sections}
+    return versions.get(section, 0)
+
+
+async def _try_change(deployment: Deployment, change: dict[str, object]) -> Reply | None:
+    for control in deployment.plan.controls:
+        reply = await deployment.change(control.http, change)
+        if reply and reply.is_ok:
+            return reply
+    return None
+
+
+async def _leader_is_not(deployment: Deployment, name: str) -> bool:
+    return await control_leader(deployment) != name
+
+
+async def _try_document(deployment: Deployment) -> Reply | None:
+    for control in deployment.plan.controls:
+        reply = await deployment.http.try_get(control.http, '/v1/document', ADMIN_TOKEN)
+        if reply and reply.is_ok:
+            return reply
+    return None
+
+
+async def test_member_isolated_for_long_and_back(deployment: Deployment) -> None:
+    """Guards against a former leader that returns and believes that it is current."""
+    async with checked_load(deployment, LoadSettings(seed=31)) as load:
+        leader, _ = await _leader_and_followers(deployment)
+        leader.process.pause()
+        await wait_until(partial(_leader_is_not, deployment, leader.name), 'another member leads')
+        for version in range(5):
+            revision = await _apply(deployment, 'isolated', version)
+        old = await deployment.group_settled(deployment.group)
+        deployment.processes[old.instance].kill()
+        await load.acknowledged(40, deployment.group)
+        leader.process.resume()
+        await load.acknowledged(40, deployment.group)
+        assert await _version(deployment, 'isolated') == 5
+        await _in_force(deployment, revision)
+
+
+async def test_two_operators_with_one_base_version(deployment: Deployment) -> None:
+    """Guards against two accepted changes of one version."""
+    await _apply(deployment, 'contested', 0)
+    controls = deployment.plan.controls
+    changes = [_change('contested', 1, number) for number in range(len(controls))]
+    replies = await asyncio.gather(
+        *(
+            deployment.change(control.http, change)
+            for control, change in zip(controls, changes, strict=True)
+        )
+    )
+    statuses = [reply.status for reply in replies if reply]
+    assert statuses.count(HTTPStatus.OK) == 1, replies
+    assert statuses.count(HTTPStatus.CONFLICT) == len(controls) - 1, replies
+    lost = next(reply for reply in replies if reply and reply.status == HTTPStatus.CONFLICT)
+    body = lost.body.decode()
+    assert 'nobody' in body, body
+    assert await _version(deployment, 'contested') == 2
+
+
+async def test_change_resent_after_lost_answer(deployment: Deployment) -> None:
+    """Guards against a resent change that is applied again, or refused as a conflict."""
+    await _apply(deployment, 'resent', 0)
+    change = _change('resent', 1, 7)
+    control = deployment.plan.controls[0]
+    content = msgspec.json.encode(change)
+    head = (
+        f'POST /v1/changes HTTP/1.1\r\nHost: {control.http}\r\n'
+        f'Authorization: Bearer {ADMIN_TOKEN}\r\nContent-Type: application/json\r\n'
+        f'Content-Length: {len(content)}\r\n\r\n'
+    )
+    _, writer = await asyncio.open_connection(control.http.host, control.http.port)
+    writer.write(head.encode() + content)
+    await writer.drain()
+    writer.close()
+    accepted = partial(_try_change, deployment, change)
+    first = await wait_until(accepted, 'the resent change is accepted')
+    again = await wait_until(accepted, 'the change is answered once more')
+    assert first.json() == again.json()
+    assert await _version(deployment, 'resent') == 2
+
+
+async def test_second_member_lost_after_first_was_repaired(deployment: Deployment) -> None:
+    """Guards against accepted state lost with two disks, one after the other."""
+    async with checked_load(deployment, LoadSettings(seed=32)) as load:
+        _, followers = await _leader_and_followers(deployment)
+        first, second = followers
+        revision = await _apply(deployment, 'repaired', 0)
+        before = await _incarnation(deployment, first.name)
+        first.process.kill()
+        deployment.empty_data_folder(first.name)
+        first.process.start()
+        await wait_until(
+            partial(_is_voter, deployment, first.name, before), 'the repaired member votes'
+        )
+        second.process.kill()
+        deployment.empty_data_folder(second.name)
+        assert await _version(deployment, 'repaired') == 1
+        revision = await _apply(deployment, 'repaired', 1)
+        await load.acknowledged(20, deployment.group)
+        second.process.start()
+        await wait_until(partial(_is_voter, deployment, second.name), 'the second member votes')
+        assert await _version(deployment, 'repaired') == 2
+        await _in_force(deployment, revision)
+
+
+async def test_second_member_lost_before_first_is_readmitted(deployment: Deployment) -> None:
+    """Guards against an emptied member that votes away what it once accepted."""
+    async with checked_load(deployment, LoadSettings(seed=33)) as load:
+        _, followers = await _leader_and_followers(deployment)
+        first, second = followers
+        revision = await _apply(deployment, 'early', 0)
+        first.process.kill()
+        second.process.kill()
+        deployment.empty_data_folder(first.name)
+        first.process.start()
+        second.process.start()
+        assert await _version(deployment, 'early') == 1
+        await _in_force(deployment, revision)
+        await wait_until(partial(_is_voter, deployment, first.name), 'the emptied member votes')
+        await load.acknowledged(20, deployment.group)
+
+
+async def test_restart_after_hundreds_of_missed_changes(deployment: Deployment) -> None:
+    """Guards against processes that cannot catch up, or start with an old document."""
+    entry = deployment.plan.entries[0]
+    _, followers = await _leader_and_followers(deployment)
+    first, second = followers
+    deployment.processes[entry.name].kill()
+    first.process.kill()
+    for version in range(_MISSED_CHANGES):
+        await deployment.apply('missed', 'policies', _policies(version), version)
+    revision = int(str((await control_status(deployment))['revision']))
+    first.process.start()
+    second.process.kill()
+    # The majority now needs the member that missed all changes.
+    assert await _version(deployment, 'missed') == _MISSED_CHANGES
+    await deployment.apply('missed', 'policies', _policies(0), _MISSED_CHANGES)
+    deployment.processes[entry.name].start()
+    await _in_force(deployment, revision + 1)
+    await wait_until(partial(deployment.serves, entry), 'the restarted entry serves')
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/__init__.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/__init__.py
@@ -9,6 +9,12 @@
 )
 from bergamotcart_testkit.deployment._deployment import Deployment
 from bergamotcart_testkit.deployment._layout import LAYOUTS, Layout
+from bergamotcart_testkit.deployment._operators import (
+    control_leader,
+    control_status,
+    in_force_everywhere,
+    restore,
+)
 from bergamotcart_testkit.deployment._plan import ADMIN_TOKEN, ControlPlan, EntryPlan, TargetPlan
 from bergamotcart_testkit.deployment._process import ManagedProcess
 from bergamotcart_testkit.deployment._waiting import HANG_TIMEOUT_S, ConditionError, wait_until
@@ -29,5 +35,9 @@
     'TargetClient',
     'TargetPlan',
     'TargetStatus',
+    'control_leader',
+    'control_status',
+    'in_force_everywhere',
+    'restore',
     'wait_until',
 )
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_operators.py
@@ -0,0 +1,56 @@
+"""What operators do with a deployment: ask for the status, restore it after a fault."""
+
+from functools import partial
+from typing import cast
+
+from bergamotcart_testkit.deployment._deployment import Deployment
+from bergamotcart_testkit.deployment._plan import ADMIN_TOKEN
+from bergamotcart_testkit.deployment._waiting import wait_until
+
+
+async def control_status(deployment: Deployment) -> dict[str, object]:
+    """Return the status that some control process answers."""
+    return await wait_until(partial(_try_status, deployment), 'control answers its status')
+
+
+async def control_leader(deployment: Deployment) -> str:
+    """Return the name of the leading control process."""
+    return await wait_until(partial(_try_leader, deployment), 'control has a leader')
+
+
+async def in_force_everywhere(deployment: Deployment, revision: int) -> bool:
+    """Tell whether every entry reports a revision of the document, or a newer one."""
+    status = await control_status(deployment)
+    entries = cast(list[dict[str, int]], status['entries'])
+    reported = [entry['revision'] for entry in entries]
+    return len(reported) >= deployment.layout.entries and min(reported) >= revision
+
+
+async def restore(deployment: Deployment) -> None:
+    """End all faults: reconnect zones, remove lags, run every process, and wait for all."""
+    for process in deployment.processes.values():
+        process.resume()
+        if not process.is_running:
+            process.start()
+    for zone in deployment.layout.availability_zones:
+        await deployment.reconnect(zone)
+    for target in deployment.plan.targets:
+        client = deployment.target(target.name)
+        await wait_until(client.status, f'{target.name} answers')
+        await client.configure(lag=0.0, execution_time=deployment.layout.execution_time)
+    await deployment.ready(apply_document=False)
+
+
+async def _try_status(deployment: Deployment) -> dict[str, object] | None:
+    for control in deployment.plan.controls:
+        if not control.process.is_running:
+            continue
+        reply = await deployment.http.try_get(control.http, '/v1/status', ADMIN_TOKEN)
+        if reply and reply.is_ok:
+            return reply.json()
+    return None
+
+
+async def _try_leader(deployment: Deployment) -> str | None:
+    status = await control_status(deployment)
+    return cast(str | None, status['leader'])
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_session.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_session.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from bergamotcart_testkit.deployment import EntryPlan
@@ -41,6 +41,10 @@
     entries: Sequence[EntryPlan]
     seed: int
 
+    def at(self, entries: Sequence[EntryPlan]) -> 'SessionSettings':
+        """Return the same session at other entries."""
+        return replace(self, entries=entries)
+
 
 class Session:
     """Sends requests, remembers what it must see, and judges each answer.
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_static.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_static.py
@@ -8,7 +8,13 @@
 import psutil
 
 from bergamotcart_testkit.addresses import Address
-from bergamotcart_testkit.deployment import ADMIN_TOKEN, Deployment, EntryPlan, wait_until
+from bergamotcart_testkit.deployment import (
+    Deployment,
+    EntryPlan,
+    control_status,
+    in_force_everywhere,
+    wait_until,
+)
 from bergamotcart_testkit.load import Caller, Directives, run_setup
 from bergamotcart_testkit.measure._figures import Figure, LatencyHistogram, percentile
 
@@ -109,7 +115,7 @@
         body = {'policies': [{'name': 'extra', 'callers': [f'nobody{number}']}]}
         started = time.monotonic()
         await deployment.apply('extra', 'policies', body, base_version=number)
-        condition = partial(_in_force, deployment, await _revision(deployment))
+        condition = partial(in_force_everywhere, deployment, await _revision(deployment))
         await wait_until(condition, 'the change is in force on all entries', poll_s=0.01)
         times.append(time.monotonic() - started)
     return Figure(
@@ -121,32 +127,11 @@
     )
 
 
-async def control_status(deployment: Deployment) -> dict[str, object]:
-    """Return the status that some control process answers."""
-    return await wait_until(partial(_try_status, deployment), 'control answers its status')
-
-
-async def _try_status(deployment: Deployment) -> dict[str, object] | None:
-    for control in deployment.plan.controls:
-        reply = await deployment.http.try_get(control.http, '/v1/status', ADMIN_TOKEN)
-        if reply and reply.is_ok:
-            return reply.json()
-    return None
-
-
 async def _revision(deployment: Deployment) -> int:
     status = await control_status(deployment)
     return int(str(status['revision']))
 
 
-async def _in_force(deployment: Deployment, revision: int) -> bool:
-    status = await control_status(deployment)
-    entries = status['entries']
-    if not isinstance(entries, list) or len(entries) < deployment.layout.entries:
-        return False
-    return all(entry['revision'] >= revision for entry in entries)
-
-
 async def _read_latency(name: str, address: Address, group: str) -> float:
     caller = await Caller.connect(name, address, 'aged', group)
     histogram = LatencyHistogram()
