--- a/packages/bergamotcart/src/bergamotcart/control/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/control/__init__.py
@@ -1,1 +1,41 @@
 """The control engine: replicated state, leases, failover and distribution."""
+
+from bergamotcart.control._config import ControlConfig, ControlOutbox, ControlStatus
+from bergamotcart.control._engine import ControlEngine
+from bergamotcart.control._events import (
+    ControlAction,
+    ControlInput,
+    DurableState,
+    HardState,
+    InstanceStatus,
+    OperatorCommand,
+    OperatorReply,
+    OperatorRequest,
+    Order,
+    OrderFinished,
+    OrderKind,
+    Persist,
+    Persisted,
+    Snapshot,
+)
+
+__all__ = (
+    'ControlAction',
+    'ControlConfig',
+    'ControlEngine',
+    'ControlInput',
+    'ControlOutbox',
+    'ControlStatus',
+    'DurableState',
+    'HardState',
+    'InstanceStatus',
+    'OperatorCommand',
+    'OperatorReply',
+    'OperatorRequest',
+    'Order',
+    'OrderFinished',
+    'OrderKind',
+    'Persist',
+    'Persisted',
+    'Snapshot',
+)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
@@ -0,0 +1,274 @@
+"""Delivers messages, orders and writes between control engines and fakes, by a seeded clock."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bergamotcart import control, messages
+from bergamotcart.actions import Decision, MessageReceived, Send
+from bergamotcart.control.tests import _fakes as fakes
+
+MEMBERS = ('control-1', 'control-2', 'control-3')
+ADMIN = 'admin-secret'
+LATENCY_S = 0.003
+SYNC_S = 0.002
+
+
+@dataclass(slots=True)
+class Member:
+    """A control engine with its disk and clock."""
+
+    name: str
+    clock: fakes.Clock
+    disk: fakes.FakeDisk
+    engine: control.ControlEngine
+    starts: int = 1
+    alive: bool = True
+
+
+_Event = tuple[float, int, Callable[[], None]]
+
+
+def make_clock(source: random.Random, drift: float) -> fakes.Clock:
+    """Return a clock with a random start, and a rate that differs by at most ``drift``."""
+    return fakes.Clock(source.uniform(1 - drift, 1 + drift), source.uniform(1, 1000))
+
+
+class World:
+    """Three control members, entries and targets of one group."""
+
+    def __init__(self, seed: int = 1, drift: float = 0.0) -> None:
+        """Start all processes at time 0."""
+        self.random = random.Random(seed)
+        self.now = 0.0
+        # Shares of messages that are lost, duplicated and delayed, and a type that is lost.
+        self.loss = self.duplication = self.delay = 0.0
+        self.lost_type: type | None = None
+        self.cut: set[str] = set()
+        self.acknowledged: list[str] = []
+        self.decisions: list[Decision] = []
+        self.replies: dict[int, control.OperatorReply] = {}
+        self._events: list[_Event] = []
+        self._counter = itertools.count()
+        self.checks: list[Callable[[], None]] = []
+        self.promoted: Callable[[fakes.FakeTarget], None] = lambda target: None
+        self.members = {name: self._make_member(name, drift) for name in MEMBERS}
+        self.entries = {
+            name: fakes.FakeEntry(name, make_clock(self.random, drift))
+            for name in ('entry-1', 'entry-2', 'entry-3')
+        }
+        self.targets = {
+            name: fakes.FakeTarget(name, f'zone-{name}') for name in ('db-1', 'db-2', 'db-3')
+        }
+        for member in self.members.values():
+            self._step(member, member.starts, ())
+        for entry in self.entries.values():
+            self._renew(entry)
+        self._replicate()
+
+    @property
+    def leader(self) -> Member | None:
+        """The member that may act as leader now."""
+        for member in self.members.values():
+            if member.alive and member.engine.status(member.clock.at(self.now)).leads:
+                return member
+        return None
+
+    @property
+    def group(self) -> messages.GroupRow | None:
+        """Newest row of the group that any entry has."""
+        rows = [entry.groups.get(fakes.GROUP) for entry in self.entries.values()]
+        known = [row for row in rows if row]
+        return max(known, key=lambda row: row.modified_index, default=None)
+
+    def run(self, duration: float) -> None:
+        """Let time pass."""
+        end = self.now + duration
+        while self._events and self._events[0][0] <= end:
+            event = heapq.heappop(self._events)
+            self.now = event[0]
+            event[2]()
+            for check in self.checks:
+                check()
+        self.now = end
+
+    def run_until(self, condition: Callable[[], bool], limit: float = 20.0) -> None:
+        """Let time pass until a condition holds."""
+        end = self.now + limit
+        while not condition():
+            assert self.now < end, f'not reached: {self.decisions[-10:]}'
+            self.run(0.01)
+
+    def ask(self, member: Member, command: control.OperatorCommand, **body: object) -> int:
+        """Send an operator's request as the administrator and return its identifier."""
+        request_id = next(self._counter)
+        request = control.OperatorRequest(
+            request_id=request_id,
+            command=command,
+            token=ADMIN,
+            body=body,
+        )
+        self._step(member, member.starts, (request,))
+        return request_id
+
+    def crash(self, member: Member) -> None:
+        """Stop a member; what it had not synced is lost."""
+        member.alive = False
+
+    def restart(self, member: Member, *, emptied: bool = False) -> None:
+        """Start a member from its disk, or from an empty one."""
+        member.starts += 1
+        member.alive = True
+        if emptied:
+            hard = control.HardState(incarnation=f'{member.name}-{member.starts}')
+            member.disk = fakes.FakeDisk(hard)
+        member.engine = control.ControlEngine(self._config(member.name), member.disk.load())
+        self._step(member, member.starts, ())
+
+    def write(self, entry: fakes.FakeEntry) -> None:
+        """Write through an entry; acknowledged once a replica has it and the entry may."""
+        row = entry.open_row(self.now)
+        primary = self.targets.get(row.primary or '') if row else None
+        if entry.paused or row is None or primary is None or not primary.is_serving:
+            return
+        write = f'write {next(self._counter)}'
+        primary.log.append((row.term, write))
+        self._at(0.05, lambda: self._acknowledge(entry, entry.starts, row.term, write))
+
+    def _acknowledge(self, entry: fakes.FakeEntry, starts: int, term: int, write: str) -> None:
+        row = entry.open_row(self.now)
+        if entry.starts != starts or row is None or row.term != term:
+            return
+        for target in self.targets.values():
+            if target.name != row.primary and (term, write) in target.log:
+                self.acknowledged.append(write)
+                return
+
+    def _config(self, name: str) -> control.ControlConfig:
+        return control.ControlConfig(
+            name=name,
+            availability_zone=name,
+            address=name,
+            initial_members=tuple((member, member, member) for member in MEMBERS),
+            admin_token=ADMIN,
+            seed=self.random.randrange(1000),
+        )
+
+    def _make_member(self, name: str, drift: float) -> Member:
+        disk = fakes.FakeDisk(control.HardState(incarnation=f'{name}-1'))
+        engine = control.ControlEngine(self._config(name), disk.load())
+        return Member(name, make_clock(self.random, drift), disk, engine)
+
+    def _at(self, delay: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now + delay, next(self._counter), action))
+
+    def _step(
+        self,
+        member: Member,
+        starts: int,
+        inbox: tuple[control.ControlInput, ...],
+    ) -> None:
+        if not member.alive or member.starts != starts:
+            return
+        outbox = member.engine.step(member.clock.at(self.now), inbox)
+        for action in outbox.actions:
+            self._carry_out(member, action)
+        pause = max(member.clock.when(outbox.next_tick) - self.now, 0.001)
+        self._at(pause, lambda: self._step(member, starts, ()))
+
+    def _carry_out(self, member: Member, action: control.ControlAction) -> None:
+        match action:
+            case Send():
+                self._send(member.name, member.disk.hard.incarnation, action.recipient, action.body)
+            case control.Persist():
+                self._at(SYNC_S, lambda: self._sync(member, member.starts, action))
+            case control.Order():
+                self._order(member, action)
+            case control.OperatorReply():
+                self.replies[action.request_id] = action
+            case Decision():
+                self.decisions.append(action)
+
+    def _sync(self, member: Member, starts: int, batch: control.Persist) -> None:
+        if member.alive and member.starts == starts:
+            member.disk.write(batch)
+            self._step(member, starts, (control.Persisted(batch.batch_id),))
+
+    def _order(self, member: Member, order: control.Order) -> None:
+        starts = member.starts
+        self._at(self._latency(), lambda: self._obey(member, starts, order))
+
+    def _obey(self, member: Member, starts: int, order: control.Order) -> None:
+        target = self.targets[order.instance]
+        reached = target.alive and not target.isolated and member.name not in self.cut
+        status = target.obey(order) if reached else None
+        if status and order.kind == control.OrderKind.promote and status.accepted:
+            self.promoted(target)
+        if self.random.random() < self.loss:
+            status = None
+        finished = control.OrderFinished(order.order_id, status)
+        self._at(LATENCY_S, lambda: self._step(member, starts, (finished,)))
+
+    def _latency(self) -> float:
+        late = self.random.random() < self.delay
+        return self.random.uniform(0.1, 3.0) if late else LATENCY_S
+
+    def _send(self, sender: str, incarnation: str, recipient: str, body: messages.Body) -> None:
+        envelope = messages.Envelope(
+            version=messages.FORMAT_VERSION,
+            domain='default',
+            sender=sender,
+            incarnation=incarnation,
+            sender_address=sender,
+            recipient=recipient,
+            body=body,
+        )
+        lost = self.lost_type is not None and isinstance(body, self.lost_type)
+        if lost or sender in self.cut or self.random.random() < self.loss:
+            return
+        self._at(self._latency(), lambda: self._deliver(envelope))
+        if self.random.random() < self.duplication:
+            self._at(self._latency(), lambda: self._deliver(envelope))
+
+    def _deliver(self, envelope: messages.Envelope) -> None:
+        if envelope.recipient in self.cut:
+            return
+        member = self.members.get(envelope.recipient)
+        if member is not None:
+            self._step(member, member.starts, (MessageReceived(envelope),))
+            return
+        entry = self.entries[envelope.recipient]
+        if entry.paused:
+            return
+        answer = entry.receive(envelope.body)
+        if isinstance(envelope.body, messages.RelayPull):
+            answer = self._relay(envelope.body)
+        if answer is not None:
+            self._send(entry.name, entry.incarnation, envelope.sender, answer)
+
+    def _relay(self, pull: messages.RelayPull) -> messages.RelayBatch:
+        sightings = tuple(
+            messages.Sighting(announcement=target.announce(), age_s=0)
+            for target in self.targets.values()
+            if target.alive and not target.isolated
+        )
+        return messages.RelayBatch(echo_sent_at=pull.sent_at, sightings=sightings)
+
+    def _renew(self, entry: fakes.FakeEntry) -> None:
+        self._at(0.25, lambda: self._renew(entry))
+        if entry.paused:
+            return
+        entry.observe(list(self.targets.values()), self.now)
+        request = entry.ask(self.now)
+        for name in self.members:
+            self._send(entry.name, entry.incarnation, name, request)
+
+    def _replicate(self) -> None:
+        self._at(0.02, self._replicate)
+        for target in self.targets.values():
+            primary = self.targets.get(target.following or '')
+            up = target.alive and not target.isolated
+            if up and primary and primary.alive and not primary.isolated:
+                target.pull(primary)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_engine.py
@@ -0,0 +1,50 @@
+"""Guards against a control engine that stops serving operators, entries or groups."""
+
+from bergamotcart import control, messages
+from bergamotcart.control.tests._world import World
+
+DOCUMENT = 'groups: {tickets: {instances: 3, promotion_wait_s: 2}}'
+
+
+def start(seed: int = 1, body: str = DOCUMENT) -> World:
+    """Return a world whose group is open."""
+    world = World(seed)
+    world.run_until(lambda: world.leader is not None)
+    request_id = change(world, body=body)
+    world.run_until(lambda: request_id in world.replies)
+    assert world.replies[request_id].status == 200, world.replies[request_id]
+    world.run_until(lambda: is_open(world))
+    return world
+
+
+def change(world: World, **fields: object) -> int:
+    """Ask the leader for a change of the document."""
+    defaults: dict[str, object] = {
+        'section': 'databases',
+        'kind': 'groups',
+        'base_version': 0,
+        'change_id': 'c1',
+        'body': DOCUMENT,
+    }
+    return world.ask(world.leader, control.OperatorCommand.change, **(defaults | fields))
+
+
+def is_open(world: World, term: int = 1) -> bool:
+    """Tell whether the entries know the group as open at a term or a later one."""
+    row = world.group
+    return bool(row and row.phase == messages.GroupPhase.open and row.term >= term)
+
+
+def test_first_primary_is_placed_and_a_killed_one_replaced():
+    """Without a replacement, one crashed instance would end all writes."""
+    world = start()
+    first = world.group.primary
+    world.run(0.5)
+    world.write(world.entries['entry-1'])
+    world.run(1.0)
+    assert world.acknowledged
+    world.targets[first].alive = False
+    world.run_until(lambda: is_open(world, 2))
+    assert world.group.primary != first
+    successor = world.targets[world.group.primary]
+    assert {write for _, write in successor.log} >= set(world.acknowledged)
