--- a/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
@@ -59,6 +59,7 @@
     zone: str
     alive: bool = True
     isolated: bool = False
+    lagging: bool = False
     leaving: bool = False
     role: messages.TargetRole = messages.TargetRole.replica
     term: int = 0
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
@@ -198,7 +198,9 @@
 
     def _order(self, member: Member, order: control.Order) -> None:
         starts = member.starts
-        self._at(self._latency(), lambda: self._obey(member, starts, order))
+        # Answers of several instances arrive in any order.
+        delay = self._latency() * self.random.uniform(1, 10)
+        self._at(delay, lambda: self._obey(member, starts, order))
 
     def _obey(self, member: Member, starts: int, order: control.Order) -> None:
         target = self.targets[order.instance]
@@ -269,6 +271,6 @@
         self._at(0.02, self._replicate)
         for target in self.targets.values():
             primary = self.targets.get(target.following or '')
-            up = target.alive and not target.isolated
+            up = target.alive and not target.isolated and not target.lagging
             if up and primary and primary.alive and not primary.isolated:
                 target.pull(primary)
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_fuzz.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_fuzz.py
@@ -140,6 +140,13 @@
         """Isolate a target from control and its replicas; entries still write to it."""
         self.world.targets[name].isolated ^= True
 
+    @rule(name=_targets)
+    def let_one_lag(self, name: str) -> None:
+        """Stop replication to one replica, or to none if it lagged before."""
+        lagged = self.world.targets[name].lagging
+        for target in self.world.targets.values():
+            target.lagging = target.name == name and not lagged
+
     @rule(
         cause=st.sampled_from(('alive', 'isolated', 'leaving')),
         name=_entries,
@@ -182,6 +189,7 @@
             entry.paused = False
         for target in self.world.targets.values():
             target.isolated = False
+            target.lagging = False
             if target.leaving or not target.alive:
                 target.restart()
         self.world.run(0.3)
