Tell result columns of one name apart in the stand-in target

The library infers column types by name and fails with an empty error on a join of two columns of one name, so every read of a pair of the load ended in error 1105.

--- a/integration/tests/test_entries.py
+++ b/integration/tests/test_entries.py
@@ -1,6 +1,7 @@
 """Failures and drains of entries."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from itertools import chain
@@ -43,6 +44,7 @@
         deployment.processes[entry.name].kill()
         written = await wait_until(partial(_has_run, session.transaction), 'a transaction ran')
         seen = await session.read_pair(session.name)
+        assert seen.answer.ran, seen
         assert seen.answer.rows[0][1:] == (written.mark, written.mark)
         await load.acknowledged(30, deployment.group)
 
@@ -59,11 +61,12 @@
         process = deployment.processes[entry.name]
         session = await open_session(load, 'drained', (entry,))
         caller = await session.connect()
+        await load.acknowledged(20, deployment.group)
+        # The instance runs one writing transaction at a time, so the others now wait for this one.
         assert (await caller.execute('BEGIN')).ran
         sql = f"UPDATE left_halves SET mark = 'kept.1' WHERE id = '{session.name}'"
         assert (await caller.execute(sql)).ran
-        await load.acknowledged(20, deployment.group)
-        drained_at = asyncio.get_running_loop().time()
+        drained_at = time.monotonic()
         process.terminate()
         await wait_until(partial(_stops_serving, deployment, entry), 'health changes')
         other_half = sql.replace('left_halves', 'right_halves')
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_mysql.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_mysql.py
@@ -10,10 +10,10 @@
 from mysql_mimic.connection import Connection
 from mysql_mimic.control import LocalControl
 from mysql_mimic.errors import MysqlError
-from mysql_mimic.results import AllowedResult
+from mysql_mimic.results import AllowedResult, ResultColumn, ResultSet, infer_type
 from mysql_mimic.session import BaseSession
 from mysql_mimic.stream import MysqlStream
-from mysql_mimic.types import ServerStatus
+from mysql_mimic.types import ColumnType, ServerStatus
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
 from bergamotcart_testkit.target._dialect import Statement, StatementKind, parse_statement
@@ -80,7 +80,7 @@
         result = await self._execute(self._executor, parse_statement(sql))
         self.last_result = result
         if result.columns:
-            return result.rows, result.columns
+            return ResultSet(rows=result.rows, columns=_result_columns(result))
         return None
 
     async def _execute(self, executor: Executor, statement: Statement) -> StorageResult:
@@ -207,6 +207,17 @@
         await _run_connection(connection, self._control)
 
 
+def _result_columns(result: StorageResult) -> list[ResultColumn]:
+    """Describe the columns; the library itself cannot tell columns of one name apart."""
+    columns: list[ResultColumn] = []
+    for index, name in enumerate(result.columns):
+        known = (row[index] for row in result.rows if row[index] is not None)
+        value = next(known, None)
+        kind = ColumnType.NULL if value is None else infer_type(value)
+        columns.append(ResultColumn(name=name, type=kind))
+    return columns
+
+
 async def _run_connection(connection: Connection, control: LocalControl) -> None:
     async with AsyncExitStack() as stack:
         connection.connection_id = await control.add(connection)
