--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/__init__.py
@@ -0,0 +1,32 @@
+"""Callers, their sessions, and a mixed load that judges each answer."""
+
+from bergamotcart_testkit.load._caller import (
+    Answer,
+    Caller,
+    Directives,
+    UnreachableError,
+    Verdict,
+)
+from bergamotcart_testkit.load._load import MIXED, MOSTLY_READS, Load, LoadSettings, run_setup
+from bergamotcart_testkit.load._operations import READ_KINDS, Journal, Operation, OperationKind
+from bergamotcart_testkit.load._session import MAX_AGE_S, Session, SessionSettings
+
+__all__ = (
+    'MAX_AGE_S',
+    'MIXED',
+    'MOSTLY_READS',
+    'READ_KINDS',
+    'Answer',
+    'Caller',
+    'Directives',
+    'Journal',
+    'Load',
+    'LoadSettings',
+    'Operation',
+    'OperationKind',
+    'Session',
+    'SessionSettings',
+    'UnreachableError',
+    'Verdict',
+    'run_setup',
+)
