Hand a free connection to the statement that waited longest

A released connection went to the idle list, where a newcomer could take it before the woken waiter ran, so that some statements waited far longer than others. Answers of targets are read from one buffer instead of with two waits per packet.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
@@ -19,6 +19,12 @@
     :param role: role of this process, added to each line.
     :param process: name of this process, added to each line.
     """
+    # Lines name no thread, process or source line, so records need not collect them.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging.logAsyncioTasks = False
+    logging._srcfile = None
     formatter = MsgspecFormatter(
         list(_FIELDS),
         timestamp=True,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
@@ -5,7 +5,8 @@
 from typing import Any, Final, Self
 
 import aiomysql
-from pymysql.constants import CLIENT
+import pymysql
+from pymysql.constants import CLIENT, CR
 from pymysql.protocol import MysqlPacket
 
 from bergamotcart.outcomes import RequestResult
@@ -16,6 +17,7 @@
 _CHARSET: Final = 'utf8mb4'
 _ERROR_HEAD_BYTES: Final = 3
 _SQLSTATE_END: Final = 9
+_READ_BYTES: Final = 65536
 _UNKNOWN_SQLSTATE: Final = 'HY000'
 
 
@@ -66,6 +68,8 @@
         self.client_flag &= ~CLIENT.MULTI_STATEMENTS
         self.on_broken: Callable[[Self], None] | None = None
         self._broken = False
+        self._received = bytearray()
+        self._offset = 0
 
     @property
     def usable(self) -> bool:
@@ -111,6 +115,30 @@
     async def _read_packet(self, packet_type: type[MysqlPacket] = _Packet) -> MysqlPacket:
         return await super()._read_packet(packet_type)
 
+    async def _read_bytes(self, num_bytes: int) -> bytes:
+        # One answer consists of many packets that usually arrive together. Reading them from
+        # a buffer of our own avoids two waits on the stream for each packet.
+        while len(self._received) < self._offset + num_bytes:
+            chunk = await self._receive()
+            if self._offset:
+                self._received = self._received[self._offset :]
+                self._offset = 0
+            self._received += chunk
+        start = self._offset
+        self._offset = start + num_bytes
+        return bytes(self._received[start : self._offset])
+
+    async def _receive(self) -> bytes:
+        try:
+            chunk = await self._reader.read(_READ_BYTES)
+        except OSError as error:
+            self.close()
+            raise pymysql.OperationalError(CR.CR_SERVER_LOST, str(error)) from error
+        if not chunk:
+            self.close()
+            raise pymysql.OperationalError(CR.CR_SERVER_LOST, 'connection closed by the target')
+        return chunk
+
     def _watch(self) -> None:
         # A connection that breaks while it is idle must not be used for the next statement,
         # since the statement would then count as sent.
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
@@ -7,6 +7,8 @@
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.targets._connection import TargetConnection
 
+_Turn = asyncio.Future[TargetConnection | None]
+
 
 class ConnectionPool:
     """Keeps at most ``limit`` connections; the most recently used idle one is taken first.
@@ -46,7 +48,7 @@
         self._open: set[TargetConnection] = set()
         self._idle: list[TargetConnection] = []
         self._reserved = 0
-        self._waiting: collections.deque[asyncio.Future[None]] = collections.deque()
+        self._waiting: collections.deque[_Turn] = collections.deque()
 
     @property
     def address(self) -> Address:
@@ -58,19 +60,21 @@
         self._limit = limit
         while self._idle and self._used > limit:
             self.discard(self._idle[0])
-        self._wake()
+        self._admit()
 
     async def acquire(self) -> TargetConnection:
         """Return a connection that nobody else uses, waiting for one if necessary.
 
         :raises ConnectError: if a new connection cannot be opened.
         """
-        while True:
+        if not self._waiting:
             if self._idle:
                 return self._idle.pop()
             if self._used < self._limit:
+                self._reserved += 1
                 return await self._connect()
-            await self._wait()
+        connection = await self._wait()
+        return connection or await self._connect()
 
     def release(self, connection: TargetConnection) -> None:
         """Take back a clean connection; it is closed if there are too many."""
@@ -80,8 +84,12 @@
             self.discard(connection)
             return
         connection.on_broken = self._note_broken
-        self._idle.append(connection)
-        self._wake()
+        # Whoever waited longest gets the connection itself; a newcomer cannot take it first.
+        turn = self._take_turn()
+        if turn is None:
+            self._idle.append(connection)
+        else:
+            turn.set_result(connection)
 
     def discard(self, connection: TargetConnection) -> None:
         """Close a connection and forget it."""
@@ -93,7 +101,7 @@
         if connection in self._idle:
             self._idle.remove(connection)
         self._on_count(self._used)
-        self._wake()
+        self._admit()
 
     def close(self) -> None:
         """Close all connections, also those in use."""
@@ -106,7 +114,7 @@
         return len(self._open) + self._reserved
 
     async def _connect(self) -> TargetConnection:
-        self._reserved += 1
+        # The caller has reserved a place for the connection.
         try:
             connection = await TargetConnection.open(
                 self._address,
@@ -115,7 +123,7 @@
             )
         except BaseException:
             self._reserved -= 1
-            self._wake()
+            self._admit()
             raise
         self._reserved -= 1
         self._open.add(connection)
@@ -128,19 +136,41 @@
         if connection in self._idle:
             self.discard(connection)
 
-    async def _wait(self) -> None:
-        turn = asyncio.get_running_loop().create_future()
+    async def _wait(self) -> TargetConnection | None:
+        # ``None`` means that a place is reserved for a new connection.
+        turn: _Turn = asyncio.get_running_loop().create_future()
         self._waiting.append(turn)
         try:
-            await turn
+            return await turn
         except asyncio.CancelledError:
-            if turn.done() and not turn.cancelled():
-                self._wake()
+            self._give_up(turn)
             raise
 
-    def _wake(self) -> None:
-        while self._waiting and (self._idle or self._used < self._limit):
+    def _give_up(self, turn: _Turn) -> None:
+        if turn in self._waiting:
+            self._waiting.remove(turn)
+        elif turn.done() and not turn.cancelled():
+            self._pass_on(turn.result())
+
+    def _pass_on(self, connection: TargetConnection | None) -> None:
+        if connection is None:
+            self._reserved -= 1
+            self._admit()
+        else:
+            self.release(connection)
+
+    def _admit(self) -> None:
+        while self._used < self._limit:
+            turn = self._take_turn()
+            if turn is None:
+                return
+            self._reserved += 1
+            turn.set_result(None)
+
+    def _take_turn(self) -> _Turn | None:
+        # A waiter that has just been cancelled is still in the queue.
+        while self._waiting:
             turn = self._waiting.popleft()
             if not turn.done():
-                turn.set_result(None)
-                return
+                return turn
+        return None
