Drive the real engines and the real storage

USE goes to the entry engine as a statement, also for COM_INIT_DB, because only the engine knows which groups exist and refuses a change inside a transaction. The engine passes the retention of a group with each ledger execution, so that the adapter prunes rows by the operator's document.

--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_base.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_base.py
@@ -20,6 +20,10 @@
 TOKEN_VARIABLE: Final = 'BERGAMOTCTL_TOKEN'
 
 
+# Fields of an answer that the first line of an error shows, or that only repeat the request.
+_TITLES: Final = frozenset(('error', 'outcome', 'section', 'dry_run', 'current_body'))
+
+
 class ExitStatus(enum.IntEnum):
     """Exit status of the program."""
 
@@ -109,17 +113,22 @@
 
 def describe_refusal(error: RefusedError) -> str:
     """Return the reasons of a refused request, one per line."""
-    lines = [f'refused ({error.status}): {error.body.get("error", "")}'.rstrip(': ')]
+    reason = error.body.get('error') or error.body.get('outcome') or ''
+    lines = [f'refused ({error.status}): {reason}'.rstrip(': ')]
     for name, detail in sorted(error.body.items()):
-        if name == 'problems' and isinstance(detail, list):
-            lines.extend(f'  {_describe_problem(problem)}' for problem in detail)
-        elif name == 'diff':
-            lines.append(str(detail))
-        elif name != 'error':
-            lines.append(f'  {name}: {_describe(detail)}')
+        if name not in _TITLES and detail not in ('', None, []):
+            lines.extend(_describe_field(name, detail))
     return '\n'.join(lines)
 
 
+def _describe_field(name: str, detail: object) -> list[str]:
+    if name == 'problems' and isinstance(detail, list):
+        return [f'  {_describe_problem(problem)}' for problem in detail]
+    if name == 'diff':
+        return [str(detail)]
+    return [f'  {name}: {_describe(detail)}']
+
+
 def _describe_problem(problem: object) -> str:
     if isinstance(problem, dict):
         return f'{problem.get("path")}: {problem.get("message")}'
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_members.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_members.py
@@ -2,7 +2,7 @@
 
 from typing import ClassVar
 
-from cleo.helpers import argument, option
+from cleo.helpers import argument
 
 from bergamotcart_ctl.client import ControlClient
 from bergamotcart_ctl.commands._base import (
@@ -37,10 +37,8 @@
     async def execute_with(self, client: ControlClient) -> int:
         """Send the change and print the answer."""
         body: dict[str, object] = {'action': self.action, 'name': self.argument('name')}
-        for parameter in ('address', 'availability-zone', 'new-name'):
-            given = self.option(parameter) if self.definition.has_option(parameter) else None
-            if given is not None:
-                body[parameter.replace('-', '_')] = given
+        if self.definition.has_argument('replacement'):
+            body['replacement'] = self.argument('replacement')
         write_output(render(await client.post('/v1/members', body)))
         return ExitStatus.done
 
@@ -69,9 +67,8 @@
     name = 'members replace'
     description = 'Replace a control member by a process on another VM.'
     action = 'replace'
-    options: ClassVar = [
-        option('new-name', None, 'Name of the new member.', flag=False),
-        option('address', None, 'Inter-process address of the new member.', flag=False),
-        option('availability-zone', None, 'Availability zone of the new member.', flag=False),
-        *build_common_options(),
+    arguments: ClassVar = [
+        argument('name', 'Name of the member that leaves.'),
+        argument('replacement', 'Name of the process that takes its place and is running.'),
     ]
+    options: ClassVar = build_common_options()
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_wait.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_wait.py
@@ -67,10 +67,12 @@
 def _find_lagging(status: dict[str, object], revision: int) -> list[str]:
     entries = status.get('entries') or []
     rows = entries.values() if isinstance(entries, dict) else entries
+    if int(status.get('revision') or 0) < revision:
+        return [f'control (revision {status.get("revision")})']
     return [
-        f'{row.get("name")} (revision {row.get("revision")})'
+        f'{row["name"]} (revision {row["revision"]})'
         for row in rows
-        if int(row.get('revision') or 0) < revision
+        if row.get('revision', revision) < revision
     ]
 
 
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/tests/test_commands.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/tests/test_commands.py
@@ -31,7 +31,7 @@
         return web.json_response({'revision': 9, 'sections': rows})
 
     async def status(self, request: web.Request) -> web.Response:
-        return web.json_response({'leader': 'c1', 'entries': self.entries})
+        return web.json_response({'leader': 'c1', 'revision': 12, 'entries': self.entries})
 
     async def change(self, request: web.Request) -> web.Response:
         body = await request.json()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
@@ -58,6 +58,11 @@
         """Answer an executed prepared statement."""
         await self._answer(super().handle_stmt_execute(data))
 
+    async def handle_init_db(self, data: bytes) -> None:
+        """Select a group; the engine refuses one that it does not know."""
+        name = self.client_charset.decode(data).replace('`', '``')
+        await self._answer(self._select_group(name))
+
     async def handle_change_user(self, data: bytes) -> None:
         """Give the new user a session of its own."""
         self.session.end()
@@ -75,10 +80,6 @@
 
         :raises MysqlError: if the answer is an error or the caller has left.
         """
-        used = _USE.fullmatch(sql)
-        if used is not None:
-            await self.session.use(used.group(1) or used.group(2))
-            return _NO_ROWS
         session_id = self.session.session_id
         if session_id is None:
             raise _Refused(None)
@@ -88,6 +89,9 @@
         error = describe_error(outcome)
         if error is not None:
             raise _Refused(error)
+        if outcome.result.columns:
+            return build_result_set(outcome.result)
+        self._keep_group(sql)
         return self._keep_counts(outcome.result)
 
     def ok(self, **fields: Any) -> bytes:
@@ -96,9 +100,16 @@
         self._counts = {}
         return super().ok(**(counts | fields))
 
+    async def _select_group(self, name: str) -> None:
+        await self.query(f'USE `{name}`', {})
+        await self.stream.write(self.ok())
+
+    def _keep_group(self, sql: str) -> None:
+        used = _USE.fullmatch(sql)
+        if used is not None:
+            self.session.database = used.group(1) or used.group(2)
+
     def _keep_counts(self, answer: RequestResult) -> ResultSet:
-        if answer.columns:
-            return build_result_set(answer)
         self._counts = {
             'affected_rows': answer.affected_rows,
             'last_insert_id': answer.last_insert_id,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -11,10 +12,9 @@
 from mysql_mimic.control import LocalControl
 from mysql_mimic.stream import MysqlStream
 
-from bergamotcart.entry._actions import Reply
-from bergamotcart.entry._inputs import (
+from bergamotcart.entry import (
     EntryInput,
-    GroupSelected,
+    Reply,
     RequestArrived,
     SessionClosed,
     SessionOpened,
@@ -30,6 +30,7 @@
 _BACKLOG: Final = 1024
 _CLOSE_WAIT_S: Final = 5.0
 _CLOSE_CHECK_S: Final = 0.01
+_NS_PER_MS: Final = 1_000_000
 
 _logger = logging.getLogger(__name__)
 
@@ -95,10 +96,6 @@
         self._submit(SessionOpened(session_id, caller, group))
         return session_id
 
-    def select_group(self, session_id: int, group: str) -> None:
-        """Change the group of a session."""
-        self._submit(GroupSelected(session_id, group))
-
     def close_session(self, session_id: int) -> None:
         """End a session; its running statement gets no answer any more."""
         self._submit(SessionClosed(session_id))
@@ -113,7 +110,8 @@
         answer: asyncio.Future[Outcome | None] = loop.create_future()
         self._pending[request_id] = _Pending(session_id, loop.time(), answer)
         self._running[session_id] = request_id
-        self._submit(RequestArrived(request_id, session_id, sql))
+        unix_ms = time.time_ns() // _NS_PER_MS
+        self._submit(RequestArrived(request_id, session_id, sql, unix_ms))
         return await answer
 
     def reply(self, action: Reply) -> None:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_session.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_session.py
@@ -20,10 +20,6 @@
     def open_session(self, caller: str, group: str | None) -> int:
         """Start a session and return its identifier."""
 
-    @abc.abstractmethod
-    def select_group(self, session_id: int, group: str) -> None:
-        """Change the group of a session."""
-
     @abc.abstractmethod
     def close_session(self, session_id: int) -> None:
         """End a session; its running statement gets no answer any more."""
@@ -57,12 +53,6 @@
         """End the session when the connection ends."""
         self.end()
 
-    async def use(self, database: str) -> None:
-        """Change the group."""
-        self.database = database
-        if self._session_id is not None:
-            self.handler.select_group(self._session_id, database)
-
     def open(self) -> None:
         """Start a session of the engine."""
         self._session_id = self.handler.open_session(self.username or '', self.database or None)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
@@ -11,8 +11,7 @@
 import pymysql
 import pytest
 
-from bergamotcart.entry import _actions as actions
-from bergamotcart.entry import _inputs as inputs
+from bergamotcart import entry
 from bergamotcart.outcomes import (
     MayHaveRun,
     NotRun,
@@ -25,6 +24,8 @@
 from bergamotcart_daemon.callers import CallerServer
 from bergamotcart_daemon.metrics import Metrics
 
+_RESET_CONNECTION = 0x1F
+
 
 class _Engine:
     """Answers each request with the outcome set by the test, or not at all."""
@@ -37,8 +38,8 @@
 
     def submit(self, received: object) -> None:
         self.received.append(received)
-        if isinstance(received, inputs.RequestArrived) and self.outcome is not None:
-            reply = actions.Reply(received.request_id, self.outcome)
+        if isinstance(received, entry.RequestArrived) and self.outcome is not None:
+            reply = entry.Reply(received.request_id, self.outcome)
             asyncio.get_running_loop().call_soon(self.server.reply, reply)
 
     def take(self, kind: type) -> list[object]:
@@ -67,6 +68,11 @@
         yield engine
 
 
+async def _reset(connection: aiomysql.Connection) -> None:
+    await connection._execute_command(_RESET_CONNECTION, b'')
+    await connection._read_ok_packet()
+
+
 async def _query(connection: aiomysql.Connection, sql: str) -> aiomysql.Cursor:
     cursor = await connection.cursor()
     await cursor.execute(sql)
@@ -141,17 +147,19 @@
 
 
 async def test_sessions_and_groups_follow_the_connection():
-    """A statement must not go to the group of an earlier ``USE``."""
+    """A new session after a reset must not start in the group of an earlier ``USE``."""
 
     async with _open_engine() as engine:
         async with await engine.connect(password='ignored') as connection:
             await _query(connection, '/* note */ use `members`;')
             await connection.select_db('orders')
-        closed = await engine.wait_for(inputs.SessionClosed)
-        opened = engine.take(inputs.SessionOpened)
-        assert [(session.caller, session.group) for session in opened] == [('desk', 'tickets')]
-        selected = [change.group for change in engine.take(inputs.GroupSelected)]
-        assert selected == ['members', 'orders']
+            await _reset(connection)
+        closed = await engine.wait_for(entry.SessionClosed)
+        opened = engine.take(entry.SessionOpened)
+        assert [session.group for session in opened] == ['tickets', 'orders']
+        assert {session.caller for session in opened} == {'desk'}
+        texts = [request.sql for request in engine.take(entry.RequestArrived)]
+        assert texts == ['/* note */ use `members`;', 'USE `orders`']
         assert closed.session_id == opened[0].session_id
 
 
@@ -162,10 +170,10 @@
         engine.outcome = None
         connection = await engine.connect()
         running = asyncio.ensure_future(_query(connection, 'SELECT SLEEP'))
-        request = await engine.wait_for(inputs.RequestArrived)
+        request = await engine.wait_for(entry.RequestArrived)
         connection.close()
-        await engine.wait_for(inputs.SessionClosed)
-        engine.server.reply(actions.Reply(request.request_id, Ran()))
+        await engine.wait_for(entry.SessionClosed)
+        engine.server.reply(entry.Reply(request.request_id, Ran()))
         await asyncio.gather(running, return_exceptions=True)
         await asyncio.sleep(0.05)
-        assert len(engine.take(inputs.SessionClosed)) == 1
+        assert len(engine.take(entry.SessionClosed)) == 1
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_entry.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_entry.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from bergamotcart import messages
-from bergamotcart.entry._inputs import AnnouncementReceived
+from bergamotcart.entry import AnnouncementReceived
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.http._server import respond_json
 from bergamotcart_daemon.metrics import Metrics
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_control.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_control.py
@@ -7,9 +7,9 @@
 from mode import Service
 
 from bergamotcart.actions import Decision, Send
-from bergamotcart.control import ControlEngine
 from bergamotcart.control import _events as events
 from bergamotcart.control._config import ControlConfig, ControlStatus
+from bergamotcart.control._engine import ControlEngine
 from bergamotcart_daemon import storage
 from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.http import Health, HttpServer, OperatorApi
@@ -31,7 +31,8 @@
     def __init__(self, settings: ControlSettings) -> None:
         """Load the durable state and build the engine and its adapters."""
         super().__init__()
-        store = self.exit_stack.enter_context(storage.Storage(settings.data_folder))
+        store = storage.SqliteStorage(settings.data_folder, settings.control_domain)
+        self.exit_stack.callback(store.close)
         durable = store.load()
         self._engine = ControlEngine(_build_config(settings), durable)
         self._metrics = Metrics(self._read_gauges)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_entry.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_entry.py
@@ -7,11 +7,8 @@
 
 from mode import Service
 
+from bergamotcart import entry
 from bergamotcart.actions import Decision, Send
-from bergamotcart.entry import EntryEngine
-from bergamotcart.entry import _actions as actions
-from bergamotcart.entry._config import EntryConfig, EntryHealth
-from bergamotcart.entry._inputs import DrainRequested
 from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.callers import CallerServer
 from bergamotcart_daemon.http import AnnouncementApi, Health, HttpServer
@@ -33,7 +30,7 @@
         """Build the engine and its adapters; nothing is opened yet."""
         super().__init__()
         config = _build_config(settings)
-        self._engine = EntryEngine(config)
+        self._engine = entry.EntryEngine(config)
         self._metrics = Metrics(self._read_gauges)
         self._decisions = DecisionLog()
         self._engine_loop = EngineLoop(self._engine)
@@ -68,32 +65,32 @@
 
     def begin_shutdown(self) -> None:
         """Ask the engine to drain; it answers with ``Drained``."""
-        self._engine_loop.submit(DrainRequested())
+        self._engine_loop.submit(entry.DrainRequested())
 
     def _build_handlers(self) -> dict[type, Callable[[Any], None]]:
         return {
             Send: self._transport.send,
             Decision: self._note_decision,
-            actions.Execute: self._targets.execute,
-            actions.Probe: self._targets.probe,
-            actions.ReleasePin: self._targets.release_pin,
-            actions.LimitConnections: self._targets.limit_connections,
-            actions.Reply: self._callers.reply,
-            actions.Drained: self._note_drained,
+            entry.Execute: self._targets.execute,
+            entry.Probe: self._targets.probe,
+            entry.ReleasePin: self._targets.release_pin,
+            entry.LimitConnections: self._targets.limit_connections,
+            entry.Reply: self._callers.reply,
+            entry.Drained: self._note_drained,
         }
 
     def _note_decision(self, decision: Decision) -> None:
         self._metrics.count_decision(decision)
         self._decisions.write(decision)
 
-    def _note_drained(self, action: actions.Drained) -> None:
+    def _note_drained(self, action: entry.Drained) -> None:
         self.finish()
 
     def _read_health(self) -> Health:
         status = self._engine.status(read_clock())
-        health = EntryHealth.draining if self.stop_requested else status.health
+        health = entry.EntryHealth.draining if self.stop_requested else status.health
         return Health(
-            health == EntryHealth.serving,
+            health == entry.EntryHealth.serving,
             {
                 'state': health,
                 'lease_left_s': round(status.lease_left_s, 3),
@@ -111,12 +108,12 @@
             'revision': status.revision,
             'sessions': status.sessions,
             'requests': status.requests,
-            'serving': int(status.health == EntryHealth.serving),
+            'serving': int(status.health == entry.EntryHealth.serving),
         }
 
 
-def _build_config(settings: EntrySettings) -> EntryConfig:
-    return EntryConfig(
+def _build_config(settings: EntrySettings) -> entry.EntryConfig:
+    return entry.EntryConfig(
         name=settings.name,
         incarnation=uuid.uuid4().hex,
         availability_zone=settings.availability_zone,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
@@ -6,9 +6,14 @@
 from dataclasses import dataclass
 from typing import Final
 
-from bergamotcart.entry._actions import Execute
-from bergamotcart.entry._execution import ConnectionUse, ExecutionStatus
-from bergamotcart.entry._inputs import EntryInput, ExecutionFinished, PinLost
+from bergamotcart.entry import (
+    ConnectionUse,
+    EntryInput,
+    Execute,
+    ExecutionFinished,
+    ExecutionStatus,
+    PinLost,
+)
 from bergamotcart_daemon.targets import _ledger as ledger
 from bergamotcart_daemon.targets._connection import TargetConnection
 from bergamotcart_daemon.targets._dialect import PositionDialect
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_ledger.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_ledger.py
@@ -3,7 +3,7 @@
 import time
 from typing import Final
 
-from bergamotcart.entry._execution import LedgerKey, LedgerRecord
+from bergamotcart.entry import LedgerKey, LedgerRecord
 from bergamotcart.outcomes import RequestResult
 from bergamotcart_daemon.targets._connection import TargetConnection
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
@@ -4,8 +4,7 @@
 from collections.abc import Callable
 
 from bergamotcart.discovery import PositionReport, TargetKey
-from bergamotcart.entry._actions import Probe
-from bergamotcart.entry._inputs import ProbeFinished
+from bergamotcart.entry import Probe, ProbeFinished
 from bergamotcart.messages import Reachability
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.targets import _errors as errors
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
@@ -9,8 +9,14 @@
 from mode import Service
 
 from bergamotcart.discovery import TargetKey
-from bergamotcart.entry._actions import Execute, LimitConnections, Probe, ReleasePin
-from bergamotcart.entry._inputs import ConnectionCount, EntryInput
+from bergamotcart.entry import (
+    ConnectionCount,
+    EntryInput,
+    Execute,
+    LimitConnections,
+    Probe,
+    ReleasePin,
+)
 from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.targets._dialect import PositionDialect
 from bergamotcart_daemon.targets._executor import Executor
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_steps.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_steps.py
@@ -6,15 +6,15 @@
 from types import MappingProxyType
 
 from bergamotcart.discovery import PositionReport
-from bergamotcart.entry._actions import Execute
-from bergamotcart.entry._execution import (
+from bergamotcart.entry import (
     ConnectionUse,
+    Execute,
+    ExecutionFinished,
     ExecutionStatus,
     LedgerRecord,
     Step,
     StepKind,
 )
-from bergamotcart.entry._inputs import ExecutionFinished
 from bergamotcart.outcomes import RequestResult
 from bergamotcart_daemon.targets import _errors as errors
 from bergamotcart_daemon.targets import _ledger as ledger
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_executions.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_executions.py
@@ -6,29 +6,20 @@
 
 import pytest
 
-from bergamotcart import messages
+from bergamotcart import entry, messages
 from bergamotcart.discovery import Position, TargetKey
-from bergamotcart.entry import _actions as actions
-from bergamotcart.entry import _inputs as inputs
-from bergamotcart.entry._execution import (
-    ConnectionUse,
-    ExecutionStatus,
-    LedgerKey,
-    Step,
-    StepKind,
-)
 from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.targets import ReplicationPositionDialect, Targets, TargetSettings
 from bergamotcart_daemon.targets.tests.fake_target import FakeTarget, stay_silent
 
 _TARGET = TargetKey('tickets', 'a')
 _LEDGER_STEPS = (
-    Step(StepKind.begin),
-    Step(StepKind.ledger_insert),
-    Step(StepKind.statement, 'UPDATE seats'),
-    Step(StepKind.ledger_record),
-    Step(StepKind.commit),
-    Step(StepKind.position),
+    entry.Step(entry.StepKind.begin),
+    entry.Step(entry.StepKind.ledger_insert),
+    entry.Step(entry.StepKind.statement, 'UPDATE seats'),
+    entry.Step(entry.StepKind.ledger_record),
+    entry.Step(entry.StepKind.commit),
+    entry.Step(entry.StepKind.position),
 )
 
 
@@ -47,15 +38,15 @@
             if isinstance(received, kind):
                 return received
 
-    def start(self, *steps: Step, **fields: object) -> int:
+    def start(self, *steps: entry.Step, **fields: object) -> int:
         self._executions += 1
         defaults: dict[str, object] = {
             'session_id': 1,
             'address': self.target.address,
-            'use': ConnectionUse.shared,
+            'use': entry.ConnectionUse.shared,
             'timeout_s': 5.0,
         }
-        action = actions.Execute(
+        action = entry.Execute(
             execution_id=self._executions,
             request_id=self._executions,
             target=_TARGET,
@@ -65,9 +56,9 @@
         self.targets.execute(action)
         return self._executions
 
-    async def execute(self, *steps: Step, **fields: object) -> inputs.ExecutionFinished:
+    async def execute(self, *steps: entry.Step, **fields: object) -> entry.ExecutionFinished:
         self.start(*steps, **fields)
-        return await self.receive(inputs.ExecutionFinished)
+        return await self.receive(entry.ExecutionFinished)
 
 
 @contextlib.asynccontextmanager
@@ -82,12 +73,12 @@
         yield _Harness(target, targets, inbox)
 
 
-def _statement(sql: str = 'SELECT 1') -> Step:
-    return Step(StepKind.statement, sql)
+def _statement(sql: str = 'SELECT 1') -> entry.Step:
+    return entry.Step(entry.StepKind.statement, sql)
 
 
 def _ledger(fingerprint: str = 'f1') -> dict[str, object]:
-    return {'ledger': LedgerKey('desk', 'r1', fingerprint, None)}
+    return {'ledger': entry.LedgerKey('desk', 'r1', fingerprint, None)}
 
 
 async def test_rows_keep_their_values_and_null():
@@ -95,7 +86,7 @@
 
     async with _open_harness() as harness:
         finished = await harness.execute(_statement())
-        assert finished.status == ExecutionStatus.completed
+        assert finished.status == entry.ExecutionStatus.completed
         assert finished.result.rows == ((1, 'one', None),)
         assert finished.clean
 
@@ -107,10 +98,10 @@
     async with _open_harness() as harness:
         harness.target.ledger = {} if has_table else None
         first = await harness.execute(*_LEDGER_STEPS, **_ledger())
-        assert first.status == ExecutionStatus.completed
+        assert first.status == entry.ExecutionStatus.completed
         assert first.report.position == Position(3, 41)
         second = await harness.execute(*_LEDGER_STEPS, **_ledger('f2'))
-        assert second.status == ExecutionStatus.duplicate
+        assert second.status == entry.ExecutionStatus.duplicate
         assert second.record.fingerprint == 'f1'
         assert second.record.affected_rows == 2
         assert second.clean
@@ -123,8 +114,8 @@
     async with _open_harness() as harness:
         harness.target.fail('UPDATE seats', 1205, 'lock wait timeout')
         finished = await harness.execute(*_LEDGER_STEPS, **_ledger())
-        assert finished.status == ExecutionStatus.target_error
-        assert finished.failed_step == StepKind.statement
+        assert finished.status == entry.ExecutionStatus.target_error
+        assert finished.failed_step == entry.StepKind.statement
         assert finished.error.code == 1205
         assert finished.clean
         assert harness.target.statements[-1] == 'ROLLBACK'
@@ -135,16 +126,16 @@
 
     async with _open_harness() as harness:
         refused = await harness.execute(_statement(), address='127.0.0.1:1')
-        assert refused.status == ExecutionStatus.not_sent
+        assert refused.status == entry.ExecutionStatus.not_sent
         assert refused.refused
         harness.target.hooks['SELECT 1'] = stay_silent
         lost = await harness.execute(_statement(), timeout_s=0.2)
-        assert lost.status == ExecutionStatus.lost
-        assert lost.failed_step == StepKind.statement
+        assert lost.status == entry.ExecutionStatus.lost
+        assert lost.failed_step == entry.StepKind.statement
         assert not lost.refused
         assert not lost.clean
         harness.target.hooks.clear()
-        assert (await harness.execute(_statement())).status == ExecutionStatus.completed
+        assert (await harness.execute(_statement())).status == entry.ExecutionStatus.completed
 
 
 async def test_a_connection_that_breaks_during_a_statement_is_lost_and_refused():
@@ -153,7 +144,7 @@
     async with _open_harness() as harness:
         harness.target.hooks['SELECT 1'] = harness.target.disconnect_all
         lost = await harness.execute(_statement())
-        assert lost.status == ExecutionStatus.lost
+        assert lost.status == entry.ExecutionStatus.lost
         assert lost.refused
 
 
@@ -161,35 +152,35 @@
     """More connections than the quota would take those of other entries."""
 
     async with _open_harness() as harness:
-        limit = actions.LimitConnections(_TARGET, harness.target.address, 2)
+        limit = entry.LimitConnections(_TARGET, harness.target.address, 2)
         harness.targets.limit_connections(limit)
         for _ in range(6):
             harness.start(_statement('SELECT SLEEP'))
         for _ in range(6):
-            await harness.receive(inputs.ExecutionFinished)
+            await harness.receive(entry.ExecutionFinished)
         assert harness.target.most_running == 2
         assert harness.target.connections == 2
         harness.targets.limit_connections(
-            actions.LimitConnections(_TARGET, harness.target.address, 1),
+            entry.LimitConnections(_TARGET, harness.target.address, 1),
         )
-        assert (await harness.receive(inputs.ConnectionCount)).open == 1
+        assert (await harness.receive(entry.ConnectionCount)).open == 1
 
 
 async def test_a_pinned_connection_serves_only_its_session_until_it_is_unpinned():
     """Statements of two transactions must never share a connection."""
 
     async with _open_harness() as harness:
-        begin = Step(StepKind.begin)
-        await harness.execute(begin, use=ConnectionUse.pin, session_id=1)
+        begin = entry.Step(entry.StepKind.begin)
+        await harness.execute(begin, use=entry.ConnectionUse.pin, session_id=1)
         waiting = harness.start(_statement('SELECT 2'), session_id=2)
-        await harness.execute(_statement(), use=ConnectionUse.pinned, session_id=1)
+        await harness.execute(_statement(), use=entry.ConnectionUse.pinned, session_id=1)
         assert 'SELECT 2' not in harness.target.statements
         commit = harness.start(
-            Step(StepKind.commit),
-            use=ConnectionUse.unpin,
+            entry.Step(entry.StepKind.commit),
+            use=entry.ConnectionUse.unpin,
             session_id=1,
         )
-        ended = [await harness.receive(inputs.ExecutionFinished) for _ in range(2)]
+        ended = [await harness.receive(entry.ExecutionFinished) for _ in range(2)]
         assert [finished.execution_id for finished in ended] == [commit, waiting]
         assert harness.target.connections == 1
 
@@ -198,33 +189,33 @@
     """A session must not go on with a transaction that the target has rolled back."""
 
     async with _open_harness() as harness:
-        await harness.execute(Step(StepKind.begin), use=ConnectionUse.pin)
+        await harness.execute(entry.Step(entry.StepKind.begin), use=entry.ConnectionUse.pin)
         await harness.target.disconnect_all()
-        assert (await harness.receive(inputs.PinLost)).session_id == 1
-        late = await harness.execute(_statement(), use=ConnectionUse.pinned)
-        assert late.status == ExecutionStatus.not_sent
+        assert (await harness.receive(entry.PinLost)).session_id == 1
+        late = await harness.execute(_statement(), use=entry.ConnectionUse.pinned)
+        assert late.status == entry.ExecutionStatus.not_sent
 
 
 async def test_probes_report_positions_and_tell_refusing_from_silent_targets():
     """A silent target counts as unreachable later than one that refuses."""
 
     async with _open_harness() as harness:
-        probe = actions.Probe(
+        probe = entry.Probe(
             target=_TARGET,
             address=harness.target.address,
             wait_for=None,
             timeout_s=0.2,
         )
         harness.targets.probe(probe)
-        first = await harness.receive(inputs.ProbeFinished)
+        first = await harness.receive(entry.ProbeFinished)
         assert first.report.position == Position(3, 41)
         harness.target.hooks['SHOW REPLICATION POSITION'] = stay_silent
         harness.targets.probe(probe)
-        silent = await harness.receive(inputs.ProbeFinished)
+        silent = await harness.receive(entry.ProbeFinished)
         assert silent.failure == messages.Reachability.silent
         harness.target.hooks.clear()
         harness.targets.probe(probe)
-        await harness.receive(inputs.ProbeFinished)
+        await harness.receive(entry.ProbeFinished)
         await harness.target.stop()
-        refused = await harness.receive(inputs.ProbeFinished)
+        refused = await harness.receive(entry.ProbeFinished)
         assert refused.failure == messages.Reachability.refusing
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -102,6 +102,7 @@
                 use=plan.use,
                 timeout_s=timeout,
                 ledger=plan.ledger,
+                ledger_retention_s=self._retention(request) if plan.ledger else None,
             )
         )
 
@@ -126,6 +127,10 @@
         """Give back the place of a transaction that ended."""
         self._lanes.release(self._lanes.get(target), is_read=False)
 
+    def _retention(self, request: Request) -> float | None:
+        settings = self._work.view.document.group(request.group)
+        return settings.ledger_retention_s if settings else None
+
 
 def _lost(execution_id: int) -> ExecutionFinished:
     return ExecutionFinished(
