--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/main.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/main.py
@@ -42,3 +42,7 @@
     except CleoError as error:
         sys.stderr.write(f'bergamotctl: {error}\n')
         return int(commands.ExitStatus.usage)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/main.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/main.py
@@ -62,3 +62,7 @@
 def _fail(problems: tuple[str, ...]) -> int:
     sys.stderr.write(''.join(f'bergamotcartd: {problem}\n' for problem in problems))
     return _USAGE
+
+
+if __name__ == '__main__':
+    sys.exit(main())
