--- a/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from bergamotcart import control, messages
@@ -25,6 +25,7 @@
     disk: fakes.FakeDisk
     engine: control.ControlEngine
     starts: int = 1
+    steps: int = 0
     alive: bool = True
 
 
@@ -36,6 +37,19 @@
     return fakes.Clock(source.uniform(1 - drift, 1 + drift), source.uniform(1, 1000))
 
 
+def relay(
+    targets: Iterable[fakes.FakeTarget],
+    pull: messages.RelayPull,
+) -> messages.RelayBatch:
+    """Return the announcements of all targets that can send one."""
+    sightings = tuple(
+        messages.Sighting(announcement=target.announce(), age_s=0)
+        for target in targets
+        if target.alive and not target.isolated
+    )
+    return messages.RelayBatch(echo_sent_at=pull.sent_at, sightings=sightings)
+
+
 class World:
     """Three control members, entries and targets of one group."""
 
@@ -176,7 +190,14 @@
         for action in outbox.actions:
             self._carry_out(member, action)
         pause = max(member.clock.when(outbox.next_tick) - self.now, 0.001)
-        self._at(pause, lambda: self._step(member, starts, ()))
+        member.steps += 1
+        steps = member.steps
+        self._at(pause, lambda: self._tick(member, starts, steps))
+
+    def _tick(self, member: Member, starts: int, steps: int) -> None:
+        # Another input has brought a later time for the next tick.
+        if member.steps == steps:
+            self._step(member, starts, ())
 
     def _carry_out(self, member: Member, action: control.ControlAction) -> None:
         match action:
@@ -246,18 +267,10 @@
             return
         answer = entry.receive(envelope.body)
         if isinstance(envelope.body, messages.RelayPull):
-            answer = self._relay(envelope.body)
+            answer = relay(self.targets.values(), envelope.body)
         if answer is not None:
             self._send(entry.name, entry.incarnation, envelope.sender, answer)
 
-    def _relay(self, pull: messages.RelayPull) -> messages.RelayBatch:
-        sightings = tuple(
-            messages.Sighting(announcement=target.announce(), age_s=0)
-            for target in self.targets.values()
-            if target.alive and not target.isolated
-        )
-        return messages.RelayBatch(echo_sent_at=pull.sent_at, sightings=sightings)
-
     def _renew(self, entry: fakes.FakeEntry) -> None:
         self._at(0.25, lambda: self._renew(entry))
         if entry.paused:
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_fuzz.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_fuzz.py
@@ -42,6 +42,12 @@
     base_version: int
 
 
+def find_row(member: Member) -> messages.GroupRow | None:
+    """Return the group's row as a member has applied it."""
+    started = member.engine._runtime
+    return started._state.groups.get(fakes.GROUP) if started else None
+
+
 class ControlMachine(RuleBasedStateMachine):
     """Three engines with fake entries and targets under random failures."""
 
@@ -173,7 +179,7 @@
         self.world.cut.add(name)
         for _ in range(200 if phase else 0):
             leader = self.world.leader
-            if leader and self.find_row(leader).phase == phase:
+            if leader and find_row(leader).phase == phase:
                 self.world.crash(leader)
                 return
             self.world.run(0.005)
@@ -235,7 +241,7 @@
     def check_leases(self) -> None:
         """No entry may write at a term that control has left for a newer one."""
         for member in self.world.members.values():
-            row = self.find_row(member)
+            row = find_row(member)
             if row is not None and row.phase != messages.GroupPhase.frozen:
                 self.promoted_term = max(self.promoted_term, row.term)
         for entry in self.world.entries.values():
@@ -248,11 +254,6 @@
         lost = set(self.world.acknowledged) - {write for _, write in target.log}
         assert not lost, f'{target.name} was promoted without {lost}'
 
-    def find_row(self, member: Member) -> messages.GroupRow | None:
-        """Return the group's row as a member has applied it."""
-        started = member.engine._runtime
-        return started._state.groups.get(fakes.GROUP) if started else None
-
     def all_vote(self) -> bool:
         """Tell whether the leader counts all members as voters in their newest start."""
         leader = self.world.leader
