--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/capacity/_entry.py
@@ -0,0 +1,232 @@
+"""Cost of one idle entry: what it spends on control, discovery and probes."""
+
+import msgspec
+
+from bergamotcart import discovery, entry, messages
+from bergamotcart.actions import MessageReceived, Send
+from bergamotcart_testkit.capacity._meter import Meter, TracedMemory
+from bergamotcart_testkit.capacity._sample import ZONES, Sample, Scale, Traffic, wrap
+
+_NAME = 'entry-0'
+_STEP_S = 0.01
+_ANNOUNCE_S = 1.0
+_SETTLE_S = 2.0
+_CHANGED_GROUPS = 1
+
+
+class _Peers:
+    """An entry engine with its control, targets and fellow entries made up."""
+
+    __slots__ = (
+        '_announced_at',
+        '_engine',
+        '_scale',
+        '_sequence',
+        '_sightings',
+        'meter',
+        'now',
+        'probes',
+        'received',
+        'sent',
+    )
+
+    def __init__(self, scale: Scale) -> None:
+        """Start the engine."""
+        self._engine = entry.EntryEngine(
+            entry.EntryConfig(
+                name=_NAME,
+                incarnation='first',
+                availability_zone=scale.zone_of(0),
+                address=f'{_NAME}:7000',
+                control_members=(('control-1', 'control-1:7000'),),
+                session_key=b'capacity-session-key',
+            ),
+        )
+        self._scale = scale
+        self._sightings = {
+            scale.zone_of(index): [
+                _with_role(announcement)
+                for announcement in scale.announcements(scale.zone_of(index))
+            ]
+            for index in range(min(scale.nodes, len(ZONES)))
+        }
+        self._announced_at = float('-inf')
+        self._sequence = 0
+        self.now = 0.0
+        self.meter = Meter()
+        self.probes = 0
+        self.received = Traffic()
+        self.sent = Traffic()
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass and answer all that the engine asks."""
+        self.now += seconds
+        inbox = self._announce()
+        while True:
+            inbox = self._step(inbox)
+            if not inbox:
+                return
+
+    def reset_figures(self) -> None:
+        """Begin to count anew."""
+        self.meter = Meter()
+        self.received = Traffic()
+        self.sent = Traffic()
+        self.probes = 0
+
+    def update(self, from_index: int) -> None:
+        """Send an update: of all rows for index 0, of one group row otherwise."""
+        inbox: list[entry.EntryInput] = [MessageReceived(self._update(from_index))]
+        while inbox:
+            inbox = self._step(inbox)
+
+    def _step(self, inbox: list[entry.EntryInput]) -> list[entry.EntryInput]:
+        self.received.add(item.envelope.body for item in inbox if isinstance(item, MessageReceived))
+        with self.meter.running():
+            outbox = self._engine.step(self.now, inbox)
+        answers: list[entry.EntryInput] = []
+        for action in outbox.actions:
+            if isinstance(action, Send):
+                self.sent.add((action.body,))
+                answers.extend(self._answer(action))
+            elif isinstance(action, entry.Probe):
+                self.probes += 1
+                answers.append(self._probed(action))
+        return answers
+
+    def _announce(self) -> list[entry.EntryInput]:
+        if self.now - self._announced_at < _ANNOUNCE_S:
+            return []
+        echo = self._announced_at if self._sequence else None
+        self._announced_at = self.now
+        self._sequence += 1
+        return [
+            entry.AnnouncementReceived(
+                _renew(announcement, self._sequence, echo),
+            )
+            for announcement in self._sightings[self._scale.zone_of(0)]
+        ]
+
+    def _answer(self, send: Send) -> list[entry.EntryInput]:
+        body: messages.Body
+        match send.body:
+            case messages.LeaseRequest() as request:
+                body = messages.LeaseGrant(
+                    echo_sent_at=request.sent_at,
+                    duration_s=1,
+                    renew_after_s=0.25,
+                    control_term=1,
+                    current_index=request.applied_index,
+                )
+            case messages.RelayPull() as pull:
+                zone = self._scale.zone_of(int(send.recipient.rpartition('-')[2]))
+                body = messages.RelayBatch(
+                    echo_sent_at=pull.sent_at,
+                    sightings=tuple(
+                        messages.Sighting(
+                            announcement=_renew(announcement, self._sequence, None),
+                            age_s=0.5,
+                        )
+                        for announcement in self._sightings[zone]
+                    ),
+                )
+            case _:
+                return []
+        return [MessageReceived(wrap(send.recipient, _NAME, body))]
+
+    def _probed(self, probe: entry.Probe) -> entry.EntryInput:
+        is_primary = probe.target.instance.endswith('-0')
+        report = discovery.PositionReport(
+            role=messages.TargetRole.primary if is_primary else messages.TargetRole.replica,
+            term=1,
+            position=discovery.Position(1, 1),
+        )
+        return entry.ProbeFinished(probe.target, self.now, report)
+
+    def _update(self, from_index: int) -> messages.Envelope:
+        groups, nodes = self._scale.groups, self._scale.nodes
+        if from_index:
+            groups, nodes = _CHANGED_GROUPS, 0
+        lines = ['groups:']
+        lines.extend(f'  group-{index}: {{}}' for index in range(self._scale.groups))
+        section = messages.SectionRow(
+            name='databases', kind='groups', version=1, body='\n'.join(lines)
+        )
+        update = messages.StateUpdate(
+            control_term=1,
+            from_index=from_index,
+            to_index=from_index + 1,
+            revision=1,
+            entries_limit=9,
+            groups=tuple(
+                messages.GroupRow(
+                    name=f'group-{index}',
+                    term=1,
+                    phase=messages.GroupPhase.open,
+                    primary=f'group-{index}-0',
+                )
+                for index in range(groups)
+            ),
+            sections=() if from_index else (section,),
+            entries=tuple(
+                messages.EntryRow(
+                    name=f'entry-{index}',
+                    incarnation='first',
+                    availability_zone=self._scale.zone_of(index),
+                    address=f'entry-{index}:7000',
+                )
+                for index in range(nodes)
+            ),
+        )
+        return wrap('control-1', _NAME, update)
+
+
+def measure_entry(scale: Scale) -> Sample:
+    """Measure one idle entry.
+
+    :param scale: size of the deployment that the entry is part of.
+    :returns: its cost for each second of operation.
+    """
+    memory = TracedMemory()
+    peers = _Peers(scale)
+    peers.advance(_STEP_S)
+    peers.update(0)
+    _run(peers, _SETTLE_S)
+    memory_mb = memory.stop()
+    peers.reset_figures()
+    _run(peers, scale.seconds)
+    idle, received, sent = peers.meter, peers.received, peers.sent
+    peers.meter = Meter()
+    peers.update(1)
+    return Sample(
+        role='entry',
+        nodes=scale.nodes,
+        groups=scale.groups,
+        cpu_share=idle.cpu_s / scale.seconds,
+        messages_in=received.message_count / scale.seconds,
+        messages_out=(sent.message_count + peers.probes) / scale.seconds,
+        bytes_in=received.byte_count / scale.seconds,
+        bytes_out=sent.byte_count / scale.seconds,
+        largest_message=max(received.largest, sent.largest),
+        memory_mb=memory_mb,
+        change_cpu_s=peers.meter.cpu_s,
+    )
+
+
+def _run(peers: _Peers, seconds: float) -> None:
+    for _ in range(int(seconds / _STEP_S)):
+        peers.advance(_STEP_S)
+
+
+def _with_role(announcement: messages.Announcement) -> messages.Announcement:
+    is_primary = announcement.instance.endswith('-0')
+    role = messages.TargetRole.primary if is_primary else messages.TargetRole.replica
+    return msgspec.structs.replace(announcement, role=role, term=1, log_term=1)
+
+
+def _renew(
+    announcement: messages.Announcement,
+    sequence: int,
+    echo: float | None,
+) -> messages.Announcement:
+    return msgspec.structs.replace(announcement, sequence=sequence, echo=echo)
