Check in the fuzz test that answers and commits rest on synced state

Switching off the sync before an acknowledgement was not noticed, because the schedules rarely crashed in between. The harness now compares each vote, acknowledgement and commit with the disks, and the schedules crash and cut off members more often.

--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from bergamotcart import messages
+from bergamotcart.actions import Send
 from bergamotcart.consensus import (
     ConsensusConfig,
     ConsensusNode,
@@ -13,6 +14,8 @@
     Persist,
     Role,
 )
+from bergamotcart.consensus._log import Log
+from bergamotcart.consensus._membership import Members, identity, is_majority, voter_ids
 
 
 class Disk:
@@ -25,6 +28,20 @@
         )
         self.pending: list[Persist] = []
 
+    @property
+    def last_index(self) -> int:
+        """Index of the newest synced record."""
+        records, snapshot = self.state.records, self.state.snapshot
+        if records:
+            return records[-1].index
+        return snapshot.last_index if snapshot else 0
+
+    def holds(self, entry: messages.LogEntry) -> bool:
+        """Whether a record is synced, itself or as part of a snapshot."""
+        snapshot = self.state.snapshot
+        in_snapshot = snapshot is not None and entry.index <= snapshot.last_index
+        return in_snapshot or entry in self.state.records
+
     def sync(self) -> int | None:
         """Apply the oldest pending batch, and return its identifier."""
         if not self.pending:
@@ -71,6 +88,16 @@
         return b','.join(entry.command for entry in self.committed[:index])
 
 
+def check_synced(disk: Disk, send: Send) -> None:
+    """A vote and an acknowledgement leave only after they are synced."""
+    body, hard = send.body, disk.state.hard
+    if isinstance(body, messages.VoteResponse) and body.granted and hard.term <= body.term:
+        candidate = f'{send.recipient}/{body.candidate_incarnation}'
+        assert (hard.term, hard.voted_for) == (body.term, candidate), 'vote is not synced'
+    if isinstance(body, messages.AppendResponse) and body.success and hard.term <= body.term:
+        assert disk.last_index >= body.match_index, 'acknowledged records are not synced'
+
+
 class Server:
     """One member with its disk; ``node`` is ``None`` while it is down."""
 
@@ -82,11 +109,17 @@
         self.disk = self.empty_disk()
         self.node: ConsensusNode | None = None
         self.applied = 0
+        self.led_commit: int | None = None
         self.auto_sync = True
         self.paused = False
         # Monotonic clocks of different VMs have nothing in common.
         self.clock_offset_s = cluster.random.uniform(0, 1000)
 
+    @property
+    def identity(self) -> str:
+        """Identity of the member that the disk holds."""
+        return identity(self.name, self.disk.state.hard.incarnation)
+
     @property
     def now(self) -> float:
         """Clock of this server."""
@@ -101,12 +134,14 @@
         """Give the server an empty folder with a new incarnation."""
         self.folders += 1
         self.disk = Disk(f'{self.name}{self.folders}')
+        self.cluster.disks[self.identity] = self.disk
         return self.disk
 
     def start(self) -> None:
         """Start the process on what is synced."""
         self.disk.pending.clear()
         self.applied = 0
+        self.led_commit = None
         self.node = ConsensusNode(self.now, self.cluster.make_config(self.name), self.disk.state)
         self.drain()
 
@@ -136,6 +171,7 @@
 
     def drain(self) -> None:
         """Carry out the outputs."""
+        self._check_commit()
         outputs = self.node.take_outputs()
         self.disk.pending.extend(outputs.batches)
         for change in outputs.role_changes:
@@ -150,10 +186,24 @@
             self.applied = entry.index
             self.cluster.oracle.note_committed(entry)
         for send in outputs.sends:
+            check_synced(self.disk, send)
             self.cluster.post(self, send)
         if self.auto_sync and self.disk.pending:
             self.sync()
 
+    def _check_commit(self) -> None:
+        """A leader commits only its own term's records that a majority has synced."""
+        node = self.node
+        before = self.led_commit
+        self.led_commit = node.commit_index if node.role == Role.leader else None
+        if before is None or self.led_commit in {None, before}:
+            return
+        entry = node._core.log.read(node.commit_index, node.commit_index)[0]
+        assert entry.term == node.term, f'{entry} of an older term is committed'
+        holders = [key for key, disk in self.cluster.disks.items() if disk.holds(entry)]
+        voters = voter_ids(node.members)
+        assert is_majority(holders, voters), f'{entry} is committed, but only on {holders}'
+
 
 class Cluster:
     """Servers, the messages between them, and the clock."""
@@ -166,6 +216,8 @@
         self.initial = names
         self.oracle = Oracle()
         self.mail: list[messages.Envelope] = []
+        # Also those that were emptied: what they had synced counts for what was committed.
+        self.disks: dict[str, Disk] = {}
         self.cut: set[str] = set()
         self.servers = {name: Server(self, name) for name in names}
 
@@ -193,7 +245,7 @@
         for server in self.servers.values():
             server.start()
 
-    def post(self, sender: Server, send) -> None:
+    def post(self, sender: Server, send: Send) -> None:
         """Put a message on the network."""
         assert send.address == f'addr-{send.recipient}'
         envelope = messages.Envelope(
@@ -222,6 +274,18 @@
         for envelope in mail:
             self.deliver(envelope)
 
+    def ask_for_vote(self, candidate: str, voter: str) -> None:
+        """Deliver a vote request for the next term, without any pre-vote."""
+        node = self.servers[candidate].node
+        request = messages.VoteRequest(
+            term=node.term + 1,
+            last_index=node.last_index,
+            last_term=node.term,
+            members=node.members,
+        )
+        self.post(self.servers[candidate], Send(voter, f'addr-{voter}', request))
+        self.deliver_all()
+
     def run(self, seconds: float, step: float = 0.01) -> None:
         """Let time pass; each message takes one step."""
         end = self.now + seconds
@@ -269,5 +333,20 @@
                 server.node.propose_members(server.now, members)
                 server.drain()
 
+    def find_present(self) -> set[str]:
+        """Identities whose folder still exists."""
+        return {server.identity for server in self.servers.values()}
+
+    def find_memberships(self) -> list[Members]:
+        """All that are committed, in a log, on a disk, or on the way into a log."""
+        found = [entry.members for entry in self.oracle.committed if entry.members][-1:]
+        for server in self.servers.values():
+            found.append(Log(server.disk.state).members)
+            found.append(server.node.members if server.node else ())
+        for envelope in self.mail:
+            records = getattr(envelope.body, 'records', ())
+            found.extend(entry.members for entry in records if entry.members)
+        return [members for members in found if members]
+
     def _all_vote(self) -> bool:
         return all(server.node and server.node.is_voter for server in self.servers.values())
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_fuzz.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_fuzz.py
@@ -7,11 +7,10 @@
 import os
 import random
 
-from hypothesis import HealthCheck, seed, settings, stateful
+from hypothesis import HealthCheck, Phase, seed, settings, stateful
 from hypothesis import strategies as st
 
-from bergamotcart.consensus._log import Log
-from bergamotcart.consensus._membership import Members, identity, is_majority, voter_ids
+from bergamotcart.consensus._membership import is_majority, voter_ids
 from bergamotcart.consensus.tests._cluster import Cluster, Server
 
 _EXAMPLES = int(os.environ.get('BERGAMOTCART_FUZZ_EXAMPLES', '40'))
@@ -31,8 +30,9 @@
         super().__init__()
         self.cluster = Cluster(trailing_records=2, part_bytes=40)
         self.cluster.add_server('d')
+        self.servers = self.cluster.servers
         self.commands = 0
-        for server in self.cluster.servers.values():
+        for server in self.servers.values():
             server.auto_sync = False
             server.start()
 
@@ -40,7 +40,7 @@
     def let_time_pass(self, seconds: float, name: str) -> None:
         """Only one member notices, so the others race later."""
         self.cluster.now += seconds
-        self.cluster.servers[name].tick()
+        self.servers[name].tick()
 
     @stateful.rule(position=st.integers(0, _MAIL_KEPT), keep=st.booleans())
     def deliver_any(self, position: int, keep: bool) -> None:
@@ -52,7 +52,7 @@
         """Many small events, with a loss, a duplicate or a late message now and then."""
         chance = random.Random(chances)
         for _ in range(steps):
-            self.cluster.now += 0.01
+            self.cluster.now += chance.choice((0.01, 0.01, 0.1))
             self._act_badly(chance)
             self.check_quorum()
 
@@ -64,7 +64,7 @@
     @stateful.rule(name=_servers)
     def propose(self, name: str) -> None:
         """Any member that believes it leads may propose."""
-        server = self.cluster.servers[name]
+        server = self.servers[name]
         if server.is_active:
             self.commands += 1
             server.node.propose(server.now, b'%d' % self.commands)
@@ -82,21 +82,21 @@
         No operator removes a live voter while a majority of the rest has lost its disk: the
         leader refuses that too, but learns of the loss only after a while.
         """
-        server = self.cluster.servers[name]
+        server = self.servers[name]
         if not server.is_active:
             return
         members = server.node.members
         kept = tuple(member for member in members if member.name != removed)
         if kept == members:
             kept = (*members, *server.node.newcomers)
-        if is_majority(self._find_present(), voter_ids(kept)):
+        if is_majority(self.cluster.find_present(), voter_ids(kept)):
             server.node.propose_members(server.now, kept)
             server.drain()
 
     @stateful.rule(name=_servers)
     def resign(self, name: str) -> None:
         """Give up the leadership."""
-        server = self.cluster.servers[name]
+        server = self.servers[name]
         if server.is_active:
             server.node.resign(server.now)
             server.drain()
@@ -104,18 +104,19 @@
     @stateful.rule(name=_servers)
     def sync(self, name: str) -> None:
         """One batch reaches the disk."""
-        self.cluster.servers[name].sync()
+        self.servers[name].sync()
 
     @stateful.rule(name=_servers)
     def compact(self, name: str) -> None:
         """Take a snapshot."""
-        if self.cluster.servers[name].is_active:
-            self.cluster.servers[name].snapshot()
+        server = self.servers[name]
+        if server.is_active:
+            server.snapshot()
 
     @stateful.rule(name=_servers)
     def pause_or_resume(self, name: str) -> None:
         """A paused member believes that no time has passed."""
-        server = self.cluster.servers[name]
+        server = self.servers[name]
         server.paused = not server.paused
 
     @stateful.rule(name=_servers)
@@ -126,7 +127,7 @@
     @stateful.rule(name=_servers)
     def stop_or_start(self, name: str) -> None:
         """A crash loses what is not synced."""
-        server = self.cluster.servers[name]
+        server = self.servers[name]
         if server.node:
             server.stop()
         else:
@@ -135,7 +136,7 @@
     @stateful.rule(name=_servers)
     def empty_folder(self, name: str) -> None:
         """Lose a disk, if every membership that may count keeps a majority."""
-        server = self.cluster.servers[name]
+        server = self.servers[name]
         if self._may_empty(server):
             server.stop()
             server.empty_disk()
@@ -146,7 +147,7 @@
         """Two members that serve reads at the same time would serve stale state."""
         serving = [
             server.name
-            for server in self.cluster.servers.values()
+            for server in self.servers.values()
             if server.node and server.node.has_quorum(server.now)
         ]
         assert len(serving) < 2, f'{serving} lead at the same time'
@@ -154,7 +155,7 @@
     def teardown(self) -> None:
         """After the faults end, a record must reach all voters, on top of all before it."""
         self.cluster.cut.clear()
-        for server in self.cluster.servers.values():
+        for server in self.servers.values():
             server.paused = False
             if not server.node:
                 server.start()
@@ -172,25 +173,39 @@
         leader.drain()
         self._run_well(1)
         voters = [member.name for member in leader.node.members if member.voter]
-        return all(self.cluster.servers[name].applied >= index for name in voters)
+        return all(self.servers[name].applied >= index for name in voters)
 
     def _run_well(self, seconds: float) -> None:
         end = self.cluster.now + seconds
         while self.cluster.now < end:
-            for server in self.cluster.servers.values():
+            for server in self.servers.values():
                 while server.disk.pending:
                     server.sync()
             self.cluster.run(0.02)
             self.check_quorum()
 
     def _act_badly(self, chance: random.Random) -> None:
-        server = self.cluster.servers[chance.choice('abcd')]
+        name = chance.choice('abcd')
+        server = self.servers[name]
         server.tick()
         if _happens(chance, 50):
             server.sync()
         for _ in range(chance.randrange(8)):
             position = chance.randrange(_MAIL_KEPT) if _happens(chance, 10) else 0
             self._deliver(position, keep=_happens(chance, 10), lost=_happens(chance, 5))
+        is_well = server.node and name not in self.cluster.cut
+        if _happens(chance, 2) or (not is_well and _happens(chance, 20)):
+            self._toggle_fault(chance, name)
+        if _happens(chance, 3):
+            self.propose(name)
+
+    def _toggle_fault(self, chance: random.Random, name: str) -> None:
+        if name in self.cluster.cut:
+            self.cut_or_join(name)
+        elif self.servers[name].node is None or _happens(chance, 50):
+            self.stop_or_start(name)
+        else:
+            self.cut_or_join(name)
 
     def _deliver(self, position: int, *, keep: bool, lost: bool = False) -> None:
         mail = self.cluster.mail
@@ -203,32 +218,12 @@
             self.cluster.deliver(envelope)
 
     def _may_empty(self, server: Server) -> bool:
-        memberships = self._find_memberships()
-        present = self._find_present() - {member_identity(server)}
+        memberships = self.cluster.find_memberships()
+        present = self.cluster.find_present() - {server.identity}
         return bool(memberships) and all(
             is_majority(present, voter_ids(members)) for members in memberships
         )
 
-    def _find_present(self) -> set[str]:
-        """Identities whose folder still exists."""
-        return {member_identity(server) for server in self.cluster.servers.values()}
-
-    def _find_memberships(self) -> list[Members]:
-        """All that are committed, in a log, on a disk, or on the way into a log."""
-        found = [entry.members for entry in self.cluster.oracle.committed if entry.members][-1:]
-        for server in self.cluster.servers.values():
-            found.append(Log(server.disk.state).members)
-            found.append(server.node.members if server.node else ())
-        for envelope in self.cluster.mail:
-            records = getattr(envelope.body, 'records', ())
-            found.extend(entry.members for entry in records if entry.members)
-        return [members for members in found if members]
-
-
-def member_identity(server: Server) -> str:
-    """Identity of the member that a server's disk holds."""
-    return identity(server.name, server.disk.state.hard.incarnation)
-
 
 def _happens(chance: random.Random, percent: int) -> bool:
     return chance.randrange(100) < percent
@@ -242,6 +237,8 @@
     deadline=None,
     database=None,
     print_blob=True,
+    # Most of a schedule is drawn from a seed in one step, which cannot shrink.
+    phases=(Phase.explicit, Phase.generate),
     suppress_health_check=list(HealthCheck),
 )
 if _SEED is not None:
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from bergamotcart.consensus.tests._cluster import Cluster
+from bergamotcart.consensus import Role
+from bergamotcart.consensus.tests._cluster import Cluster, Server
 
 
 def _started(**settings: object) -> Cluster:
@@ -92,6 +93,8 @@
     cluster.run(2)
     leader = cluster.find_leader()
     newcomer = leader.node.newcomers[0]
+    at_once = msgspec.structs.replace(newcomer, voter=True)
+    assert leader.node.propose_members(leader.now, (*leader.node.members, at_once)) is None
     assert leader.node.propose_members(leader.now, (*leader.node.members, newcomer))
     leader.drain()
     cluster.readmit()
@@ -120,3 +123,56 @@
     without_one = tuple(member for member in members if member != others[0])
     assert leader.node.propose_members(leader.now, without_one)
     assert leader.node.propose_members(leader.now, members) is None
+
+
+def test_no_change_before_a_record_of_the_own_term_is_committed():
+    """A change based on an uncommitted one of an earlier leader could split the group."""
+    cluster = _started()
+    old = cluster.find_leader()
+    old.stop()
+    while not any(_leads(server) for server in cluster.servers.values()):
+        cluster.run(0.01)
+    leader = next(server for server in cluster.servers.values() if _leads(server))
+    without_old = tuple(member for member in leader.node.members if member.name != old.name)
+    assert leader.node.propose_members(leader.now, without_old) is None
+    cluster.run(1)
+    assert leader.node.propose_members(leader.now, without_old)
+
+
+def test_a_buffered_announcement_of_a_former_incarnation_is_ignored():
+    """It would cost the present incarnation its vote while that is down."""
+    cluster = _started()
+    leader = cluster.find_leader()
+    name = next(name for name in 'abc' if name != leader.name)
+    _empty(cluster, name)
+    kept = []
+    while not cluster.servers[name].node.is_voter:
+        kept.extend(cluster.mail)
+        cluster.run(0.01)
+        cluster.propose_readmission()
+    _empty(cluster, name)
+    cluster.readmit()
+    cluster.servers[name].stop()
+    cluster.run(5)
+    for envelope in kept:
+        if envelope.sender == name:
+            cluster.deliver(envelope)
+    assert not leader.node.newcomers
+
+
+def test_a_member_that_restarts_gives_no_vote_at_once():
+    """It may have answered a leader just before, which relies on that for its quorum."""
+    cluster = _started()
+    leader = cluster.find_leader()
+    voter, candidate = [name for name in 'abc' if name != leader.name]
+    cluster.servers[voter].stop()
+    cluster.servers[voter].start()
+    term = leader.node.term
+    cluster.mail.clear()
+    cluster.ask_for_vote(candidate, voter)
+    assert (cluster.mail, cluster.servers[voter].node.term) == ([], term)
+    assert leader.node.has_quorum(leader.now)
+
+
+def _leads(server: Server) -> bool:
+    return server.node is not None and server.node.role == Role.leader
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_replication.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_replication.py
@@ -72,6 +72,22 @@
     assert old.applied == index
 
 
+def test_a_member_that_lags_gets_no_vote():
+    """A leader without the newest committed record would overwrite it."""
+    cluster = _started()
+    leader = cluster.find_leader()
+    behind, voter = _others(cluster, leader.name)
+    cluster.cut.add(behind)
+    cluster.propose(b'one')
+    cluster.run(1)
+    leader.stop()
+    cluster.cut.clear()
+    cluster.now += 1
+    cluster.mail.clear()
+    cluster.ask_for_vote(behind, voter)
+    assert [envelope.body.granted for envelope in cluster.mail] == [False]
+
+
 def test_records_of_a_cut_off_leader_are_replaced():
     """An uncommitted record must give way to the log of the next leader."""
     cluster = _started()
