--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
@@ -4,6 +4,7 @@
 import sys
 from typing import Final
 
+from mode import Service
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from bergamotcart.actions import Decision
@@ -19,6 +20,12 @@
     :param role: role of this process, added to each line.
     :param process: name of this process, added to each line.
     """
+    # Lines name no thread, process or source line, so records need not collect them.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging.logAsyncioTasks = False
+    logging._srcfile = None
     formatter = MsgspecFormatter(
         list(_FIELDS),
         timestamp=True,
@@ -30,7 +37,7 @@
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     # The library logs each refused statement and each connection; decisions cover both.
     logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
-    logging.getLogger('mode').setLevel(logging.WARNING)
+    Service.mundane_level = 'debug'
 
 
 class DecisionLog:
