Add admission: fair queues, retry budgets, concurrency and connection limits

Callers that retry blindly and hold connections too long must not overload a target or keep other callers out. Each limit is a table without I/O. Connections that no base quota covers are lent until the lease ends; a smaller grant may be lost, so every grant that an entry may still apply counts until it has certainly ended or is known to be replaced.

--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/admission/__init__.py
@@ -0,0 +1,24 @@
+"""Limits that keep callers from overloading targets; one table per process, without I/O."""
+
+from bergamotcart.admission._callers import CallerLimits
+from bergamotcart.admission._concurrency import ConcurrencyLimit, ConcurrencySettings
+from bergamotcart.admission._fair_queue import FairQueue, Waiter
+from bergamotcart.admission._lending import Grant, TargetLender, divide_fairly
+from bergamotcart.admission._quota import ConnectionQuota, QuotaReport
+from bergamotcart.admission._retries import Backoff, RetryBudgets, RetryLimits
+
+__all__ = (
+    'Backoff',
+    'CallerLimits',
+    'ConcurrencyLimit',
+    'ConcurrencySettings',
+    'ConnectionQuota',
+    'FairQueue',
+    'Grant',
+    'QuotaReport',
+    'RetryBudgets',
+    'RetryLimits',
+    'TargetLender',
+    'Waiter',
+    'divide_fairly',
+)
