Escape the parameters of prepared statements

The library puts parameters into the text without escaping them, so that a quote in a parameter ended its text, and it refuses executions without types, which drivers send only once.

--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_base.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_base.py
@@ -21,7 +21,9 @@
 
 
 # Fields of an answer that the first line of an error shows, or that only repeat the request.
-_TITLES: Final = frozenset(('error', 'outcome', 'section', 'dry_run', 'current_body'))
+_TITLES: Final = frozenset(
+    ('error', 'outcome', 'section', 'dry_run', 'current_body', 'revision'),
+)
 
 
 class ExitStatus(enum.IntEnum):
@@ -126,6 +128,8 @@
         return [f'  {_describe_problem(problem)}' for problem in detail]
     if name == 'diff':
         return [str(detail)]
+    if name == 'version':
+        return [f'  current version: {detail}'] if detail else []
     return [f'  {name}: {_describe(detail)}']
 
 
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_document.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_document.py
@@ -19,7 +19,6 @@
     build_common_options,
     write_output,
 )
-from bergamotcart_ctl.commands._tables import render
 
 
 class GetCommand(ControlCommand):
@@ -59,6 +58,12 @@
     options: ClassVar = build_common_options()
 
     async def execute_with(self, client: ControlClient) -> int:
-        """Print the changes."""
-        write_output(render(await client.get(f'/v1/changes/{self.argument("section")}')))
+        """Print each change with its diff."""
+        answer = await client.get(f'/v1/changes/{self.argument("section")}')
+        changes = answer.get('changes') or []
+        for change in changes:
+            title = f'version {change["version"]}, revision {change["index"]}'
+            write_output(f'{title}, change {change["change_id"]}\n{change["diff"]}\n')
+        if not changes:
+            write_output('no changes')
         return ExitStatus.done
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/tests/test_commands.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/tests/test_commands.py
@@ -42,7 +42,7 @@
         current = self.sections[body['section']]
         version = current['version']
         if body['base_version'] != version:
-            conflict = {'error': 'conflict', 'current_version': version, 'diff': '-a'}
+            conflict = {'outcome': 'conflict', 'version': version, 'diff': '-a'}
             return web.json_response(conflict, status=409)
         current['version'] = version + 1
         return web.json_response({'version': version + 1, 'revision': 12})
@@ -117,7 +117,7 @@
     for _ in range(2):
         assert _run(control, 'apply', str(document)) == 1
     assert {change['base_version'] for change in control.changes} == {4}
-    assert 'current_version: 5' in capsys.readouterr().err
+    assert 'current version: 5' in capsys.readouterr().err
 
 
 def test_a_resend_after_a_lost_answer_has_the_same_identifier(control, document):
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
@@ -4,12 +4,15 @@
 from typing import Any, Final
 
 from mysql_mimic.connection import Connection
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
 from mysql_mimic.errors import MysqlError
+from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.results import ResultSet
-from mysql_mimic.types import ServerStatus
+from mysql_mimic.types import Capabilities, ServerStatus
 
 from bergamotcart.outcomes import RequestResult
 from bergamotcart_daemon.callers._errors import CallerError, describe_error
+from bergamotcart_daemon.callers._prepared import StatementTemplate
 from bergamotcart_daemon.callers._results import build_result_set
 from bergamotcart_daemon.callers._session import CallerSession
 
@@ -19,6 +22,9 @@
 )
 _NO_ROWS: Final = ResultSet([], [])
 _INVALID_STRING: Final = 1300
+_IDENTIFIER_BYTES: Final = 4
+# Directives come in comments; without query attributes, payloads have one simple form.
+_CAPABILITIES: Final = DEFAULT_SERVER_CAPABILITIES & ~Capabilities.CLIENT_QUERY_ATTRIBUTES
 
 
 class _Refused(MysqlError):
@@ -30,19 +36,16 @@
 
 
 class CallerConnection(Connection):
-    """Sends raw statements to the engine and writes complete answers.
-
-    The library's substitution turns an executed prepared statement into text, so that
-    both ways end in ``query``.
-    """
+    """Sends raw statements to the engine and writes complete answers."""
 
     session: CallerSession
 
     def __init__(self, **parameters: Any) -> None:
         """Announce autocommit, so that drivers need not set it."""
-        super().__init__(**parameters)
+        super().__init__(server_capabilities=_CAPABILITIES, **parameters)
         self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
         self._counts: dict[str, int] = {}
+        self._templates: dict[int, StatementTemplate] = {}
         self._busy = False
 
     @property
@@ -54,10 +57,35 @@
         """Answer a text statement."""
         await self._answer(super().handle_query(data))
 
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Keep a statement and tell the caller the number of its parameters."""
+        sql = self.client_charset.decode(data)
+        template = StatementTemplate(sql)
+        statement = PreparedStatement(
+            stmt_id=next(self.prepared_stmt_seq),
+            sql=sql,
+            num_params=template.parameters,
+        )
+        for packet in self.com_stmt_prepare_response(statement):
+            await self.stream.write(packet, drain=False)
+        await self.stream.drain()
+        # The library sees a statement without parameters; they are filled in before.
+        statement.num_params = 0
+        self.prepared_stmts[statement.stmt_id] = statement
+        self._templates[statement.stmt_id] = template
+
     async def handle_stmt_execute(self, data: bytes) -> None:
         """Answer an executed prepared statement."""
+        statement = self.get_stmt(int.from_bytes(data[:_IDENTIFIER_BYTES], 'little'))
+        template = self._templates[statement.stmt_id]
+        statement.sql = template.bind(data, self.client_charset, statement.param_buffers)
         await self._answer(super().handle_stmt_execute(data))
 
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forget a statement."""
+        await super().handle_stmt_close(data)
+        self._templates.pop(int.from_bytes(data[:_IDENTIFIER_BYTES], 'little'), None)
+
     async def handle_init_db(self, data: bytes) -> None:
         """Select a group; the engine refuses one that it does not know."""
         name = self.client_charset.decode(data).replace('`', '``')
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_prepared.py
@@ -0,0 +1,54 @@
+"""Guards against parameters of prepared statements that change the statement."""
+
+import struct
+
+import pytest
+from mysql_mimic.charset import CharacterSet
+
+from bergamotcart_daemon.callers._prepared import StatementTemplate
+
+_HEAD = b'\x01\x00\x00\x00\x00\x01\x00\x00\x00'
+_STRING = 0xFD
+_LONGLONG = 8
+
+
+def _payload(*parameters: str | int | None, with_types: bool = True) -> bytes:
+    nulls = sum(1 << index for index, item in enumerate(parameters) if item is None)
+    types = [_LONGLONG if isinstance(item, int) else _STRING for item in parameters]
+    chunks = [_HEAD, bytes([nulls, int(with_types)])]
+    if with_types:
+        chunks.extend(bytes([kind, 0]) for kind in types)
+    chunks.extend(_encode(item) for item in parameters if item is not None)
+    return b''.join(chunks)
+
+
+def _encode(item: str | int) -> bytes:
+    if isinstance(item, int):
+        return struct.pack('<q', item)
+    encoded = item.encode()
+    return bytes([len(encoded), *encoded])
+
+
+@pytest.mark.parametrize(
+    ('sql', 'parameters', 'expected'),
+    [
+        ('SELECT ?', ("it's",), r"SELECT 'it\'s'"),
+        ('SELECT ?, ?', ('a?b', 7), "SELECT 'a?b', 7"),
+        ('SELECT ?', (r'\1 \n',), r"SELECT '\\1 \\n'"),
+        ("SELECT '?', `?` /* ? */ = ?", (None,), "SELECT '?', `?` /* ? */ = NULL"),
+        ("/*request='r?'*/ INSERT ? -- ?", (5,), "/*request='r?'*/ INSERT 5 -- ?"),
+    ],
+)
+def test_parameters_are_escaped_and_found_only_outside_quotes(sql, parameters, expected):
+    """A quote in a parameter must not end its text and begin another statement."""
+    template = StatementTemplate(sql)
+    assert template.parameters == len(parameters)
+    assert template.bind(_payload(*parameters), CharacterSet.utf8mb4, None) == expected
+
+
+def test_types_are_remembered_for_later_executions():
+    """Drivers send the types only once."""
+    template = StatementTemplate('SELECT ?, ?')
+    template.bind(_payload('a', 1), CharacterSet.utf8mb4, None)
+    later = _payload('b', 2, with_types=False)
+    assert template.bind(later, CharacterSet.utf8mb4, None) == "SELECT 'b', 2"
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_errors.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_errors.py
@@ -14,7 +14,7 @@
 
 
 class ReportedError(pymysql.MySQLError):
-    """An error packet of the target, with its SQLSTATE, which ``pymysql`` does not keep."""
+    """An error packet of the target, unlike the errors that the client library raises itself."""
 
     def __init__(self, code: int, sqlstate: str, message: str) -> None:
         """Keep the fields of the packet."""
