Keep broken callers and malformed addresses from doing harm

A caller whose VM is lost is found by keep-alive probes, a connection that does not log in is closed after 10 s, and a failed change of user no longer leaves a connection without a session. A malformed address in a relayed announcement counts as a silent target instead of ending the process.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/addresses/_addresses.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/addresses/_addresses.py
@@ -1,5 +1,6 @@
 """Network addresses written as ``host:port``."""
 
+import functools
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -35,6 +36,9 @@
         return f'{host}:{self.port}'
 
 
+_parse = functools.lru_cache(maxsize=4096)(Address.parse)
+
+
 class AddressTranslation:
     """Maps advertised addresses to those that this process connects to."""
 
@@ -50,4 +54,4 @@
         :param advertised: address that a peer or a target advertised.
         :raises ValueError: if it is malformed.
         """
-        return Address.parse(self._translations.get(advertised, advertised))
+        return _parse(self._translations.get(advertised, advertised))
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
@@ -1,5 +1,6 @@
 """Connection of one caller."""
 
+import contextlib
 import re
 from typing import Any, Final
 
@@ -94,8 +95,9 @@
     async def handle_change_user(self, data: bytes) -> None:
         """Give the new user a session of its own."""
         self.session.end()
-        await super().handle_change_user(data)
-        self.session.open()
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.session.open)
+            await super().handle_change_user(data)
 
     async def handle_reset_connection(self, data: bytes) -> None:
         """Start a new session, so that an open transaction is rolled back."""
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,7 +11,7 @@
 
 from mode import Service
 from mysql_mimic.control import LocalControl
-from mysql_mimic.stream import MysqlStream
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
 
 from bergamotcart.entry import (
     EntryInput,
@@ -28,6 +29,15 @@
 
 # Callers of a whole VM may reconnect at once when another proxy leaves.
 _BACKLOG: Final = 1024
+# A connection that does not log in must not stay.
+_HANDSHAKE_S: Final = 10.0
+# A caller whose VM was lost sends no end of its connection.
+_KEEPALIVE_OPTIONS: Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 20),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 4),
+)
 _CLOSE_WAIT_S: Final = 5.0
 _CLOSE_CHECK_S: Final = 0.01
 _NS_PER_MS: Final = 1_000_000
@@ -144,13 +154,27 @@
         connection.connection_id = await self._control.add(connection)
         self._connections[connection] = writer
         reader.on_lost = session.end
+        for option in _KEEPALIVE_OPTIONS:
+            writer.get_extra_info('socket').setsockopt(*option)
+        handshake_end = asyncio.get_running_loop().call_later(
+            _HANDSHAKE_S,
+            _close_unopened,
+            session,
+            writer,
+        )
         try:
             await connection.start()
-        except (OSError, EOFError):
+        except (OSError, EOFError, ConnectionClosed):
             _logger.debug('connection %s of a caller broke', connection.connection_id)
         except Exception:
             _logger.warning('handshake with a caller failed', exc_info=True)
         finally:
+            handshake_end.cancel()
             self._connections.pop(connection, None)
             writer.close()
             await self._control.remove(connection.connection_id)
+
+
+def _close_unopened(session: CallerSession, writer: asyncio.StreamWriter) -> None:
+    if session.session_id is None:
+        writer.close()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
@@ -95,6 +95,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await connection._connect()
+        except asyncio.CancelledError:
+            connection.close()
+            raise
         except Exception as error:
             connection.close()
             raise describe_connect_error(error) from error
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
@@ -39,7 +39,6 @@
     """Owns the pinned connections; pools own all others.
 
     :param find_pool: returns the pool for the target of an execution.
-    :param create_ledger: creates the ledger table of a target on a connection of its own.
     """
 
     def __init__(
@@ -47,13 +46,11 @@
         dialect: PositionDialect,
         submit: Callable[[EntryInput], None],
         find_pool: Callable[[Execute], ConnectionPool],
-        create_ledger: Callable[[Execute], Awaitable[None]],
     ) -> None:
         """Start without executions."""
         self._dialect = dialect
         self._submit = submit
         self._find_pool = find_pool
-        self._create_ledger = create_ledger
         self._pins: dict[int, _Pin] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._next_prune: dict[ConnectionPool, float] = {}
@@ -91,12 +88,11 @@
         except ConnectError as error:
             self._submit(_not_sent(action, error))
             return
-        run = StepRun(
-            action,
-            pin.connection,
-            self._dialect,
-            lambda: self._create_ledger(action),
-        )
+        except ValueError as error:
+            _logger.warning('target %s: %s', action.target, error)
+            self._submit(_not_sent(action, ConnectError(refused=False)))
+            return
+        run = StepRun(action, pin.connection, self._dialect)
         finished = await run.run(deadline)
         pin.running = False
         self._put_back(action, pin, run)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
@@ -63,12 +63,6 @@
         self.last_used = asyncio.get_running_loop().time()
         self._spawn(action)
 
-    async def run(self, sql: str) -> None:
-        """Run another statement on this connection."""
-        async with self._lock:
-            connection = await self._connect()
-            await connection.run(sql)
-
     def close(self) -> None:
         """Stop all probes and close the connection."""
         for task in self._tasks:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
@@ -1,6 +1,8 @@
 """Service that owns all connections to targets."""
 
 import asyncio
+import contextlib
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -15,15 +17,17 @@
     Execute,
     LimitConnections,
     Probe,
+    ProbeFinished,
     ReleasePin,
 )
+from bergamotcart.messages import Reachability
 from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.targets._dialect import PositionDialect
 from bergamotcart_daemon.targets._executor import Executor
-from bergamotcart_daemon.targets._ledger import CREATE_TABLE
 from bergamotcart_daemon.targets._pool import ConnectionPool
 from bergamotcart_daemon.targets._probes import Prober
 
+_logger = logging.getLogger(__name__)
 _IDLE_CHECK_S: Final = 10.0
 # Targets are probed far more often, so an unused prober belongs to one that is gone.
 _IDLE_PROBER_S: Final = 30.0
@@ -59,7 +63,6 @@
             settings.dialect,
             submit,
             lambda action: self._find_pool(action.target, action.address),
-            self._create_ledger,
         )
 
     async def on_start(self) -> None:
@@ -79,8 +82,15 @@
         self._executor.start(action)
 
     def probe(self, action: Probe) -> None:
-        """Start a probe."""
-        self._find_prober(action.target, action.address).start(action)
+        """Start a probe; a target whose address is malformed counts as silent."""
+        try:
+            prober = self._find_prober(action.target, action.address)
+        except ValueError as error:
+            _logger.warning('target %s: %s', action.target, error)
+            now = asyncio.get_running_loop().time()
+            self._submit(ProbeFinished(action.target, now, None, Reachability.silent))
+            return
+        prober.start(action)
 
     def release_pin(self, action: ReleasePin) -> None:
         """Close a pinned connection."""
@@ -89,7 +99,8 @@
     def limit_connections(self, action: LimitConnections) -> None:
         """Change the limit of a target's pool."""
         self._limits[action.target] = action.limit
-        self._find_pool(action.target, action.address).change_limit(action.limit)
+        with contextlib.suppress(ValueError):
+            self._find_pool(action.target, action.address).change_limit(action.limit)
 
     def _find_pool(self, target: TargetKey, address: str) -> ConnectionPool:
         reached = self._settings.translation.translate(address)
@@ -125,9 +136,6 @@
         self._probers[target] = prober
         return prober
 
-    async def _create_ledger(self, action: Execute) -> None:
-        await self._find_prober(action.target, action.address).run(CREATE_TABLE)
-
     def _report_count(self, target: TargetKey, count: int) -> None:
         self._submit(ConnectionCount(target, count))
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_steps.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_steps.py
@@ -1,7 +1,7 @@
 """Runs the steps of one execution on one connection."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import replace
 from types import MappingProxyType
 
@@ -35,16 +35,11 @@
 
 
 class StepRun:
-    """One execution on one connection, stopped by its first failing step.
-
-    :param create_ledger: creates the ledger table on another connection, for use inside
-        a transaction that a table definition would end.
-    """
+    """One execution on one connection, stopped by its first failing step."""
 
     __slots__ = (
         '_action',
         '_connection',
-        '_create_ledger',
         '_current',
         '_dialect',
         '_in_transaction',
@@ -59,13 +54,11 @@
         action: Execute,
         connection: TargetConnection,
         dialect: PositionDialect,
-        create_ledger: Callable[[], Awaitable[None]],
     ) -> None:
         """Prepare the run; nothing is sent yet."""
         self._action = action
         self._connection = connection
         self._dialect = dialect
-        self._create_ledger = create_ledger
         self._current: StepKind | None = None
         self._in_transaction = action.use in _PINNED_USES
         self._ledger_created = False
@@ -93,9 +86,9 @@
             self._connection.close()
             return self._finish(ExecutionStatus.lost, refused=errors.is_refusal(error))
 
-    async def _run_steps(self, first: int = 0) -> ExecutionFinished:
+    async def _run_steps(self) -> ExecutionFinished:
         try:
-            for step in self._action.steps[first:]:
+            for step in self._action.steps:
                 await self._run_step(step)
         except errors.ReportedError as error:
             return await self._handle_error(error)
@@ -130,7 +123,7 @@
     async def _handle_error(self, error: errors.ReportedError) -> ExecutionFinished:
         code = error.error.code
         if self._current == StepKind.ledger_insert:
-            if code == errors.UNKNOWN_TABLE and not self._ledger_created:
+            if code == errors.UNKNOWN_TABLE and self._may_create_ledger():
                 return await self._retry_with_ledger()
             if code == errors.DUPLICATE_KEY:
                 return await self._read_duplicate(error)
@@ -146,12 +139,12 @@
     async def _roll_back(self) -> None:
         await self._run_step(Step(StepKind.rollback))
 
+    def _may_create_ledger(self) -> bool:
+        # A table definition would commit what an earlier execution did in the transaction.
+        return not self._ledger_created and self._action.use not in _PINNED_USES
+
     async def _retry_with_ledger(self) -> ExecutionFinished:
         self._ledger_created = True
-        if self._action.use in _PINNED_USES:
-            await self._create_ledger()
-            kinds = [step.kind for step in self._action.steps]
-            return await self._run_steps(kinds.index(StepKind.ledger_insert))
         if self._in_transaction:
             await self._roll_back()
         await self._connection.run(ledger.CREATE_TABLE)
