Wait for the incarnation of a readmitted member, and skip paused processes

The test of the second lost disk took the old row of the member for its return, so the next test emptied a second of three disks; requests to a paused control process cost five seconds each.

--- a/integration/tests/test_control.py
+++ b/integration/tests/test_control.py
@@ -13,6 +13,7 @@
     ControlPlan,
     Deployment,
     Reply,
+    control_document,
     control_leader,
     control_status,
     in_force_everywhere,
@@ -51,7 +52,12 @@
     await wait_until(condition, f'revision {revision} is in force on all entries')
 
 
-async def _is_voter(deployment: Deployment, name: str, not_incarnation: str = '') -> bool:
+async def _readmitted(deployment: Deployment, name: str, before: str) -> None:
+    """Wait until an emptied member votes again, under an incarnation other than before."""
+    await wait_until(partial(_is_voter, deployment, name, before), f'{name} votes again')
+
+
+async def _is_voter(deployment: Deployment, name: str, not_incarnation: str) -> bool:
     status = await control_status(deployment)
     members = msgspec.convert(status['members'], list[dict[str, object]])
     return any(
@@ -74,32 +80,20 @@
 
 
 async def _version(deployment: Deployment, section: str) -> int:
-    reply = await wait_until(partial(_try_document, deployment), 'control answers the document')
-    sections = msgspec.convert(reply.json()['sections'], list[dict[str, object]])
+    document = await control_document(deployment)
+    sections = msgspec.convert(document['sections'], list[dict[str, object]])
     versions = {str(each['name']): int(str(each['version'])) for each in sections}
     return versions.get(section, 0)
 
 
 async def _try_change(deployment: Deployment, change: dict[str, object]) -> Reply | None:
-    for control in deployment.plan.controls:
-        reply = await deployment.change(control.http, change)
-        if reply and reply.is_ok:
-            return reply
-    return None
+    return await deployment.try_change(change)
 
 
 async def _leader_is_not(deployment: Deployment, name: str) -> bool:
     return await control_leader(deployment) != name
 
 
-async def _try_document(deployment: Deployment) -> Reply | None:
-    for control in deployment.plan.controls:
-        reply = await deployment.http.try_get(control.http, '/v1/document', ADMIN_TOKEN)
-        if reply and reply.is_ok:
-            return reply
-    return None
-
-
 async def test_member_isolated_for_long_and_back(deployment: Deployment) -> None:
     """Guards against a former leader that returns and believes that it is current."""
     async with checked_load(deployment, LoadSettings(seed=31)) as load:
@@ -169,16 +163,15 @@
         first.process.kill()
         deployment.empty_data_folder(first.name)
         first.process.start()
-        await wait_until(
-            partial(_is_voter, deployment, first.name, before), 'the repaired member votes'
-        )
+        await _readmitted(deployment, first.name, before)
+        before = await _incarnation(deployment, second.name)
         second.process.kill()
         deployment.empty_data_folder(second.name)
         assert await _version(deployment, 'repaired') == 1
         revision = await _apply(deployment, 'repaired', 1)
         await load.acknowledged(20, deployment.group)
         second.process.start()
-        await wait_until(partial(_is_voter, deployment, second.name), 'the second member votes')
+        await _readmitted(deployment, second.name, before)
         assert await _version(deployment, 'repaired') == 2
         await _in_force(deployment, revision)
 
@@ -189,6 +182,7 @@
         _, followers = await _leader_and_followers(deployment)
         first, second = followers
         revision = await _apply(deployment, 'early', 0)
+        before = await _incarnation(deployment, first.name)
         first.process.kill()
         second.process.kill()
         deployment.empty_data_folder(first.name)
@@ -196,7 +190,7 @@
         second.process.start()
         assert await _version(deployment, 'early') == 1
         await _in_force(deployment, revision)
-        await wait_until(partial(_is_voter, deployment, first.name), 'the emptied member votes')
+        await _readmitted(deployment, first.name, before)
         await load.acknowledged(20, deployment.group)
 
 
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/__init__.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/__init__.py
@@ -10,6 +10,7 @@
 from bergamotcart_testkit.deployment._deployment import Deployment
 from bergamotcart_testkit.deployment._layout import LAYOUTS, Layout
 from bergamotcart_testkit.deployment._operators import (
+    control_document,
     control_leader,
     control_status,
     in_force_everywhere,
@@ -35,6 +36,7 @@
     'TargetClient',
     'TargetPlan',
     'TargetStatus',
+    'control_document',
     'control_leader',
     'control_status',
     'in_force_everywhere',
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_deployment.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_deployment.py
@@ -147,7 +147,7 @@
         }
 
         description = f'the change of {section} is accepted'
-        return await wait_until(partial(self._try_change, change), description)
+        return await wait_until(partial(self.try_change, change), description)
 
     async def change(self, address: Address, change: dict[str, object]) -> Reply | None:
         """Send one change to one control process; ``None`` means that nobody answered."""
@@ -156,6 +156,15 @@
         except UNREACHABLE:
             return None
 
+    async def try_change(self, change: dict[str, object]) -> Reply | None:
+        """Send a change to one control process after the other until one accepts it."""
+        for control in self.plan.controls:
+            if control.process.is_answering:
+                reply = await self.change(control.http, change)
+                if reply and reply.is_ok:
+                    return reply
+        return None
+
     async def group_settled(self, group: str) -> TargetStatus:
         """Wait until a group has one primary that all its running replicas follow.
 
@@ -203,13 +212,6 @@
         reply = await self.http.try_get(entry.http, '/health')
         return reply is not None and reply.is_ok
 
-    async def _try_change(self, change: dict[str, object]) -> Reply | None:
-        for control in self.plan.controls:
-            reply = await self.change(control.http, change)
-            if reply and reply.is_ok:
-                return reply
-        return None
-
     async def _start_all(self) -> None:
         if self._own_folder:
             self._stack.callback(shutil.rmtree, self.folder, ignore_errors=True)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_operators.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_operators.py
@@ -3,8 +3,9 @@
 from functools import partial
 from typing import cast
 
+from bergamotcart_testkit.deployment._clients import Reply
 from bergamotcart_testkit.deployment._deployment import Deployment
-from bergamotcart_testkit.deployment._plan import ADMIN_TOKEN
+from bergamotcart_testkit.deployment._plan import ADMIN_TOKEN, ControlPlan
 from bergamotcart_testkit.deployment._waiting import wait_until
 
 
@@ -13,6 +14,11 @@
     return await wait_until(partial(_try_status, deployment), 'control answers its status')
 
 
+async def control_document(deployment: Deployment) -> dict[str, object]:
+    """Return the document that some control process answers."""
+    return await wait_until(partial(_try_document, deployment), 'control answers the document')
+
+
 async def control_leader(deployment: Deployment) -> str:
     """Return the name of the leading control process."""
     return await wait_until(partial(_try_leader, deployment), 'control has a leader')
@@ -43,9 +49,21 @@
 
 async def _try_status(deployment: Deployment) -> dict[str, object] | None:
     for control in deployment.plan.controls:
-        if not control.process.is_running:
-            continue
-        reply = await deployment.http.try_get(control.http, '/v1/status', ADMIN_TOKEN)
+        reply = await _ask_control(deployment, control, '/v1/status')
+        if reply and reply.is_ok:
+            return reply.json()
+    return None
+
+
+async def _ask_control(deployment: Deployment, control: ControlPlan, path: str) -> Reply | None:
+    if not control.process.is_answering:
+        return None
+    return await deployment.http.try_get(control.http, path, ADMIN_TOKEN)
+
+
+async def _try_document(deployment: Deployment) -> dict[str, object] | None:
+    for control in deployment.plan.controls:
+        reply = await _ask_control(deployment, control, '/v1/document')
         if reply and reply.is_ok:
             return reply.json()
     return None
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
@@ -40,6 +40,11 @@
         """Whether the process was started and has not ended."""
         return self._popen is not None and self._popen.poll() is None
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the process runs and is not paused."""
+        return self.is_running and not self._paused
+
     @property
     def pid(self) -> int:
         """Identifier of the running process."""
