Send only changed sightings and reports, and look only at groups that are due

Cause: each lease request listed the reachability of all targets, each pull was answered with all targets of an availability zone, and each tick of the leader looked at every group and parsed the document anew. Ruled out: the encoding (a report takes 60 bytes in MessagePack) and the replicated log.

Answers carry the version that they are relative to, so a late one is dropped, and a target that is heard again after a silence counts as changed.

--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/capacity/_control.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/capacity/_control.py
@@ -21,6 +21,7 @@
 
     __slots__ = (
         '_engine',
+        '_reported',
         '_reports',
         '_scale',
         '_targets',
@@ -55,6 +56,7 @@
             for announcement in self._targets.all()
         )
         self.indexes = list(itertools.repeat(0, scale.nodes))
+        self._reported = list(self.indexes)
         self.now = 0.0
         self.meter = Meter()
         self.received = Traffic()
@@ -122,13 +124,10 @@
                 body = messages.StateAck(applied_index=update.to_index, revision=update.revision)
             case messages.RelayPull() as pull:
                 zone = self._scale.zone_of(_index_of(send.recipient))
-                body = messages.RelayBatch(
-                    echo_sent_at=pull.sent_at,
-                    sightings=tuple(
-                        messages.Sighting(announcement=announcement, age_s=0.5)
-                        for announcement in self._targets.of_zone(zone)
-                    ),
-                )
+                body = self._targets.answer(zone, self.now, pull)
+            case messages.LeaseGrant() as grant:
+                self._reported[_index_of(send.recipient)] = grant.reports_version
+                return []
             case _:
                 return []
         return [MessageReceived(wrap(send.recipient, _NAME, body))]
@@ -140,7 +139,8 @@
             availability_zone=self._scale.zone_of(index),
             applied_index=self.indexes[index],
             revision=0,
-            reports=self._reports,
+            reports=None if self._reported[index] else self._reports,
+            reports_version=1,
         )
         return wrap(f'entry-{index}', _NAME, request)
 
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/capacity/_entry.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/capacity/_entry.py
@@ -12,6 +12,8 @@
 _ANNOUNCE_S = 1.0
 _SETTLE_S = 2.0
 _CHANGED_GROUPS = 1
+_ECHO_AGE_S = 0.5
+_EXPIRY_S = 3.0
 
 
 class _Peers:
@@ -23,6 +25,7 @@
         '_scale',
         '_sequence',
         '_sightings',
+        '_tables',
         'meter',
         'now',
         'probes',
@@ -50,6 +53,7 @@
             ]
             for index in range(min(scale.nodes, len(ZONES)))
         }
+        self._tables = {zone: discovery.TargetTable(_EXPIRY_S) for zone in self._sightings}
         self._announced_at = float('-inf')
         self._sequence = 0
         self.now = 0.0
@@ -117,23 +121,22 @@
                     renew_after_s=0.25,
                     control_term=1,
                     current_index=request.applied_index,
+                    reports_version=request.reports_version,
                 )
             case messages.RelayPull() as pull:
                 zone = self._scale.zone_of(int(send.recipient.rpartition('-')[2]))
-                body = messages.RelayBatch(
-                    echo_sent_at=pull.sent_at,
-                    sightings=tuple(
-                        messages.Sighting(
-                            announcement=_renew(announcement, self._sequence, None),
-                            age_s=0.5,
-                        )
-                        for announcement in self._sightings[zone]
-                    ),
-                )
+                body = self._relay(zone, pull)
             case _:
                 return []
         return [MessageReceived(wrap(send.recipient, _NAME, body))]
 
+    def _relay(self, zone: str, pull: messages.RelayPull) -> messages.RelayBatch:
+        table = self._tables[zone]
+        for announcement in self._sightings[zone]:
+            echo = self.now - _ECHO_AGE_S
+            table.receive(self.now, _renew(announcement, self._sequence, echo))
+        return discovery.answer_pull(table, 'first', self.now, pull)
+
     def _probed(self, probe: entry.Probe) -> entry.EntryInput:
         is_primary = probe.target.instance.endswith('-0')
         report = discovery.PositionReport(
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/capacity/_targets.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/capacity/_targets.py
@@ -5,9 +5,11 @@
 
 import msgspec
 
-from bergamotcart import control, messages
+from bergamotcart import control, discovery, messages
 from bergamotcart_testkit.capacity._sample import Scale
 
+_EXPIRY_S: Final = 3.0
+_ECHO_AGE_S: Final = 0.5
 _ROLES: Final = MappingProxyType(
     {
         control.OrderKind.promote: messages.TargetRole.primary,
@@ -20,7 +22,7 @@
 class SyntheticTargets:
     """Announcements of all instances, by availability zone and instance."""
 
-    __slots__ = ('_zones',)
+    __slots__ = ('_tables', '_zones')
 
     def __init__(self, scale: Scale) -> None:
         """Start with replicas only."""
@@ -28,10 +30,14 @@
             zone: {row.instance: row for row in scale.announcements(zone)}
             for zone in sorted({scale.zone_of(index) for index in range(scale.nodes)})
         }
+        self._tables = {zone: discovery.TargetTable(_EXPIRY_S) for zone in self._zones}
 
-    def of_zone(self, zone: str) -> list[messages.Announcement]:
-        """Return the announcements in an availability zone."""
-        return list(self._zones[zone].values())
+    def answer(self, zone: str, now: float, pull: messages.RelayPull) -> messages.RelayBatch:
+        """Answer a pull as an entry of an availability zone does."""
+        table = self._tables[zone]
+        for row in self._zones[zone].values():
+            table.receive(now, msgspec.structs.replace(row, echo=now - _ECHO_AGE_S))
+        return discovery.answer_pull(table, 'first', now, pull)
 
     def all(self) -> list[messages.Announcement]:
         """Return all announcements."""
--- a/packages/bergamotcart/src/bergamotcart/control/_entry_table.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_entry_table.py
@@ -29,6 +29,9 @@
     :param heard_at: time of the newest lease request.
     :param pulled_at: time of the newest pull of its sightings.
     :param pushed_index: index of the newest state update sent to it.
+    :param asked_at: entry's clock at its newest request, which orders its requests.
+    :param reports_version: version of the reports that the observations come from.
+    :param suspects: groups of which the entry cannot reach some instance.
     """
 
     key: EntryKey
@@ -43,6 +46,9 @@
     pushed_index: int = 0
     observations: dict[tuple[str, str], Observation] = field(default_factory=dict)
     quota_use: tuple[messages.QuotaUse, ...] = ()
+    asked_at: float = float('-inf')
+    reports_version: int = 0
+    suspects: frozenset[str] = frozenset()
 
 
 class EntryTable:
@@ -52,11 +58,12 @@
         a former leader granted.
     """
 
-    __slots__ = ('_rows', 'assumed_until')
+    __slots__ = ('_changed', '_rows', 'assumed_until')
 
     def __init__(self) -> None:
         """Start without any contact."""
         self._rows: dict[EntryKey, EntryContact] = {}
+        self._changed: set[str] = set()
         self.assumed_until: float = 0
 
     @property
@@ -99,13 +106,18 @@
         contact.draining = request.draining
         contact.heard_at = now
         contact.quota_use = request.quota_use
-        contact.observations = {
-            (report.group, report.instance): Observation(report.reachability, now - report.for_s)
-            for report in request.reports
-        }
+        if request.sent_at >= contact.asked_at:
+            contact.asked_at = request.sent_at
+            self._observe(contact, request, now)
         note_applied(contact, request.applied_index, request.revision)
         return contact
 
+    def take_changed(self) -> set[str]:
+        """Return and forget the groups of which an entry reported something new."""
+        changed = self._changed
+        self._changed = set()
+        return changed
+
     def applied_index(self, row: messages.EntryRow) -> int:
         """Return the index that an entry has confirmed, or 0."""
         contact = self.find(row.name, row.incarnation)
@@ -117,6 +129,27 @@
         granted = contact.lease_until if contact else 0
         return max(granted, self.assumed_until)
 
+    def _observe(
+        self,
+        contact: EntryContact,
+        request: messages.LeaseRequest,
+        now: float,
+    ) -> None:
+        if request.reports is None:
+            return
+        self._changed |= contact.suspects
+        contact.reports_version = request.reports_version
+        contact.observations = {
+            (report.group, report.instance): Observation(report.reachability, now - report.for_s)
+            for report in request.reports
+        }
+        contact.suspects = frozenset(
+            report.group
+            for report in request.reports
+            if report.reachability is not messages.Reachability.reachable
+        )
+        self._changed |= contact.suspects
+
 
 def note_applied(contact: EntryContact, applied_index: int, revision: int) -> None:
     """Raise the confirmed index; late messages never lower it."""
--- a/packages/bergamotcart/src/bergamotcart/control/_failover.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_failover.py
@@ -1,6 +1,7 @@
 """Replacement of primaries: runs the work of each group's phase."""
 
 from bergamotcart import messages
+from bergamotcart.control._attention import find_due_groups
 from bergamotcart.control._collection import run_frozen
 from bergamotcart.control._group_work import GroupWork
 from bergamotcart.control._open_group import run_open
@@ -10,7 +11,8 @@
 
 def run_failover(tick: Tick) -> None:
     """Advance each group of the document by one step of its phase."""
-    for name in sorted(tick.document.groups):
+    due = find_due_groups(tick.local, tick.state, tick.now)
+    for name in sorted(due & tick.document.groups.keys()):
         row = tick.state.groups[name]
         work = _find_work(tick, row)
         if tick.local.proposals.is_pending(f'group {name}'):
--- a/packages/bergamotcart/src/bergamotcart/control/_leases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leases.py
@@ -124,6 +124,7 @@
         control_term=tick.authority.term,
         current_index=tick.state.index,
         quotas=grant_quotas(tick, contact),
+        reports_version=contact.reports_version,
     )
     tick.send(contact.key.name, contact.address, grant)
 
--- a/packages/bergamotcart/src/bergamotcart/control/_local.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -14,6 +14,7 @@
 class LocalTables:
     """Unreplicated tables of one member.
 
+    :param looked_at: time of the last look at each group.
     :param led_since: time at which this member's leadership began.
     """
 
@@ -23,6 +24,7 @@
     orders: OrderBook = field(default_factory=OrderBook)
     loans: LoanTable = field(default_factory=LoanTable)
     groups: dict[str, GroupWork] = field(default_factory=dict)
+    looked_at: dict[str, float] = field(default_factory=dict)
     led_since: float = 0
 
     def restart(self, now: float, assumed_until: float) -> None:
@@ -37,4 +39,5 @@
         self.orders.clear()
         self.loans.clear()
         self.groups.clear()
+        self.looked_at.clear()
         self.led_since = now
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -118,7 +118,7 @@
             case messages.StateAck() as ack:
                 handle_state_ack(tick, envelope, ack)
             case messages.RelayBatch() as batch:
-                self._local.sightings.add(batch, tick.now)
+                self._local.sightings.add(envelope, batch, tick.now)
 
     def _run_systems(self, tick: Tick) -> None:
         self._members.readmit(tick)
@@ -190,5 +190,6 @@
                 self._state.sections.values(),
                 self._state.revision,
             )
+            self._local.looked_at.clear()
         tick.document = self._document
         tick.authority = find_authority(self._node, self._state, tick.now)
--- a/packages/bergamotcart/src/bergamotcart/control/_sightings.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_sightings.py
@@ -5,6 +5,7 @@
 
 from bergamotcart import messages
 from bergamotcart.control._tick import Tick
+from bergamotcart.discovery import PeerSightings, has_same_content
 
 PULL_PERIOD_S: Final = 0.5
 FRESH_S: Final = 3.0
@@ -12,6 +13,9 @@
 FORGET_S: Final = 3600.0
 
 
+_Key = tuple[str, str]
+
+
 @dataclass(frozen=True, slots=True)
 class Seen:
     """Newest announcement of an instance.
@@ -26,37 +30,54 @@
 class SightingTable:
     """Newest announcement of each instance."""
 
-    __slots__ = ('_rows',)
+    __slots__ = ('_changed', '_groups', '_held', '_rows')
 
     def __init__(self) -> None:
         """Start empty."""
-        self._rows: dict[tuple[str, str], Seen] = {}
+        self._rows: dict[_Key, Seen] = {}
+        self._groups: dict[str, set[_Key]] = {}
+        self._held = PeerSightings()
+        self._changed: set[str] = set()
 
     def clear(self) -> None:
         """Forget all instances."""
         self._rows.clear()
+        self._groups.clear()
+        self._held.clear()
+
+    def pull(self, entry: str, now: float) -> messages.RelayPull:
+        """Return the request for an entry's sightings."""
+        return self._held.pull(entry, now)
 
-    def add(self, batch: messages.RelayBatch, now: float) -> None:
+    def add(self, envelope: messages.Envelope, batch: messages.RelayBatch, now: float) -> None:
         """Store a batch of sightings.
 
+        :param envelope: names the entry that answered.
         :param batch: the answer to a pull; its echo is this member's own clock.
         :param now: seconds.
         """
         if batch.echo_sent_at > now:
             return
-        for sighting in batch.sightings:
+        for sighting in self._held.expand(envelope, batch):
             made_after = batch.echo_sent_at - sighting.age_s
             self._store(Seen(sighting.announcement, made_after))
 
+    def take_changed(self) -> set[str]:
+        """Return and forget the groups whose instances announced something new."""
+        changed = self._changed
+        self._changed = set()
+        return changed
+
     def forget_old(self, now: float) -> None:
         """Drop instances that nobody has seen for long."""
-        kept = [seen for seen in self._rows.values() if now - seen.made_after < FORGET_S]
-        self._rows = {_key(seen): seen for seen in kept}
+        old = [key for key, seen in self._rows.items() if now - seen.made_after >= FORGET_S]
+        for key in old:
+            self._rows.pop(key)
+            self._groups[key[0]].discard(key)
 
     def of_group(self, group: str) -> list[Seen]:
         """Return the known instances of a group, ordered by name."""
-        rows = [seen for seen in self._rows.values() if seen.announcement.group == group]
-        return sorted(rows, key=_key)
+        return [self._rows[key] for key in sorted(self._groups.get(group, ()))]
 
     def find(self, group: str, instance: str) -> Seen | None:
         """Return the newest sighting of an instance."""
@@ -67,6 +88,16 @@
         known = self._rows.get(key)
         if known is None or _is_newer(seen, known):
             self._rows[key] = seen
+            self._groups.setdefault(key[0], set()).add(key)
+            if known is None or not has_same_content(seen.announcement, known.announcement):
+                self._changed.add(key[0])
+        elif seen.made_after > known.made_after:
+            self._confirm(key, seen, known)
+
+    def _confirm(self, key: _Key, seen: Seen, known: Seen) -> None:
+        # An entry that saw no change repeats the sequence of the last change that it saw.
+        if has_same_content(seen.announcement, known.announcement):
+            self._rows[key] = Seen(known.announcement, seen.made_after)
 
 
 def is_fresh(seen: Seen, now: float) -> bool:
@@ -79,7 +110,8 @@
     for contact in tick.local.entries.contacts:
         if tick.now - contact.pulled_at >= PULL_PERIOD_S:
             contact.pulled_at = tick.now
-            tick.send(contact.key.name, contact.address, messages.RelayPull(sent_at=tick.now))
+            pull = tick.local.sightings.pull(contact.key.name, tick.now)
+            tick.send(contact.key.name, contact.address, pull)
         tick.wake_at(contact.pulled_at + PULL_PERIOD_S)
 
 
@@ -91,5 +123,5 @@
     return seen.made_after > known.made_after
 
 
-def _key(seen: Seen) -> tuple[str, str]:
+def _key(seen: Seen) -> _Key:
     return seen.announcement.group, seen.announcement.instance
--- a/packages/bergamotcart/src/bergamotcart/discovery/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/__init__.py
@@ -1,17 +1,21 @@
 """Targets known from announcements, relays and probes."""
 
 from bergamotcart.discovery._branches import is_discarded, meets
+from bergamotcart.discovery._exchange import PeerSightings, answer_pull
 from bergamotcart.discovery._heads import HeadHistory
 from bergamotcart.discovery._positions import Position, PositionReport, TargetKey
-from bergamotcart.discovery._table import KnownTarget, TargetTable
+from bergamotcart.discovery._table import KnownTarget, TargetTable, has_same_content
 
 __all__ = (
     'HeadHistory',
     'KnownTarget',
+    'PeerSightings',
     'Position',
     'PositionReport',
     'TargetKey',
     'TargetTable',
+    'answer_pull',
+    'has_same_content',
     'is_discarded',
     'meets',
 )
--- a/packages/bergamotcart/src/bergamotcart/discovery/_table.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_table.py
@@ -2,9 +2,14 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from typing import Final
+
+import msgspec
 
 from bergamotcart.discovery._positions import Position, TargetKey
-from bergamotcart.messages import Announcement, RelayBatch, Sighting
+from bergamotcart.messages import Announcement, Sighting
+
+_NEVER: Final = float('-inf')
 
 
 @dataclass(slots=True)
@@ -12,13 +17,16 @@
     """The newest announcement of one instance.
 
     :param made_after: time on the own clock, in seconds, after which it was certainly made.
-    :param direct: whether it came from the target itself.
+    :param heard_after: time on the own clock, in seconds, after which the target certainly
+        announced itself directly; minus infinity if it never did.
+    :param version: version of the table at which the content last changed.
     """
 
     key: TargetKey
     announcement: Announcement
     made_after: float
-    direct: bool
+    heard_after: float = float('-inf')
+    version: int = 0
 
     @property
     def position(self) -> Position:
@@ -32,13 +40,25 @@
     :param expiry_s: age in seconds from which an announcement counts no more.
     """
 
-    __slots__ = ('_expiry_s', '_groups', '_targets')
+    __slots__ = ('_expiry_s', '_groups', '_targets', '_version', 'complete_since')
 
     def __init__(self, expiry_s: float) -> None:
         """Start without any target."""
         self._expiry_s = expiry_s
         self._targets: dict[TargetKey, KnownTarget] = {}
         self._groups: dict[str, dict[TargetKey, KnownTarget]] = {}
+        self._version = 1
+        self.complete_since = 1
+
+    @property
+    def version(self) -> int:
+        """Raised with each change of a target's content or of the set of targets."""
+        return self._version
+
+    @property
+    def expiry_s(self) -> float:
+        """Age in seconds from which an announcement counts no more."""
+        return self._expiry_s
 
     def __iter__(self) -> Iterator[KnownTarget]:
         """Iterate over all targets, also expired ones that were not yet removed."""
@@ -69,80 +89,95 @@
         :returns: whether the target is new, or its announcement is newer than the known one.
         """
         echo = announcement.echo
-        made_after = float('-inf') if echo is None or echo > now else echo
-        return self._take(announcement, made_after, direct=True)
-
-    def receive_batch(self, now: float, batch: RelayBatch) -> list[TargetKey]:
-        """Take the answer of a peer to a pull.
+        made_after = _NEVER if echo is None or echo > now else echo
+        is_newer = self._take(announcement, made_after)
+        target = self._targets[_key_of(announcement)]
+        if target.announcement.incarnation == announcement.incarnation:
+            if now - target.heard_after >= self._expiry_s:
+                # Answers to pulls left it out meanwhile, so peers may not hold it.
+                self._mark_changed(target)
+            target.heard_after = max(target.heard_after, made_after)
+        return is_newer
+
+    def receive_sightings(
+        self,
+        now: float,
+        echo_sent_at: float,
+        sightings: Iterable[Sighting],
+    ) -> list[TargetKey]:
+        """Take what a peer has seen.
 
         :param now: own clock, in seconds.
+        :param echo_sent_at: own clock when the peer was asked.
+        :param sightings: targets with their greatest age when the peer answered.
         :returns: targets that are new or have a newer announcement.
         """
-        if batch.echo_sent_at > now:
+        if echo_sent_at > now:
             return []
         changed: list[TargetKey] = []
-        for sighting in batch.sightings:
-            made_after = batch.echo_sent_at - max(sighting.age_s, 0)
-            if self._take(sighting.announcement, made_after, direct=False):
+        for sighting in sightings:
+            made_after = echo_sent_at - max(sighting.age_s, 0)
+            if self._take(sighting.announcement, made_after):
                 changed.append(_key_of(sighting.announcement))
         return changed
 
-    def sightings(self, now: float) -> tuple[Sighting, ...]:
-        """Return the fresh targets that announced themselves here, for a peer."""
-        return tuple(
-            Sighting(announcement=target.announcement, age_s=now - target.made_after)
-            for target in self._targets.values()
-            if target.direct and now - target.made_after < self._expiry_s
-        )
-
     def remove(self, key: TargetKey) -> None:
         """Forget a target."""
         self._targets.pop(key, None)
         self._groups.get(key.group, {}).pop(key, None)
+        # A peer that holds an older version cannot be told what was removed since.
+        self._version += 1
+        self.complete_since = self._version
 
     def is_expired(self, key: TargetKey, now: float) -> bool:
         """Tell whether the announcement of a target counts no more."""
         target = self._targets.get(key)
         return target is None or now - target.made_after >= self._expiry_s
 
-    def _take(self, announcement: Announcement, made_after: float, *, direct: bool) -> bool:
+    def _take(self, announcement: Announcement, made_after: float) -> bool:
         key = _key_of(announcement)
         known = self._targets.get(key)
         if known is None:
-            self._insert(KnownTarget(key, announcement, made_after, direct))
+            self._insert(KnownTarget(key, announcement, made_after))
             return True
         if known.announcement.incarnation != announcement.incarnation:
             # Incarnations have no order of their own. What the living one announces is
             # made after every echo that the former one could have received.
             if made_after <= known.made_after:
                 return False
-            self._insert(KnownTarget(key, announcement, made_after, direct))
+            self._insert(KnownTarget(key, announcement, made_after, known.heard_after))
             return True
-        return _refresh(known, announcement, made_after, direct=direct)
+        return self._refresh(known, announcement, made_after)
+
+    def _refresh(self, known: KnownTarget, announcement: Announcement, made_after: float) -> bool:
+        is_same = has_same_content(known.announcement, announcement)
+        is_newer = announcement.sequence > known.announcement.sequence
+        # A relay that saw no change repeats the sequence of the last change that it saw.
+        if is_newer or is_same:
+            known.made_after = max(made_after, known.made_after)
+        if is_newer:
+            known.announcement = announcement
+            if not is_same:
+                self._mark_changed(known)
+        return is_newer
 
     def _insert(self, target: KnownTarget) -> None:
         self._targets[target.key] = target
         self._groups.setdefault(target.key.group, {})[target.key] = target
+        self._mark_changed(target)
+
+    def _mark_changed(self, target: KnownTarget) -> None:
+        self._version += 1
+        target.version = self._version
+
+
+def has_same_content(first: Announcement, second: Announcement) -> bool:
+    """Tell whether two announcements of an instance differ only in what always changes."""
+    return _content(first) == _content(second)
 
 
-def _refresh(
-    known: KnownTarget,
-    announcement: Announcement,
-    made_after: float,
-    *,
-    direct: bool,
-) -> bool:
-    newer = announcement.sequence > known.announcement.sequence
-    if announcement.sequence < known.announcement.sequence:
-        return False
-    if newer:
-        known.announcement = announcement
-        known.made_after = max(made_after, known.made_after)
-        known.direct = direct
-        return True
-    known.made_after = max(made_after, known.made_after)
-    known.direct = known.direct or direct
-    return False
+def _content(announcement: Announcement) -> Announcement:
+    return msgspec.structs.replace(announcement, sequence=0, position=0, echo=None)
 
 
 def _key_of(announcement: Announcement) -> TargetKey:
--- a/packages/bergamotcart/src/bergamotcart/documents/_document.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_document.py
@@ -1,5 +1,6 @@
 """A complete, checked operator document."""
 
+import functools
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -11,6 +12,9 @@
 from bergamotcart.messages import SectionRow
 
 _DEFAULT_POLICY: Final = schema.Policy()
+_PARSED_SECTIONS: Final = 256
+# The parser of libyaml is several times faster; not every platform has it.
+_LOADER: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +131,9 @@
         return problems
 
 
+# A change of one section leaves the others as they are, and each is parsed again
+# with every change of the document and of a group's phase.
+@functools.lru_cache(maxsize=_PARSED_SECTIONS)
 def parse_section(name: str, kind: str, body: str) -> schema.SectionBody:
     """Parse the YAML text of one section.
 
@@ -142,7 +149,7 @@
     except ValueError as error:
         raise DocumentError((Problem(prefix, f'unknown kind {kind!r}'),)) from error
     try:
-        return msgspec.convert(yaml.safe_load(body), body_type)
+        return msgspec.convert(yaml.load(body, Loader=_LOADER), body_type)
     except yaml.YAMLError as error:
         raise DocumentError((Problem(prefix, f'malformed YAML: {error}'),)) from error
     except msgspec.ValidationError as error:
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -31,6 +31,7 @@
         '_on_lease',
         '_on_update',
         '_renew_after_s',
+        '_reported',
         '_sent_at',
         '_timer',
         '_work',
@@ -54,6 +55,7 @@
         self._renew_after_s = _DEFAULT_RENEWAL_S
         self._sent_at = float('-inf')
         self._answered = False
+        self._reported: tuple[str, int] | None = None
         self._timer: Timer | None = None
 
     def ask(self) -> None:
@@ -89,6 +91,7 @@
             return
         self._leader = (envelope.sender, envelope.sender_address)
         self._renew_after_s = grant.renew_after_s
+        self._reported = (envelope.sender, grant.reports_version)
         if grant.echo_sent_at == self._sent_at:
             self._answered = True
             self._schedule(self._renew_after_s - (self._work.now - self._sent_at))
@@ -130,7 +133,9 @@
             self._schedule(0)
 
     def _request(self) -> messages.LeaseRequest:
-        config = self._work.config
+        config, version = self._work.config, self._monitor.reports_version
+        # 63 reports of 60 bytes in each request were most of what an idle entry sent.
+        is_held = self._leader is not None and self._reported == (self._leader[0], version)
         return messages.LeaseRequest(
             sent_at=self._work.now,
             address=config.address,
@@ -138,7 +143,8 @@
             applied_index=self._work.view.applied_index,
             revision=self._work.view.document.revision,
             draining=self._work.draining,
-            reports=self._monitor.reports(),
+            reports=None if is_held else self._monitor.reports(),
+            reports_version=version,
             quota_use=self._lanes.quota_use(),
         )
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -53,7 +53,14 @@
     :param wanted: returns the position that requests of a target's group wait for.
     """
 
-    __slots__ = ('_on_change', '_on_report', '_wanted', '_watched', '_work')
+    __slots__ = (
+        '_on_change',
+        '_on_report',
+        '_wanted',
+        '_watched',
+        '_work',
+        'reports_version',
+    )
 
     def __init__(
         self,
@@ -68,6 +75,7 @@
         self._on_change = on_change
         self._wanted = wanted
         self._watched: dict[TargetKey, Watched] = {}
+        self.reports_version = 1
 
     def __iter__(self) -> Iterator[Watched]:
         """Iterate over all watched targets."""
@@ -111,6 +119,7 @@
     def forget(self, key: TargetKey) -> None:
         """Stop probing a target."""
         watched = self._watched.pop(key, None)
+        self.reports_version += 1
         if watched is not None and watched.timer is not None:
             watched.timer.cancel()
 
@@ -173,6 +182,7 @@
         if watched.reachability is reachability:
             return
         watched.reachability = reachability
+        self.reports_version += 1
         watched.since = self._work.now
         self._on_change(watched)
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_relays.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_relays.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from bergamotcart.discovery import TargetKey
+from bergamotcart.discovery import PeerSightings, TargetKey, answer_pull
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.messages import EntryRow, Envelope, RelayBatch, RelayPull
 
@@ -17,13 +17,14 @@
 class Relays:
     """Pulls from one entry of each other availability zone and answers the pulls of peers."""
 
-    __slots__ = ('_answered', '_next_peer', '_sent', '_work')
+    __slots__ = ('_answered', '_held', '_next_peer', '_sent', '_work')
 
     def __init__(self, work: Workspace) -> None:
         """Start without peers."""
         self._work = work
         self._sent: dict[float, None] = {}
         self._answered: set[str] = set()
+        self._held = PeerSightings()
         self._next_peer: dict[str, int] = {}
 
     def start(self) -> None:
@@ -32,10 +33,8 @@
 
     def answer(self, envelope: Envelope, pull: RelayPull) -> None:
         """Send a peer the targets that announced themselves here."""
-        batch = RelayBatch(
-            echo_sent_at=pull.sent_at,
-            sightings=self._work.table.sightings(self._work.now),
-        )
+        work = self._work
+        batch = answer_pull(work.table, work.config.incarnation, work.now, pull)
         self._work.send(envelope.sender, envelope.sender_address, batch)
 
     def take(self, envelope: Envelope, batch: RelayBatch) -> list[TargetKey]:
@@ -48,10 +47,12 @@
         row = self._work.view.entries.get(envelope.sender)
         if row is not None:
             self._answered.add(row.availability_zone)
-        return self._work.table.receive_batch(self._work.now, batch)
+        sightings = self._held.expand(envelope, batch)
+        return self._work.table.receive_sightings(self._work.now, batch.echo_sent_at, sightings)
 
     def _pull_all(self) -> None:
         self._answered.clear()
+        self._held.keep(set(self._work.view.entries))
         self._note(self._work.now)
         for zone, rows in self._peers().items():
             self._pull(zone, rows)
@@ -71,7 +72,7 @@
 
     def _pull(self, zone: str, rows: list[EntryRow]) -> None:
         row = rows[self._next_peer.get(zone, 0) % len(rows)]
-        self._work.send(row.name, row.address, RelayPull(sent_at=self._work.now))
+        self._work.send(row.name, row.address, self._held.pull(row.name, self._work.now))
 
     def _note(self, sent_at: float) -> None:
         self._sent[sent_at] = None
--- a/packages/bergamotcart/src/bergamotcart/messages/_control.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_control.py
@@ -109,6 +109,8 @@
     :param sent_at: clock of the entry, in seconds; the holder counts its lease from here.
     :param applied_index: index of the control state that the entry has applied.
     :param revision: revision of the operator document in force at the entry.
+    :param reports: reachability of all targets, or ``None`` if control holds this version.
+    :param reports_version: raised by the entry with each change of its reports.
     """
 
     sent_at: float
@@ -117,7 +119,8 @@
     applied_index: int
     revision: int
     draining: bool = False
-    reports: tuple[TargetReport, ...] = ()
+    reports: tuple[TargetReport, ...] | None = ()
+    reports_version: int = 0
     quota_use: tuple[QuotaUse, ...] = ()
 
 
@@ -127,6 +130,7 @@
     :param duration_s: length of the lease, in seconds.
     :param renew_after_s: seconds between renewals.
     :param current_index: index of the newest committed control state.
+    :param reports_version: version of the entry's reports that the leader holds.
     """
 
     echo_sent_at: float
@@ -135,6 +139,7 @@
     control_term: int
     current_index: int
     quotas: tuple[QuotaGrant, ...] = ()
+    reports_version: int = 0
 
 
 class LeaseRefusal(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/bergamotcart/src/bergamotcart/messages/_discovery.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_discovery.py
@@ -58,9 +58,13 @@
     """Asks a peer for the targets that announced themselves to it directly.
 
     :param sent_at: clock of the puller, in seconds.
+    :param known_version: version of the peer's sightings that the puller holds; 0 for none.
+    :param known_incarnation: incarnation of the peer that counted this version.
     """
 
     sent_at: float
+    known_version: int = 0
+    known_incarnation: str = ''
 
 
 class RelayBatch(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -68,7 +72,15 @@
 
     :param echo_sent_at: ``sent_at`` of the pull, so that the puller can bound the
         age of each sighting on its own clock even when the answer was buffered.
+    :param sightings: all targets for ``base_version`` 0, else those that changed after it.
+    :param version: version of the sightings after this answer.
+    :param unchanged_age_s: greatest age, in seconds, of the targets that are not listed.
+    :param silent: group and instance of targets that do not announce themselves any more.
     """
 
     echo_sent_at: float
     sightings: tuple[Sighting, ...]
+    base_version: int = 0
+    version: int = 0
+    unchanged_age_s: float = 0.0
+    silent: tuple[tuple[str, str], ...] = ()
