Shorten elections, and let a leader with a stalled disk give way

About one election in fifty needed a second round, because two members stood at once or one had heard the last heartbeat slightly later. A member that grants a pre-vote now waits two heartbeats, and a refused pre-vote is repeated after one.

A leader whose disk does not answer kept its followers but could apply nothing. Appends with many small records could exceed the message limit, since only commands were counted.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_election.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_election.py
@@ -52,6 +52,8 @@
         granted = (
             request.term > core.hard.term and not core.heard_recently and self._supports(envelope)
         )
+        if granted:
+            self._let_go_first(envelope.sender)
         response = messages.PreVoteResponse(
             term=request.term if granted else core.hard.term,
             granted=granted,
@@ -90,10 +92,11 @@
     def on_pre_vote_response(self, envelope: messages.Envelope) -> None:
         """Count a pre-vote, and stand once enough are granted."""
         response = envelope.body
-        if not self._is_for_me(response) or self._votes:
+        if not self._is_for_me(response) or self._votes or not self._pre_votes:
             return
         if not response.granted:
             self._learn_term(response.term)
+            self._retry_soon()
             return
         if response.term != self._proposed_term:
             return
@@ -148,6 +151,25 @@
             if elector.name != core.config.name:
                 core.send_when_synced(elector.name, request)
 
+    def _let_go_first(self, candidate: str) -> None:
+        """Avoid a split vote with a candidate that was given a pre-vote.
+
+        The pause is short against the election timeout: a candidate that never wins, for
+        instance because it hears no answers, must not keep this member from standing.
+        """
+        core = self._core
+        is_asking = core.role == Role.candidate and not self._votes
+        if is_asking and candidate < core.config.name:
+            self._pre_votes = {}
+            core.election_at = core.now
+        core.election_at = max(core.election_at, core.now + 2 * core.config.heartbeat_s)
+
+    def _retry_soon(self) -> None:
+        """Repeat a pre-vote that was refused, since its reason may pass within a heartbeat."""
+        core = self._core
+        if core.role == Role.candidate and not self._forming:
+            core.election_at = min(core.election_at, core.now + core.config.heartbeat_s)
+
     def _is_for_me(self, response: messages.PreVoteResponse | messages.VoteResponse) -> bool:
         core = self._core
         mine = response.candidate_incarnation == core.hard.incarnation
--- a/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
@@ -1,6 +1,7 @@
 """What a leader does: replication, commit, check-quorum and membership changes."""
 
 from bergamotcart import messages
+from bergamotcart.consensus._config import Role
 from bergamotcart.consensus._core import Core
 from bergamotcart.consensus._membership import (
     Members,
@@ -50,12 +51,15 @@
         since = now - min(config.lease_s, sticky_s)
         return is_majority(self._answered_since(since), self._core.voters)
 
-    def has_lost_quorum(self, now: float) -> bool:
-        """Whether no majority has answered for the greatest election timeout."""
-        since = now - self._core.config.election_timeout_s[1]
-        return self._started_at < since and not is_majority(
-            self._answered_since(since), self._core.voters
-        )
+    def tick(self) -> None:
+        """Send heartbeats when it is time, or stop leading."""
+        core = self._core
+        failure = self._find_failure()
+        if failure:
+            core.change_role(Role.follower, None, failure)
+            core.restart_election_timer()
+        elif core.now >= self._heartbeat_at:
+            self.send_heartbeats()
 
     def propose(self, command: bytes) -> int:
         """Append a command.
@@ -177,6 +181,19 @@
         is_new = member.voter and member_id(member) not in self._core.voters
         return not is_new or self.is_caught_up(member)
 
+    def _find_failure(self) -> str | None:
+        """Why this member must not go on leading."""
+        core = self._core
+        timeout_s = core.config.election_timeout_s[1]
+        since = core.now - timeout_s
+        has_quorum = is_majority(self._answered_since(since), core.voters)
+        if self._started_at < since and not has_quorum:
+            return 'no majority answers'
+        if core.outbox.is_stalled(since - timeout_s):
+            # The others would follow a leader that cannot apply what they commit.
+            return 'own disk does not answer'
+        return None
+
     def _can_commit(self, members: Members) -> bool:
         """Whether a majority of the new voters answers; otherwise the group would be stuck."""
         since = self._core.now - self._core.config.election_timeout_s[1]
--- a/packages/bergamotcart/src/bergamotcart/consensus/_log.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_log.py
@@ -1,10 +1,15 @@
 """The replicated log in memory."""
 
 from collections.abc import Sequence
+from typing import Final
 
 from bergamotcart import messages
 from bergamotcart.consensus._durable import DurableState
 
+# More than the encoding of a record adds to its command; many small records would
+# otherwise exceed the size limit of a message.
+_RECORD_OVERHEAD_BYTES: Final = 128
+
 
 class Log:
     """Records behind a base position; the base itself is known by index and term only."""
@@ -79,16 +84,16 @@
         return tuple(self._records[start : last - self._base_index])
 
     def read_part(self, first: int, size_bytes: int) -> tuple[messages.LogEntry, ...]:
-        """Read at least one record, and further ones while their commands fit.
+        """Read at least one record, and further ones while they fit.
 
         :param first: index of the first record, after the base.
-        :param size_bytes: limit on the commands, in bytes.
+        :param size_bytes: limit on the records, in bytes.
         :returns: the records; empty only if there is none at ``first``.
         """
         part: list[messages.LogEntry] = []
         left = size_bytes
         for entry in self._records[first - self._base_index - 1 :]:
-            left -= len(entry.command)
+            left -= len(entry.command) + _RECORD_OVERHEAD_BYTES
             if part and left < 0:
                 break
             part.append(entry)
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -126,11 +126,7 @@
         core = self._core
         core.now = now
         if self._leadership:
-            if self._leadership.has_lost_quorum(now):
-                core.change_role(Role.follower, None, 'no majority answers')
-                core.restart_election_timer()
-            elif now >= self._leadership.heartbeat_at:
-                self._leadership.send_heartbeats()
+            self._leadership.tick()
         else:
             self._run_timers()
         self._settle()
@@ -201,7 +197,7 @@
         :param batch_id: identifier of the batch.
         """
         self._core.now = now
-        self._core.outbox.persisted(batch_id)
+        self._core.outbox.persisted(now, batch_id)
         if self._leadership:
             self._leadership.advance_commit()
         self._settle()
@@ -242,7 +238,7 @@
         role_changes = tuple(core.role_changes)
         core.role_changes.clear()
         return ConsensusOutputs(
-            batches=core.outbox.take_batches(core.log.last_index),
+            batches=core.outbox.take_batches(core.now, core.log.last_index),
             sends=core.outbox.take_sends(),
             snapshot=snapshot,
             committed=core.take_committed(),
--- a/packages/bergamotcart/src/bergamotcart/consensus/_outbox.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_outbox.py
@@ -1,9 +1,13 @@
 """Batches to persist, and messages that wait for them."""
 
+from typing import Final
+
 from bergamotcart import messages
 from bergamotcart.actions import Send
 from bergamotcart.consensus._durable import HardState, Persist, Snapshot
 
+_NEVER_S: Final = float('inf')
+
 
 class Outbox:
     """Collects durable changes into batches and holds the messages that depend on them.
@@ -22,6 +26,7 @@
         '_snapshot',
         '_truncate_from',
         '_unsynced',
+        '_unsynced_since',
         'durable_index',
         'synced_batch',
     )
@@ -39,6 +44,7 @@
         self.synced_batch = 0
         # Last index of the log after each batch that is not yet synced, by batch.
         self._unsynced: dict[int, int] = {}
+        self._unsynced_since = _NEVER_S
         self._hard: HardState | None = None
         self._snapshot: Snapshot | None = None
         self._truncate_from: int | None = None
@@ -82,12 +88,17 @@
         for batch_id, last_index in self._unsynced.items():
             self._unsynced[batch_id] = min(last_index, first - 1)
 
-    def persisted(self, batch_id: int) -> None:
+    def is_stalled(self, since: float) -> bool:
+        """Whether batches wait and none was synced since a time in seconds."""
+        return self._unsynced_since < since
+
+    def persisted(self, now: float, batch_id: int) -> None:
         """Release the messages that waited for a batch or an earlier one."""
         self.synced_batch = max(self.synced_batch, batch_id)
         synced = [number for number in self._unsynced if number <= batch_id]
         for unsynced in synced:
             self.durable_index = max(self.durable_index, self._unsynced.pop(unsynced))
+        self._unsynced_since = now if self._unsynced else _NEVER_S
         ready = [message for barrier, message in self._held if barrier <= batch_id]
         self._held = [held for held in self._held if held[0] > batch_id]
         self._sends.extend(ready)
@@ -98,9 +109,10 @@
         self._sends.clear()
         return sends
 
-    def take_batches(self, last_index: int) -> tuple[Persist, ...]:
+    def take_batches(self, now: float, last_index: int) -> tuple[Persist, ...]:
         """Close the current batch, if it holds anything, and return it.
 
+        :param now: current time in seconds.
         :param last_index: last index of the log.
         """
         if not self._dirty:
@@ -113,6 +125,7 @@
             records=tuple(self._records),
         )
         self._unsynced[batch.batch_id] = last_index
+        self._unsynced_since = min(self._unsynced_since, now)
         self._next_batch += 1
         self._hard = self._snapshot = self._truncate_from = None
         self._records = []
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_replication.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_replication.py
@@ -88,6 +88,19 @@
     assert [envelope.body.granted for envelope in cluster.mail] == [False]
 
 
+def test_a_leader_whose_disk_stalls_gives_way():
+    """It could keep its followers, but apply nothing."""
+    cluster = _started()
+    old = cluster.find_leader()
+    old.auto_sync = False
+    cluster.propose(b'stalled')
+    cluster.run(4)
+    assert cluster.elect().name != old.name
+    cluster.propose(b'one')
+    cluster.run(1)
+    assert cluster.oracle.committed[-1].command == b'one'
+
+
 def test_records_of_a_cut_off_leader_are_replaced():
     """An uncommitted record must give way to the log of the next leader."""
     cluster = _started()
