--- a/packages/bergamotcart/src/bergamotcart/entry/_lease.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lease.py
@@ -5,6 +5,9 @@
 from bergamotcart.messages import LeaseGrant, QuotaGrant
 
 _REMEMBERED_REQUESTS: Final = 64
+# Requests unanswered for this time, which ends after the lease and an election, are not
+# worth waiting for: what needs the lease is refused at once.
+_CUT_OFF_S: Final = 2.0
 
 
 class LeaseHolder:
@@ -13,13 +16,22 @@
     :param drift_margin: share by which the own clock may run slower than control's.
     """
 
-    __slots__ = ('_control_term', '_drift_margin', '_sent', '_valid_until', 'confirmed', 'quotas')
+    __slots__ = (
+        '_asking_since',
+        '_control_term',
+        '_drift_margin',
+        '_sent',
+        '_valid_until',
+        'confirmed',
+        'quotas',
+    )
 
     def __init__(self, drift_margin: float) -> None:
         """Start without a lease."""
         self._drift_margin = drift_margin
         self._valid_until = float('-inf')
         self._control_term = 0
+        self._asking_since: float | None = None
         self._sent: dict[float, None] = {}
         self.confirmed = False
         self.quotas: tuple[QuotaGrant, ...] = ()
@@ -33,9 +45,17 @@
         """Tell whether the lease is valid and the state was confirmed once."""
         return now < self._valid_until and self.confirmed
 
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether control has not answered for longer than an election takes."""
+        if self._asking_since is None or self.is_valid(now):
+            return False
+        return now - self._asking_since > _CUT_OFF_S
+
     def note_request(self, sent_at: float) -> None:
         """Remember a request, so that only answers to own requests count."""
         self._sent[sent_at] = None
+        if self._asking_since is None:
+            self._asking_since = sent_at
         if len(self._sent) > _REMEMBERED_REQUESTS:
             self._sent.pop(next(iter(self._sent)))
 
@@ -55,6 +75,7 @@
         if not self.is_own_request(grant.echo_sent_at) or grant.control_term < newest_term:
             return False
         self._control_term = grant.control_term
+        self._asking_since = None
         duration = grant.duration_s * (1 - self._drift_margin)
         valid_until = grant.echo_sent_at + duration
         if valid_until > self._valid_until:
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary.py
@@ -11,8 +11,6 @@
 from bergamotcart.outcomes import Reason
 
 MAX_QUEUED_WRITES = 1000
-# A lease that ended this long ago is not renewed soon: control cannot be reached.
-_CUT_OFF_S = 1.0
 
 
 class QueuedSystem(RequestSystem):
@@ -44,7 +42,7 @@
     @property
     def is_cut_off(self) -> bool:
         """Whether control has been out of reach for longer than an election takes."""
-        return self._work.now - self._work.lease.valid_until > _CUT_OFF_S
+        return self._work.lease.is_cut_off(self._work.now)
 
     def primary(self, group: str) -> TargetKey | None:
         """Return the primary if it may be sent work now.
