--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
@@ -1,15 +1,19 @@
 """Connection of one caller."""
 
+import contextlib
 import re
 from typing import Any, Final
 
 from mysql_mimic.connection import Connection
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
 from mysql_mimic.errors import MysqlError
+from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.results import ResultSet
-from mysql_mimic.types import ServerStatus
+from mysql_mimic.types import Capabilities, ServerStatus
 
 from bergamotcart.outcomes import RequestResult
 from bergamotcart_daemon.callers._errors import CallerError, describe_error
+from bergamotcart_daemon.callers._prepared import StatementTemplate
 from bergamotcart_daemon.callers._results import build_result_set
 from bergamotcart_daemon.callers._session import CallerSession
 
@@ -19,6 +23,9 @@
 )
 _NO_ROWS: Final = ResultSet([], [])
 _INVALID_STRING: Final = 1300
+_IDENTIFIER_BYTES: Final = 4
+# Directives come in comments; without query attributes, payloads have one simple form.
+_CAPABILITIES: Final = DEFAULT_SERVER_CAPABILITIES & ~Capabilities.CLIENT_QUERY_ATTRIBUTES
 
 
 class _Refused(MysqlError):
@@ -30,19 +37,16 @@
 
 
 class CallerConnection(Connection):
-    """Sends raw statements to the engine and writes complete answers.
-
-    The library's substitution turns an executed prepared statement into text, so that
-    both ways end in ``query``.
-    """
+    """Sends raw statements to the engine and writes complete answers."""
 
     session: CallerSession
 
     def __init__(self, **parameters: Any) -> None:
         """Announce autocommit, so that drivers need not set it."""
-        super().__init__(**parameters)
+        super().__init__(server_capabilities=_CAPABILITIES, **parameters)
         self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
         self._counts: dict[str, int] = {}
+        self._templates: dict[int, StatementTemplate] = {}
         self._busy = False
 
     @property
@@ -54,15 +58,46 @@
         """Answer a text statement."""
         await self._answer(super().handle_query(data))
 
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Keep a statement and tell the caller the number of its parameters."""
+        sql = self.client_charset.decode(data)
+        template = StatementTemplate(sql)
+        statement = PreparedStatement(
+            stmt_id=next(self.prepared_stmt_seq),
+            sql=sql,
+            num_params=template.parameters,
+        )
+        for packet in self.com_stmt_prepare_response(statement):
+            await self.stream.write(packet, drain=False)
+        await self.stream.drain()
+        # The library sees a statement without parameters; they are filled in before.
+        statement.num_params = 0
+        self.prepared_stmts[statement.stmt_id] = statement
+        self._templates[statement.stmt_id] = template
+
     async def handle_stmt_execute(self, data: bytes) -> None:
         """Answer an executed prepared statement."""
+        statement = self.get_stmt(int.from_bytes(data[:_IDENTIFIER_BYTES], 'little'))
+        template = self._templates[statement.stmt_id]
+        statement.sql = template.bind(data, self.client_charset, statement.param_buffers)
         await self._answer(super().handle_stmt_execute(data))
 
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forget a statement."""
+        await super().handle_stmt_close(data)
+        self._templates.pop(int.from_bytes(data[:_IDENTIFIER_BYTES], 'little'), None)
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Select a group; the engine refuses one that it does not know."""
+        name = self.client_charset.decode(data).replace('`', '``')
+        await self._answer(self._select_group(name))
+
     async def handle_change_user(self, data: bytes) -> None:
         """Give the new user a session of its own."""
         self.session.end()
-        await super().handle_change_user(data)
-        self.session.open()
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.session.open)
+            await super().handle_change_user(data)
 
     async def handle_reset_connection(self, data: bytes) -> None:
         """Start a new session, so that an open transaction is rolled back."""
@@ -75,10 +110,6 @@
 
         :raises MysqlError: if the answer is an error or the caller has left.
         """
-        used = _USE.fullmatch(sql)
-        if used is not None:
-            await self.session.use(used.group(1) or used.group(2))
-            return _NO_ROWS
         session_id = self.session.session_id
         if session_id is None:
             raise _Refused(None)
@@ -88,6 +119,9 @@
         error = describe_error(outcome)
         if error is not None:
             raise _Refused(error)
+        if outcome.result.columns:
+            return build_result_set(outcome.result)
+        self._keep_group(sql)
         return self._keep_counts(outcome.result)
 
     def ok(self, **fields: Any) -> bytes:
@@ -96,9 +130,16 @@
         self._counts = {}
         return super().ok(**(counts | fields))
 
+    async def _select_group(self, name: str) -> None:
+        await self.query(f'USE `{name}`', {})
+        await self.stream.write(self.ok())
+
+    def _keep_group(self, sql: str) -> None:
+        used = _USE.fullmatch(sql)
+        if used is not None:
+            self.session.database = used.group(1) or used.group(2)
+
     def _keep_counts(self, answer: RequestResult) -> ResultSet:
-        if answer.columns:
-            return build_result_set(answer)
         self._counts = {
             'affected_rows': answer.affected_rows,
             'last_insert_id': answer.last_insert_id,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
@@ -6,9 +6,14 @@
 from dataclasses import dataclass
 from typing import Final
 
-from bergamotcart.entry._actions import Execute
-from bergamotcart.entry._execution import ConnectionUse, ExecutionStatus
-from bergamotcart.entry._inputs import EntryInput, ExecutionFinished, PinLost
+from bergamotcart.entry import (
+    ConnectionUse,
+    EntryInput,
+    Execute,
+    ExecutionFinished,
+    ExecutionStatus,
+    PinLost,
+)
 from bergamotcart_daemon.targets import _ledger as ledger
 from bergamotcart_daemon.targets._connection import TargetConnection
 from bergamotcart_daemon.targets._dialect import PositionDialect
@@ -34,7 +39,6 @@
     """Owns the pinned connections; pools own all others.
 
     :param find_pool: returns the pool for the target of an execution.
-    :param create_ledger: creates the ledger table of a target on a connection of its own.
     """
 
     def __init__(
@@ -42,13 +46,11 @@
         dialect: PositionDialect,
         submit: Callable[[EntryInput], None],
         find_pool: Callable[[Execute], ConnectionPool],
-        create_ledger: Callable[[Execute], Awaitable[None]],
     ) -> None:
         """Start without executions."""
         self._dialect = dialect
         self._submit = submit
         self._find_pool = find_pool
-        self._create_ledger = create_ledger
         self._pins: dict[int, _Pin] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._next_prune: dict[ConnectionPool, float] = {}
@@ -86,12 +88,11 @@
         except ConnectError as error:
             self._submit(_not_sent(action, error))
             return
-        run = StepRun(
-            action,
-            pin.connection,
-            self._dialect,
-            lambda: self._create_ledger(action),
-        )
+        except ValueError as error:
+            _logger.warning('target %s: %s', action.target, error)
+            self._submit(_not_sent(action, ConnectError(refused=False)))
+            return
+        run = StepRun(action, pin.connection, self._dialect)
         finished = await run.run(deadline)
         pin.running = False
         self._put_back(action, pin, run)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
@@ -4,8 +4,7 @@
 from collections.abc import Callable
 
 from bergamotcart.discovery import PositionReport, TargetKey
-from bergamotcart.entry._actions import Probe
-from bergamotcart.entry._inputs import ProbeFinished
+from bergamotcart.entry import Probe, ProbeFinished
 from bergamotcart.messages import Reachability
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.targets import _errors as errors
@@ -64,12 +63,6 @@
         self.last_used = asyncio.get_running_loop().time()
         self._spawn(action)
 
-    async def run(self, sql: str) -> None:
-        """Run another statement on this connection."""
-        async with self._lock:
-            connection = await self._connect()
-            await connection.run(sql)
-
     def close(self) -> None:
         """Stop all probes and close the connection."""
         for task in self._tasks:
