Use the admission package for queues, limits, budgets and concurrency

The simple queues let one caller keep the others out, and a fixed limit per target ignored how long statements queue there. Queued requests now take turns between callers, and the concurrency follows the answer times within the connection quota. A failure that the adapter reports without being asked counts as well, since it shows the end of a target before the next probe.

--- a/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
@@ -39,6 +39,7 @@
         'monitor',
         'relays',
         'requests',
+        'retries',
         'sessions',
         'systems',
         'work',
@@ -72,8 +73,9 @@
     def _connect(self) -> None:
         work, monitor, replies = self.work, self.monitor, self._replies
         floors = FloorKeeper(work, monitor)
-        gate = PrimaryGate(work, self.lanes, monitor, replies)
+        gate = PrimaryGate(work, self.lanes, monitor, self.requests, replies)
         retries = Retries(work, replies)
+        self.retries = retries
         confirmations = Confirmations(work, monitor, replies, floors)
         self.flow = Flow(work, self.lanes, monitor, gate, confirmations)
         self.control = ControlLink(
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -20,6 +20,7 @@
 )
 
 _SWEEP_S = 0.25
+_PRUNE_S = 60.0
 
 
 class EntryEngine:
@@ -105,6 +106,11 @@
         self._parts.control.ask()
         self._parts.relays.start()
         self._sweep()
+        self._work.after(_PRUNE_S, self._prune)
+
+    def _prune(self) -> None:
+        self._parts.retries.prune()
+        self._work.after(_PRUNE_S, self._prune)
 
     def _sweep(self) -> None:
         self._parts.flow.sweep()
@@ -138,9 +144,12 @@
     def _open_session(self, opened: inputs.SessionOpened) -> None:
         sessions = self._parts.sessions
         session = Session(opened.session_id, opened.caller, opened.group, self._work.now)
+        if sessions.get(opened.session_id) is not None:
+            return
         policy = self._work.view.policy(opened.caller, opened.group or '')
-        session.refused = sessions.count(opened.caller) >= policy.max_connections
-        sessions.open(session)
+        limit = policy.max_connections
+        session.refused = not self._work.callers.open_connection(opened.caller, limit)
+        sessions.add(session)
 
     def _select_group(self, selected: inputs.GroupSelected) -> None:
         session = self._parts.sessions.get(selected.session_id)
@@ -152,6 +161,8 @@
     def _close_session(self, closed: inputs.SessionClosed) -> None:
         session = self._parts.sessions.close(closed.session_id)
         if session is not None:
+            if not session.refused:
+                self._work.callers.close_connection(session.caller)
             self._parts.systems.transactions.abort(session, 'session_closed')
             self._parts.cancel_waiting(session)
 
@@ -161,7 +172,7 @@
             self._parts.systems.transactions.abort(session, 'connection_lost')
 
     def _count_connections(self, count: inputs.ConnectionCount) -> None:
-        self._parts.lanes.get(count.target).open_connections = count.open
+        self._parts.lanes.get(count.target).reported = count.open
 
     def _drain(self, requested: inputs.DrainRequested) -> None:
         if not self._work.draining:
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -49,6 +49,7 @@
     lane: Lane
     on_finished: Callable[['Running', ExecutionFinished], None]
     incarnation: str
+    started_at: float
     timer: Timer | None = None
 
 
@@ -75,13 +76,12 @@
         target = self._work.table.get(plan.target)
         lane = self._lanes.get(plan.target)
         if plan.use in {ConnectionUse.shared, ConnectionUse.pin}:
-            lane.in_flight += 1
-            lane.reads += int(plan.is_read)
+            lane.take_place(is_read=plan.is_read)
         execution_id = next(self._ids)
         left = request.deadline - self._work.now
         timeout = max(_MIN_TIMEOUT_S, min(left, self._work.config.statement_timeout_s))
         incarnation = target.announcement.incarnation if target else ''
-        running = Running(request, plan, lane, on_finished, incarnation)
+        running = Running(request, plan, lane, on_finished, incarnation, self._work.now)
         self._running[execution_id] = running
         request.phase = Phase.executing
         request.execution_id = execution_id
@@ -121,7 +121,9 @@
         running.request.phase = Phase.waiting
         running.on_finished(running, finished)
         if running.plan.use is ConnectionUse.shared:
-            self._lanes.release(running.lane, is_read=running.plan.is_read)
+            is_answered = finished.status is ExecutionStatus.completed
+            answer_s = self._work.now - running.started_at if is_answered else None
+            self._lanes.release(running.lane, is_read=running.plan.is_read, answer_s=answer_s)
 
     def release_pin(self, target: TargetKey) -> None:
         """Give back the place of a transaction that ended."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -65,12 +65,13 @@
 
     def on_room(self, lane: Lane) -> None:
         """Send what waits for a place at a target."""
-        if self._work.groups.get(lane.key.group).writes:
+        if len(self._work.groups.get(lane.key.group).writes):
             self._gate.pump(lane.key.group)
-        while lane.queue and lane.has_room:
-            request, ticket = lane.queue.popleft()
-            if ticket == request.ticket:
-                _resume([request])
+        while len(lane.queue) and lane.has_room:
+            request = self._gate.queues.take(lane.queue)
+            if request is None:
+                return
+            _resume([request])
 
     def on_group(self, name: str) -> None:
         """Route again whatever waits in a group whose row, lease or targets changed."""
@@ -133,10 +134,7 @@
         _resume(self._work.groups.get(name).pop_reads())
 
     def _drain_lane(self, key: TargetKey) -> None:
-        lane = self._lanes.get(key)
-        waiting = list(lane.queue)
-        lane.queue.clear()
-        _resume([request for request, ticket in waiting if ticket == request.ticket])
+        _resume(self._gate.queues.take_all(self._lanes.get(key).queue))
 
     def _is_primary(self, key: TargetKey) -> bool:
         row = self._work.view.groups.get(key.group)
--- a/packages/bergamotcart/src/bergamotcart/entry/_groups.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_groups.py
@@ -2,13 +2,14 @@
 
 import heapq
 import itertools
-from collections import deque
 from collections.abc import Iterator
+from typing import Final
 
+from bergamotcart.admission import FairQueue
 from bergamotcart.discovery import HeadHistory, Position, TargetKey
 from bergamotcart.entry._requests import Request
 
-QueueEntry = tuple[Request, int]
+MAX_QUEUED_WRITES: Final = 1000
 
 
 class PositionWaits:
@@ -98,7 +99,7 @@
     def __init__(self, name: str) -> None:
         """Start with nothing waiting."""
         self.name = name
-        self.writes: deque[QueueEntry] = deque()
+        self.writes = FairQueue(MAX_QUEUED_WRITES)
         self.catch_up = PositionWaits()
         self.confirming = PositionWaits()
         self.primary_waits = ReportWaits()
--- a/packages/bergamotcart/src/bergamotcart/entry/_intake.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_intake.py
@@ -93,7 +93,11 @@
         if refusal is not None:
             self._answer(arrived, refusal)
             return
-        self._start(self._build(arrived, session, sql, statement, directives), arrived.unix_ms)
+        request = self._build(arrived, session, sql, statement, directives)
+        if self._work.callers.start_request(session.caller, request.policy.max_in_flight):
+            self._start(request, arrived.unix_ms)
+        else:
+            self._answer(arrived, NotRun(Reason.caller_limit, 'in flight', retry_after=0.1))
 
     def end_wait(self, request: Request) -> None:
         """End a request whose deadline is over, unless its execution ends by itself."""
@@ -143,11 +147,12 @@
 
     def _check_caller(self, session: Session, group: str) -> NotRun | None:
         policy = self._work.view.policy(session.caller, group)
-        if session.refused and self._sessions.count(session.caller) > policy.max_connections:
+        callers = self._work.callers
+        if session.refused:
+            limit = policy.max_connections
+            session.refused = not callers.open_connection(session.caller, limit)
+        if session.refused:
             return NotRun(Reason.caller_limit, 'connections', retry_after=1.0)
-        session.refused = False
-        if self._requests.in_flight(session.caller) >= policy.max_in_flight:
-            return NotRun(Reason.caller_limit, 'requests in flight', retry_after=0.1)
         return None
 
     def _build(
@@ -181,7 +186,7 @@
 
     def _start(self, request: Request, unix_ms: int | None) -> None:
         self._requests.add(request)
-        self._retries.budgets.note_request(request)
+        self._retries.note_request(request)
         request.deadline_timer = self._work.timers.schedule(
             request.deadline,
             lambda: self.end_wait(request),
--- a/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
@@ -1,12 +1,16 @@
 """Connections and concurrency per target."""
 
-from collections import deque
 from collections.abc import Callable
 from typing import Final
 
+from bergamotcart.admission import (
+    ConcurrencyLimit,
+    ConcurrencySettings,
+    ConnectionQuota,
+    FairQueue,
+)
 from bergamotcart.discovery import TargetKey
 from bergamotcart.entry._actions import LimitConnections
-from bergamotcart.entry._requests import Request
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.messages import QuotaUse
 
@@ -16,38 +20,46 @@
 class Lane:
     """Statements running and queued at one target.
 
-    :param limit: connections that this entry may use, without the one for probes.
+    :param base: base quota, with the connection for probes.
+    :param queue: reads that wait for a place.
+    :param told: connection limit that the adapter was told last.
+    :param reported: connections that the adapter reported last.
     """
 
-    __slots__ = ('base', 'in_flight', 'key', 'limit', 'open_connections', 'queue', 'reads', 'told')
+    __slots__ = ('base', 'concurrency', 'key', 'queue', 'quota', 'reads', 'reported', 'told')
 
-    def __init__(self, key: TargetKey) -> None:
-        """Start without connections."""
+    def __init__(self, key: TargetKey, now: float) -> None:
+        """Start with the least quota."""
         self.key = key
         self.base = 1
-        self.limit = 1
-        self.in_flight = 0
+        self.quota = ConnectionQuota(1)
+        self.concurrency = ConcurrencyLimit(now, 1, ConcurrencySettings())
+        self.queue = FairQueue(MAX_QUEUED_READS)
         self.reads = 0
-        self.open_connections = 0
+        self.reported = 0
         self.told = 0
-        self.queue: deque[tuple[Request, int]] = deque()
 
     @property
     def has_room(self) -> bool:
         """Whether another statement may be sent now."""
-        return self.in_flight < self.limit
+        return self.concurrency.has_room
 
     @property
     def load(self) -> float:
-        """Statements running and queued per allowed connection."""
-        return (self.in_flight + len(self.queue)) / self.limit
+        """Statements running and queued per place."""
+        return (self.concurrency.in_flight + len(self.queue)) / self.concurrency.limit
 
     def has_room_for_read(self, share: float) -> bool:
         """Tell whether a read may be sent to this primary.
 
         :param share: share of the primary's concurrency left to reads.
         """
-        return self.has_room and self.reads < max(1, int(self.limit * share))
+        return self.has_room and self.reads < max(1, int(self.concurrency.limit * share))
+
+    def take_place(self, *, is_read: bool) -> None:
+        """Count a statement or a transaction that starts; there must be room for it."""
+        self.concurrency.start()
+        self.reads += int(is_read)
 
 
 class Lanes:
@@ -68,58 +80,67 @@
         """Return the lane of a target."""
         lane = self._lanes.get(key)
         if lane is None:
-            lane = Lane(key)
+            lane = Lane(key, self._work.now)
             self._lanes[key] = lane
         return lane
 
-    def release(self, lane: Lane, *, is_read: bool) -> None:
-        """Give back the place of a statement that ended."""
-        lane.in_flight -= 1
+    def release(self, lane: Lane, *, is_read: bool, answer_s: float | None = None) -> None:
+        """Give back the place of a statement or transaction that ended.
+
+        :param answer_s: seconds that a statement took, if it was answered.
+        """
+        lane.concurrency.finish(self._work.now, answer_s)
         lane.reads -= int(is_read)
         self._on_room(lane)
 
     def forget(self, key: TargetKey) -> None:
         """Remove the lane of a target that is gone, unless statements still run there."""
         lane = self._lanes.get(key)
-        if lane is not None and not lane.in_flight and not lane.queue:
+        if lane is not None and not lane.concurrency.in_flight and not len(lane.queue):
             self._lanes.pop(key)
 
     def update_limits(self) -> None:
         """Set the limits from the announcements, the document and the lease."""
-        lent = {}
+        lent: dict[TargetKey, int] = {}
         if self._work.lease_valid:
             quotas = self._work.lease.quotas
             lent = {TargetKey(quota.group, quota.instance): quota.lent for quota in quotas}
         for target in self._work.table:
             lane = self.get(target.key)
             lane.base = self._base_quota(target.key, target.announcement.connection_limit)
-            self._set_limit(lane, lane.base + lent.get(target.key, 0), target.announcement.address)
+            lane.quota.change_base(lane.base)
+            lane.quota.apply_grant(self._work.now, lent.get(target.key, 0))
+            self._tell(lane, target.announcement.address)
 
     def quota_use(self) -> tuple[QuotaUse, ...]:
         """Return the use of lent connections, for the lease request."""
-        return tuple(
-            QuotaUse(
-                group=lane.key.group,
-                instance=lane.key.instance,
-                lent_in_use=max(0, max(lane.open_connections, lane.in_flight) - lane.base),
-                demand=max(0, lane.in_flight + len(lane.queue) - lane.base),
-            )
-            for lane in self._lanes.values()
-            if lane.limit > lane.base or lane.in_flight + len(lane.queue) > lane.base
+        uses = [self._use(lane) for lane in self._lanes.values()]
+        return tuple(use for use in uses if use.lent_in_use or use.demand)
+
+    def _use(self, lane: Lane) -> QuotaUse:
+        own = max(lane.base - 1, 1)
+        in_flight = lane.concurrency.in_flight
+        waiting = len(lane.queue)
+        row = self._work.view.groups.get(lane.key.group)
+        if row is not None and row.primary == lane.key.instance:
+            waiting += len(self._work.groups.get(lane.key.group).writes)
+        return QuotaUse(
+            group=lane.key.group,
+            instance=lane.key.instance,
+            lent_in_use=max(max(lane.reported, in_flight) - own, 0),
+            demand=max(in_flight + waiting - own, 0),
         )
 
     def _base_quota(self, key: TargetKey, connection_limit: int) -> int:
         settings = self._work.view.document.group(key.group)
         entries = settings.entries_limit if settings else self._work.view.entries_limit
-        # One connection of the quota is kept for probes.
-        return max(1, connection_limit // entries - 1)
+        return max(1, connection_limit // entries)
 
-    def _set_limit(self, lane: Lane, limit: int, address: str) -> None:
+    def _tell(self, lane: Lane, address: str) -> None:
+        limit = lane.quota.limit
         if lane.told == limit:
             return
-        grown = limit > lane.limit
-        lane.limit = limit
         lane.told = limit
+        lane.concurrency.change_quota(limit)
         self._work.actions.append(LimitConnections(lane.key, address, limit))
-        if grown:
-            self._on_room(lane)
+        self._on_room(lane)
--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -27,6 +27,7 @@
     :param report: newest answer of the current incarnation.
     :param report_sent_at: time at which the probe of that answer was sent, in seconds.
     :param since: time from which the reachability holds, in seconds.
+    :param ended_sent_at: time at which the last probe that ended was sent, in seconds.
     :param needed_after: an answer to a probe sent after this time is waited for.
     :param catch_up_s: smoothed time that the instance needs to reach a position waited for.
     """
@@ -39,6 +40,7 @@
     since: float = 0.0
     in_flight: bool = False
     last_sent: float = float('-inf')
+    ended_sent_at: float = float('-inf')
     waited_for: Position | None = None
     needed_after: float = float('-inf')
     catch_up_s: float = _INITIAL_CATCH_UP_S
@@ -142,14 +144,17 @@
         if watched is None or finished.sent_at < watched.last_sent:
             return
         was_in_flight = watched.in_flight
+        is_repeated = not was_in_flight and finished.sent_at <= watched.ended_sent_at
         watched.in_flight = False
+        watched.ended_sent_at = max(watched.ended_sent_at, finished.sent_at)
+        if is_repeated:
+            return
         if finished.report is None:
-            if was_in_flight:
-                self._set_reachability(watched, finished.failure or Reachability.silent)
+            # The adapter also reports without being asked when its connection breaks.
+            self._set_reachability(watched, finished.failure or Reachability.silent)
         elif finished.sent_at > watched.report_sent_at:
             self._accept(watched, finished.report, finished.sent_at)
-        if was_in_flight:
-            self._schedule(watched)
+        self._schedule(watched)
 
     def _accept(self, watched: Watched, report: PositionReport, sent_at: float) -> None:
         progressed = watched.report is None or report.position > watched.report.position
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary.py
@@ -5,13 +5,12 @@
 from bergamotcart.discovery import TargetKey
 from bergamotcart.entry._lanes import Lanes
 from bergamotcart.entry._monitor import TargetMonitor
+from bergamotcart.entry._queues import Queues
 from bergamotcart.entry._replies import Replies
-from bergamotcart.entry._requests import Phase, Request, RequestSystem
+from bergamotcart.entry._requests import Phase, Request, RequestSystem, RequestTable
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.outcomes import Reason
 
-MAX_QUEUED_WRITES = 1000
-
 
 class QueuedSystem(RequestSystem):
     """System whose requests wait in the queue for the primary."""
@@ -24,19 +23,21 @@
 class PrimaryGate:
     """Queues work for the primary of each group and lets it pass while that is safe."""
 
-    __slots__ = ('_lanes', '_monitor', '_replies', '_work')
+    __slots__ = ('_lanes', '_monitor', '_replies', '_work', 'queues')
 
     def __init__(
         self,
         work: Workspace,
         lanes: Lanes,
         monitor: TargetMonitor,
+        requests: RequestTable,
         replies: Replies,
     ) -> None:
         """Keep the tables that decide."""
         self._work = work
         self._lanes = lanes
         self._monitor = monitor
+        self.queues = Queues(requests, replies)
         self._replies = replies
 
     @property
@@ -65,38 +66,30 @@
 
     def enqueue(self, request: Request) -> None:
         """Queue a request for the primary, and send it if that is possible now."""
-        queue = self._work.groups.get(request.group).writes
         if self.is_read_only(request.group):
             self._replies.refuse(request, Reason.group_not_open, 'the group is read-only')
         elif self.is_cut_off:
             self._replies.refuse(request, Reason.no_lease, retry_after=1.0)
-        elif len(queue) >= MAX_QUEUED_WRITES:
-            self._replies.refuse(request, Reason.queue_full, retry_after=1.0)
         else:
             request.phase = Phase.waiting
-            queue.append((request, request.ticket))
+            self.queues.put(self._work.groups.get(request.group).writes, request)
             self.pump(request.group)
 
     def pump(self, group: str) -> None:
         """Send as many queued requests as the primary takes now."""
         queue = self._work.groups.get(group).writes
-        while queue:
-            request, ticket = queue[0]
-            if ticket != request.ticket:
-                queue.popleft()
-                continue
+        while len(queue):
             key = self.primary(group)
             if key is None or not self._lanes.get(key).has_room:
                 return
-            queue.popleft()
+            request = self.queues.take(queue)
+            if request is None:
+                return
             self._send(request, key)
 
     def refuse_queued(self, group: str, reason: Reason) -> None:
         """Refuse all queued requests of a group."""
-        queue = self._work.groups.get(group).writes
-        waiting = [request for request, ticket in queue if ticket == request.ticket]
-        queue.clear()
-        for request in waiting:
+        for request in self.queues.take_all(self._work.groups.get(group).writes):
             self._replies.refuse(request, reason, retry_after=1.0)
 
     def _send(self, request: Request, key: TargetKey) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_reads.py
@@ -6,7 +6,7 @@
 from bergamotcart.entry._executions import Executions, Plan, Running
 from bergamotcart.entry._floors import FloorKeeper
 from bergamotcart.entry._inputs import ExecutionFinished
-from bergamotcart.entry._lanes import MAX_QUEUED_READS, Lane, Lanes
+from bergamotcart.entry._lanes import Lane, Lanes
 from bergamotcart.entry._monitor import TargetMonitor
 from bergamotcart.entry._primary import PrimaryGate
 from bergamotcart.entry._replies import Replies
@@ -64,7 +64,7 @@
     def resume(self, request: Request) -> None:
         """Route a read, or let it wait for what it lacks."""
         session, name = request.session, request.group
-        if request.done or request.phase is not Phase.waiting:
+        if request.done or request.phase is not Phase.waiting or request.queue is not None:
             return
         request.ticket += 1
         last = self._floors.unresolved(session, name)
@@ -222,10 +222,7 @@
         self._executions.start(request, Plan(key, steps, is_read=is_primary), self._finish)
 
     def _queue(self, request: Request, lane: Lane) -> None:
-        if len(lane.queue) >= MAX_QUEUED_READS:
-            self._replies.refuse(request, Reason.queue_full, retry_after=0.5)
-        else:
-            lane.queue.append((request, request.ticket))
+        self._gate.queues.put(lane.queue, request)
 
     def _finish(self, running: Running, finished: ExecutionFinished) -> None:
         request = running.request
--- a/packages/bergamotcart/src/bergamotcart/entry/_replies.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replies.py
@@ -26,6 +26,10 @@
             if timer is not None:
                 timer.cancel()
         self._requests.remove(request)
+        self._work.callers.finish_request(request.session.caller)
+        if request.queue is not None:
+            request.queue.remove(request.request_id)
+            request.queue = None
         self._work.actions.append(Reply(request.request_id, outcome))
 
     def refuse(
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from bergamotcart import documents
+from bergamotcart.admission import FairQueue
 from bergamotcart.discovery import Position
 from bergamotcart.entry._execution import LedgerKey
 from bergamotcart.entry._sessions import Session
@@ -43,6 +44,7 @@
     :param may_have_run: whether an attempt so far may have run.
     :param term: term of the group at the last attempt.
     :param outcome: outcome to give once the write is confirmed.
+    :param queue: fair queue in which it waits, if any.
     :param ticket: changes whenever the request leaves a queue, so that a queue can tell
         that its entry is out of date.
     """
@@ -70,20 +72,20 @@
     position: Position | None = None
     ticket: int = 0
     execution_id: int | None = None
+    queue: FairQueue | None = None
     deadline_timer: Timer | None = None
     wait_timer: Timer | None = None
 
 
 class RequestTable:
-    """Requests by identifier, counted per caller."""
+    """Requests by identifier and by session."""
 
-    __slots__ = ('_per_caller', '_per_session', '_requests')
+    __slots__ = ('_per_session', '_requests')
 
     def __init__(self) -> None:
         """Start without requests."""
         self._per_session: dict[int, dict[int, Request]] = {}
         self._requests: dict[int, Request] = {}
-        self._per_caller: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of requests in progress."""
@@ -97,10 +99,6 @@
         """Return a request in progress."""
         return self._requests.get(request_id)
 
-    def in_flight(self, caller: str) -> int:
-        """Return the number of requests of a caller."""
-        return self._per_caller.get(caller, 0)
-
     def of_session(self, session: Session) -> list[Request]:
         """Return the requests of a session."""
         return list(self._per_session.get(session.session_id, {}).values())
@@ -109,20 +107,12 @@
         """Add a request."""
         session_id = request.session.session_id
         self._per_session.setdefault(session_id, {})[request.request_id] = request
-        caller = request.session.caller
         self._requests[request.request_id] = request
-        self._per_caller[caller] = self._per_caller.get(caller, 0) + 1
 
     def remove(self, request: Request) -> None:
         """Remove a request that gets its reply now."""
-        caller = request.session.caller
         self._requests.pop(request.request_id)
         of_session = self._per_session[request.session.session_id]
         of_session.pop(request.request_id)
         if not of_session:
             self._per_session.pop(request.session.session_id)
-        left = self._per_caller[caller] - 1
-        if left:
-            self._per_caller[caller] = left
-        else:
-            self._per_caller.pop(caller)
--- a/packages/bergamotcart/src/bergamotcart/entry/_retries.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_retries.py
@@ -1,54 +1,37 @@
 """Retries within a budget per caller and per group, with jittered backoff."""
 
-from collections import defaultdict
 from typing import Final
 
+from bergamotcart.admission import Backoff, RetryBudgets, RetryLimits
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Phase, Request
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.outcomes import Reason
 
-_BACKOFF_S: Final = 0.01
-_MAX_BACKOFF_S: Final = 0.5
-# A caller with few requests may still retry this many times in a row.
-_MINIMUM: Final = 10.0
-
-
-class RetryBudgets:
-    """Retries left per caller and per group: a share of the requests plus a small minimum."""
-
-    __slots__ = ('_left',)
-
-    def __init__(self) -> None:
-        """Start with the minimum for everyone."""
-        self._left: dict[str, float] = defaultdict(lambda: _MINIMUM)
-
-    def note_request(self, request: Request) -> None:
-        """Earn a share of a retry."""
-        share = request.policy.retry_share
-        for key in _keys(request):
-            self._left[key] = min(_MINIMUM, self._left[key] + share)
-
-    def spend(self, request: Request) -> bool:
-        """Take one retry, unless the budget of the caller or of the group is used up."""
-        keys = _keys(request)
-        if any(self._left[key] < 1 for key in keys):
-            return False
-        for key in keys:
-            self._left[key] -= 1
-        return True
+# Budgets of callers that sent nothing for this time are full again and need no memory.
+_UNUSED_S: Final = 600.0
+_BACKOFF: Final = Backoff(first_s=0.01, greatest_s=0.5)
 
 
 class Retries:
     """Sends a request again where its verdict and its mark allow it."""
 
-    __slots__ = ('_replies', '_work', 'budgets')
+    __slots__ = ('_budgets', '_replies', '_work')
 
     def __init__(self, work: Workspace, replies: Replies) -> None:
         """Start with full budgets."""
         self._work = work
         self._replies = replies
-        self.budgets = RetryBudgets()
+        self._budgets = RetryBudgets()
+
+    def note_request(self, request: Request) -> None:
+        """Earn the share of a first attempt."""
+        caller, limits = request.session.caller, _limits(request)
+        self._budgets.note_request(self._work.now, caller, request.group, limits)
+
+    def prune(self) -> None:
+        """Forget callers that have sent nothing for long."""
+        self._budgets.prune(self._work.now - _UNUSED_S)
 
     def retry(self, request: Request, reason: Reason, *, was_sent: bool = True) -> None:
         """Try a request again after a pause, or end it with its verdict.
@@ -56,11 +39,11 @@
         :param reason: why the last attempt failed.
         :param was_sent: whether that attempt loaded the target; others cost no budget.
         """
-        delay = self._backoff(request)
+        delay = _BACKOFF.pause_s(request.attempts, self._work.random)
         if self._work.now + delay >= request.deadline:
             self._replies.refuse(request, reason, 'no time left for a retry')
             return
-        if was_sent and not self.budgets.spend(request):
+        if was_sent and not self._may_retry(request):
             self._replies.refuse(request, Reason.retry_budget, reason.value, retry_after=1.0)
             return
         self._work.decide(
@@ -76,15 +59,15 @@
         request.wait_until = None
         request.wait_timer = self._work.after(delay, lambda: _resume(request))
 
-    def _backoff(self, request: Request) -> float:
-        longest = min(_MAX_BACKOFF_S, _BACKOFF_S * 2**request.attempts)
-        return longest * self._work.random.uniform(0.5, 1)
+    def _may_retry(self, request: Request) -> bool:
+        caller, limits = request.session.caller, _limits(request)
+        return self._budgets.try_retry(self._work.now, caller, request.group, limits)
+
+
+def _limits(request: Request) -> RetryLimits:
+    return RetryLimits(share=request.policy.retry_share)
 
 
 def _resume(request: Request) -> None:
     if not request.done and request.system is not None:
         request.system.resume(request)
-
-
-def _keys(request: Request) -> tuple[str, str]:
-    return f'caller:{request.session.caller}', f'group:{request.group}'
--- a/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
@@ -74,14 +74,13 @@
 
 
 class SessionTable:
-    """Sessions by identifier, counted per caller."""
+    """Sessions by identifier."""
 
-    __slots__ = ('_per_caller', '_sessions')
+    __slots__ = ('_sessions',)
 
     def __init__(self) -> None:
         """Start without sessions."""
         self._sessions: dict[int, Session] = {}
-        self._per_caller: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of open sessions."""
@@ -91,25 +90,13 @@
         """Return a session, or ``None`` if it is closed."""
         return self._sessions.get(session_id)
 
-    def count(self, caller: str) -> int:
-        """Return the number of sessions of a caller."""
-        return self._per_caller.get(caller, 0)
-
-    def open(self, session: Session) -> None:
-        """Add a session; one that exists stays as it is."""
-        if session.session_id not in self._sessions:
-            self._sessions[session.session_id] = session
-            self._per_caller[session.caller] = self._per_caller.get(session.caller, 0) + 1
+    def add(self, session: Session) -> None:
+        """Add a session."""
+        self._sessions[session.session_id] = session
 
     def close(self, session_id: int) -> Session | None:
         """Remove a session and return it."""
         session = self._sessions.pop(session_id, None)
-        if session is None:
-            return None
-        session.closed = True
-        left = self._per_caller[session.caller] - 1
-        if left:
-            self._per_caller[session.caller] = left
-        else:
-            self._per_caller.pop(session.caller)
+        if session is not None:
+            session.closed = True
         return session
--- a/packages/bergamotcart/src/bergamotcart/entry/_workspace.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_workspace.py
@@ -5,6 +5,7 @@
 
 from bergamotcart import messages
 from bergamotcart.actions import Decision, Send
+from bergamotcart.admission import CallerLimits
 from bergamotcart.discovery import TargetTable
 from bergamotcart.entry._actions import EntryAction
 from bergamotcart.entry._config import EntryConfig
@@ -19,6 +20,7 @@
 
     __slots__ = (
         'actions',
+        'callers',
         'config',
         'draining',
         'groups',
@@ -39,6 +41,7 @@
         self.timers = Timers()
         self.random = random.Random(config.seed)
         self.groups = Groups()
+        self.callers = CallerLimits()
         self.view = ControlView()
         self.lease = LeaseHolder(config.drift_margin)
         self.table = TargetTable(config.target_expiry_s)
