--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/routing/tests/test_routing.py
@@ -0,0 +1,58 @@
+"""Guards against stale replicas, and against a primary that serves what replicas can."""
+
+from bergamotcart.discovery import Position, TargetKey
+from bergamotcart.routing import Candidate, PrimaryState, ReadNeed, RouteAction, choose_route
+
+_FLOOR = Position(1, 10)
+
+
+def _candidate(name: str, position: int, **fields: object) -> Candidate:
+    defaults: dict[str, object] = {
+        'own_zone': False,
+        'proved_at': None,
+        'load': 0.0,
+        'catch_up_s': 0.01,
+    }
+    key = TargetKey('tickets', name)
+    return Candidate(key=key, position=Position(1, position), **(defaults | fields))
+
+
+def _choose(need: ReadNeed, *candidates: Candidate, primary=PrimaryState.free):
+    return choose_route(need, candidates, primary, ())
+
+
+def test_an_eligible_replica_of_another_zone_comes_before_a_stale_one():
+    """A near replica must not serve a session that has seen more."""
+    need = ReadNeed(_FLOOR, None, 0.05)
+    near, far = _candidate('b', 9, own_zone=True), _candidate('c', 10)
+    assert _choose(need, near, far).target == far.key
+
+
+def test_own_zone_comes_before_load_until_it_is_much_busier():
+    """Traffic between zones costs more, but a queue costs more still."""
+    need = ReadNeed(_FLOOR, None, 0.05)
+    far = _candidate('c', 10)
+    assert _choose(need, _candidate('b', 10, own_zone=True, load=0.9), far).target.instance == 'b'
+    assert _choose(need, _candidate('b', 10, own_zone=True, load=2.0), far).target == far.key
+
+
+def test_age_must_be_proved():
+    """A replica without a proof may be of any age."""
+    need = ReadNeed(None, 5.0, 0.0)
+    assert _choose(need, _candidate('b', 10)).action is RouteAction.primary
+    assert _choose(need, _candidate('b', 10, proved_at=5.0)).action is RouteAction.replica
+
+
+def test_a_short_wait_is_preferred_to_the_primary():
+    """Reads that follow a write at once must not all go to the primary."""
+    behind = _candidate('c', 9)
+    assert _choose(ReadNeed(_FLOOR, None, 0.05), behind).action is RouteAction.wait
+    assert _choose(ReadNeed(_FLOOR, None, 0.0), behind).action is RouteAction.primary
+    slow = _candidate('c', 9, catch_up_s=2.0)
+    assert _choose(ReadNeed(_FLOOR, None, 0.05), slow).action is RouteAction.primary
+
+
+def test_a_busy_primary_is_protected():
+    """Reads must leave the primary room for writes."""
+    route = _choose(ReadNeed(_FLOOR, None, 0.0), _candidate('b', 9), primary=PrimaryState.busy)
+    assert route.action is RouteAction.wait
