--- a/packages/bergamotcart/src/bergamotcart/entry/tests/world.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/world.py
@@ -52,6 +52,7 @@
         self.executions: list[tuple[str, entry.Execute]] = []
         self.probes: list[tuple[str, float, entry.Probe]] = []
         self.late: list[Late] = []
+        self.slow: list[tuple[str, entry.ProbeFinished]] = []
         self.decisions: list[Decision] = []
         self.requests = 0
         self.sessions = 0
@@ -108,6 +109,13 @@
         report = None if failure else target.report
         self.step(name, entry.ProbeFinished(probe.target, sent_at, report, failure))
 
+    def read_position(self, index: int) -> None:
+        """Let a target answer a probe; the answer stays under way."""
+        name, sent_at, probe = self.probes.pop(index)
+        target = self.targets[probe.target.instance]
+        if target.up:
+            self.slow.append((name, entry.ProbeFinished(probe.target, sent_at, target.report)))
+
     def execute(self, index: int, mode: str = 'ok', stop_at: int = 0) -> None:
         """Finish one execution.
 
@@ -128,24 +136,28 @@
         """Run the step that a target still held when its connection broke."""
         late = self.late.pop(index)
         run = late.run
-        if run.target.up and (
-            run.connection in run.target.open or late.step.kind is Kind.statement
-        ):
+        is_alone = run.action.steps[0].kind is Kind.statement and run.is_shared
+        if run.target.up and (is_alone or run.connection in run.target.open):
             getattr(run, f'_{late.step.kind.value}')(late.step)
         run.roll_back()
 
-    def settle(self, rounds: int = 12) -> None:
-        """Let everything proceed without faults for a while."""
+    def settle(
+        self, rounds: int = 12, lagging: str = '', fault: tuple[str, int] = ('ok', 0)
+    ) -> None:
+        """Let everything proceed for a while.
+
+        :param lagging: names of replicas that copy nothing meanwhile.
+        :param fault: how the first execution ends, as for ``execute``.
+        """
+        mode, stop_at = fault
         for _ in range(rounds):
             self.now += 0.002
             for target in self.targets.values():
-                target.replicate(len(self.targets['a'].log) + 1000)
-            for _ in self.mail.copy():
-                self.deliver(0)
-            for _ in self.probes.copy():
-                self.answer_probe(0)
+                target.replicate(0 if target.name in lagging else 1000)
+            self._deliver_all()
             for _ in self.executions.copy():
-                self._execute_first()
+                self._execute_first(mode, stop_at)
+                mode = 'ok'
             for name in self.engines:
                 self.step(name)
 
@@ -168,9 +180,17 @@
         """Return the reply to a request, or ``None``."""
         return self.oracle.replies.get(request)
 
-    def _execute_first(self) -> None:
+    def _deliver_all(self) -> None:
+        for _ in self.mail.copy():
+            self.deliver(0)
+        for _ in self.slow.copy():
+            self.step(*self.slow.pop(0))
+        for _ in self.probes.copy():
+            self.answer_probe(0)
+
+    def _execute_first(self, mode: str, stop_at: int) -> None:
         before = len(self.executions)
-        self.execute(0)
+        self.execute(0, mode, stop_at)
         if len(self.executions) == before:
             self.executions.append(self.executions.pop(0))
 
@@ -183,7 +203,7 @@
         self.post(name, action.recipient, action.body)
 
     def _on_execute(self, name: str, action: entry.Execute) -> None:
-        self.oracle.check_start(self.now, name, action.target.instance)
+        self.oracle.check_start(self.now, name, action)
         self.executions.append((name, action))
 
     def _on_probe(self, name: str, action: entry.Probe) -> None:
@@ -218,6 +238,7 @@
             return _finished(action, Status.completed, result=run.result, report=run.report)
         step = action.steps[stop_at if failed is None else failed]
         if mode == 'late' and failed is None:
+            run.detach(len(self.late))
             self.late.append(Late(run, step))
         else:
             run.roll_back()
