--- a/packages/bergamotcart/src/bergamotcart/control/_leases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leases.py
@@ -123,7 +123,7 @@
         renew_after_s=config.lease_renewal_s,
         control_term=tick.authority.term,
         current_index=tick.state.index,
-        quotas=grant_quotas(tick, contact),
+        quotas=grant_quotas(tick, contact, request.sent_at),
         reports_version=contact.reports_version,
     )
     tick.send(contact.key.name, contact.address, grant)
--- a/packages/bergamotcart/src/bergamotcart/control/_local.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass, field
 
+from bergamotcart.admission import TargetLender
 from bergamotcart.control._entry_table import EntryTable
 from bergamotcart.control._group_work import GroupWork
 from bergamotcart.control._order_book import OrderBook
 from bergamotcart.control._proposals import Proposals
-from bergamotcart.control._quotas import LoanTable
 from bergamotcart.control._sightings import SightingTable
 
 
@@ -22,7 +22,7 @@
     entries: EntryTable = field(default_factory=EntryTable)
     sightings: SightingTable = field(default_factory=SightingTable)
     orders: OrderBook = field(default_factory=OrderBook)
-    loans: LoanTable = field(default_factory=LoanTable)
+    lenders: dict[tuple[str, str], TargetLender] = field(default_factory=dict)
     groups: dict[str, GroupWork] = field(default_factory=dict)
     looked_at: dict[str, float] = field(default_factory=dict)
     led_since: float = 0
@@ -37,7 +37,7 @@
         self.entries.clear(assumed_until)
         self.sightings.clear()
         self.orders.clear()
-        self.loans.clear()
+        self.lenders.clear()
         self.groups.clear()
         self.looked_at.clear()
         self.led_since = now
