--- a/packages/bergamotcart/src/bergamotcart/control/_promotion.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_promotion.py
@@ -80,7 +80,15 @@
 
 
 def _open_when_replicated(tick: Tick, row: messages.GroupRow, work: GroupWork) -> None:
-    reason = _reason_to_open(tick, row, work)
+    promotion = tick.local.orders.find(_promote_key(row))
+    answered_at = promotion.answered_at if promotion else None
+    statuses = poll_statuses(tick, row, answered_at or tick.now)
+    chosen = statuses.get(row.primary or '')
+    if chosen is not None and chosen.role != messages.TargetRole.primary:
+        # It has restarted since; without a new term its former answer would stand for ever.
+        freeze(tick, row, 'chosen_demoted')
+        return
+    reason = _reason_to_open(tick, row, work, statuses)
     if not reason:
         work.waiting_for = 'a replica to have the first record of the new term'
         return
@@ -89,7 +97,12 @@
         decide(tick, row, 'open', reason)
 
 
-def _reason_to_open(tick: Tick, row: messages.GroupRow, work: GroupWork) -> str:
+def _reason_to_open(
+    tick: Tick,
+    row: messages.GroupRow,
+    work: GroupWork,
+    statuses: dict[str, InstanceStatus],
+) -> str:
     """Return why a group may open.
 
     Unless a replica has a record of the new term, a later choice could prefer the longer
@@ -98,7 +111,6 @@
     settings = tick.document.groups[row.name]
     if settings.instances == 1:
         return 'single_instance'
-    statuses = poll_statuses(tick, row, work.since)
     for instance, status in statuses.items():
         if instance != row.primary and status.log_term >= row.term:
             return 'replica_has_first_record'
