Report the discarded positions of returning instances, and test operators and groups

Control repeated the order to follow to dead instances, from their last announcement, and the order then reached a returned primary before its new announcement, so its extra positions went unreported. Orders in an open group now need a recent announcement, and the answer to the order is checked too. A refused second change of members is answered as a conflict.

--- a/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
@@ -45,7 +45,7 @@
         name = query.name
         known = any(member.name == name for member in self._node.members)
         newcomer = query.name if query.action == MemberAction.admit else query.replacement
-        if query.action == MemberAction.admit and known:
+        if query.action == MemberAction.admit and known and self._find_newcomer(name) is None:
             return f'{name!r} is a member already'
         if query.action != MemberAction.admit and not known:
             return f'{name!r} is not a member'
--- a/packages/bergamotcart/src/bergamotcart/control/_open_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_open_group.py
@@ -5,12 +5,13 @@
 from bergamotcart import messages
 from bergamotcart.actions import Decision
 from bergamotcart.control._commands import FreezeGroup
-from bergamotcart.control._events import OrderKind
+from bergamotcart.control._events import InstanceStatus, OrderKind
 from bergamotcart.control._group_work import GroupWork, Note
 from bergamotcart.control._order_book import OrderKey
 from bergamotcart.control._sightings import Seen, is_fresh
 from bergamotcart.control._suspicion import find_suspicion, is_leaving
 from bergamotcart.control._tick import Tick
+from bergamotcart.discovery import Position
 
 # An order to follow takes effect in the next announcement, about a second later.
 FOLLOW_REPEAT_S: Final = 1.5
@@ -72,10 +73,23 @@
         return
     for seen in tick.local.sightings.of_group(row.name):
         announcement = seen.announcement
-        if announcement.instance != row.primary and _is_stray(announcement, row):
+        is_other = announcement.instance != row.primary and is_fresh(seen, tick.now)
+        if is_other and _is_stray(announcement, row):
             _order_follow(tick, row, announcement, primary.announcement)
 
 
+def report_discarded(tick: Tick, key: OrderKey, status: InstanceStatus) -> None:
+    """Report the positions that an instance which is told to follow must discard.
+
+    :param tick: the current tick.
+    :param key: an order that was answered.
+    :param status: the answer.
+    """
+    row = tick.state.groups.get(key.group)
+    if row is not None and key.kind == OrderKind.follow:
+        _report_extra(tick, row, key.instance, Position(status.log_term, status.position))
+
+
 def _find_planned(tick: Tick, row: messages.GroupRow, work: GroupWork) -> str:
     if not is_leaving(tick, row.name, row.primary):
         return ''
@@ -98,6 +112,18 @@
     return announcement.following != row.primary or announcement.term < row.term
 
 
+def _report_extra(
+    tick: Tick,
+    row: messages.GroupRow,
+    instance: str,
+    last: Position,
+) -> None:
+    kept = dict(row.branch_points).get(last.log_term)
+    if kept is not None and last.position > kept:
+        detail = f'position {last.position} of log term {last.log_term}, kept {kept}'
+        decide(tick, row, 'report_positions', 'discarded', detail, instance)
+
+
 def _order_follow(
     tick: Tick,
     row: messages.GroupRow,
@@ -109,12 +135,7 @@
     if order is None:
         return
     tick.actions.append(order)
-    kept = dict(row.branch_points).get(stray.log_term)
-    if kept is not None and stray.position > kept:
-        reason = 'discarded_positions'
-        detail = f'position {stray.position} of log term {stray.log_term}, kept {kept}'
-    elif stray.role == messages.TargetRole.primary:
-        reason, detail = 'deposed_primary', ''
-    else:
-        reason, detail = 'stray_replica', ''
-    decide(tick, row, 'order_follow', reason, detail, stray.instance)
+    is_deposed = stray.role == messages.TargetRole.primary
+    reason = 'deposed_primary' if is_deposed else 'stray_replica'
+    decide(tick, row, 'order_follow', reason, target=stray.instance)
+    _report_extra(tick, row, stray.instance, Position(stray.log_term, stray.position))
--- a/packages/bergamotcart/src/bergamotcart/control/_operators.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_operators.py
@@ -149,7 +149,12 @@
         if refusal:
             reply(tick, request.request_id, HTTPStatus.CONFLICT, {'error': refusal})
             return
-        self._wait_for(tick, request, self._members.propose(tick, query), None)
+        index = self._members.propose(tick, query)
+        if index is None:
+            error: dict[str, object] = {'error': 'another change of members is not complete yet'}
+            reply(tick, request.request_id, HTTPStatus.CONFLICT, error)
+            return
+        self._wait_for(tick, request, index, None)
 
     def _wait_for(
         self,
--- a/packages/bergamotcart/src/bergamotcart/control/_order_book.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_order_book.py
@@ -110,22 +110,28 @@
             primary_admin_address=primary.admin_address if primary else None,
         )
 
-    def finish(self, finished: OrderFinished, now: float) -> None:
-        """Store the answer or failure of an order."""
+    def finish(self, finished: OrderFinished, now: float) -> OrderKey | None:
+        """Store the answer or failure of an order.
+
+        :param finished: the end of an order.
+        :param now: seconds.
+        :returns: the order, if it was answered and is not forgotten.
+        """
         key, sent_at = self._pending.pop(finished.order_id, (None, 0))
         state = self._states.get(key) if key else None
         if state is None:
-            return
+            return None
         if finished.status is None:
             state.due_at = now + RETRY_FAILED_S
             if state.failed_since is None:
                 state.failed_since = now
-            return
+            return None
         state.failed_since = None
         state.answered_at = now
         state.due_at = now
         state.status = finished.status
         state.status_sent_at = sent_at
+        return key
 
 
 def _is_due(state: OrderState, now: float, repeat_s: float) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -13,6 +13,7 @@
 from bergamotcart.control._failover import run_failover
 from bergamotcart.control._local import LocalTables
 from bergamotcart.control._member_changes import MemberChanges
+from bergamotcart.control._open_group import report_discarded
 from bergamotcart.control._operators import OperatorDesk
 from bergamotcart.control._proposals import Proposals
 from bergamotcart.control._sightings import pull_sightings
@@ -107,10 +108,15 @@
             case MessageReceived(envelope):
                 self._handle_message(tick, envelope)
             case events.OrderFinished():
-                self._local.orders.finish(item, tick.now)
+                self._finish_order(tick, item)
             case events.OperatorRequest():
                 self._desk.handle(tick, item)
 
+    def _finish_order(self, tick: Tick, finished: events.OrderFinished) -> None:
+        key = self._local.orders.finish(finished, tick.now)
+        if key is not None and finished.status is not None:
+            report_discarded(tick, key, finished.status)
+
     def _handle_message(self, tick: Tick, envelope: messages.Envelope) -> None:
         match envelope.body:
             case messages.LeaseRequest() as request:
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
@@ -57,6 +57,7 @@
         """Start all processes at time 0."""
         self.random = random.Random(seed)
         self.now = 0.0
+        self.token = ADMIN
         # Shares of messages that are lost, duplicated and delayed, and a type that is lost.
         self.loss = self.duplication = self.delay = 0.0
         self.lost_type: type | None = None
@@ -121,7 +122,7 @@
         request = control.OperatorRequest(
             request_id=request_id,
             command=command,
-            token=ADMIN,
+            token=self.token,
             body=body,
         )
         self._step(member, member.starts, (request,))
