Serve reads that wait for a replica or for room at the primary

A read that had been retried got no timer for its next wait, so it stayed until its deadline; and a read that found the primary's share for reads used up was woken only by a replica's progress. Both waits now end as soon as they can.

--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -72,6 +72,9 @@
             if request is None:
                 return
             _resume([request])
+            if request.queue is lane.queue:
+                # It waits for the share of the primary that is left to reads.
+                return
 
     def on_group(self, name: str) -> None:
         """Route again whatever waits in a group whose row, lease or targets changed."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_reads.py
@@ -17,6 +17,8 @@
 from bergamotcart.messages import TargetRole
 from bergamotcart.outcomes import Ran, Reason
 from bergamotcart.routing import (
+    CATCH_UP,
+    PRIMARY_BUSY,
     Candidate,
     PrimaryState,
     ReadNeed,
@@ -64,8 +66,11 @@
     def resume(self, request: Request) -> None:
         """Route a read, or let it wait for what it lacks."""
         session, name = request.session, request.group
-        if request.done or request.phase is not Phase.waiting or request.queue is not None:
+        if request.done or request.phase is not Phase.waiting:
             return
+        if request.queue is not None:
+            request.queue.remove(request.request_id)
+            request.queue = None
         request.ticket += 1
         last = self._floors.unresolved(session, name)
         if self._floors.is_lost(session, name):
@@ -175,7 +180,7 @@
         group.primary_waits.add(last.ended_at, request)
 
     def _wait(self, request: Request, route: Route, floor: Position | None) -> None:
-        is_bounded = route.reason == 'catch_up'
+        is_bounded = route.reason == CATCH_UP
         if not is_bounded and self._gate.is_cut_off:
             self._replies.refuse(request, Reason.no_eligible_target, route.reason, retry_after=1.0)
             return
@@ -186,15 +191,12 @@
         group.catch_up.add(wanted, request)
         for target in self._work.table.of_group(request.group):
             self._monitor.probe_soon(target.key)
-        if is_bounded and request.wait_timer is None:
-            request.wait_timer = self._work.after(
-                route.wait_s,
-                lambda: self._end_wait(request),
-            )
-
-    def _end_wait(self, request: Request) -> None:
-        request.wait_timer = None
-        self.resume(request)
+        if route.reason == PRIMARY_BUSY:
+            self._queue_for_primary(request)
+        if is_bounded:
+            if request.wait_timer is not None:
+                request.wait_timer.cancel()
+            request.wait_timer = self._work.after(route.wait_s, lambda: self.resume(request))
 
     def _send_to_primary(self, request: Request, route: Route) -> None:
         key = self._gate.primary(request.group)
@@ -221,7 +223,14 @@
         steps = (Step(StepKind.statement, request.sql),)
         self._executions.start(request, Plan(key, steps, is_read=is_primary), self._finish)
 
+    def _queue_for_primary(self, request: Request) -> None:
+        key = self._gate.primary(request.group)
+        if key is not None:
+            self._gate.queues.put(self._lanes.get(key).queue, request)
+
     def _queue(self, request: Request, lane: Lane) -> None:
+        if request.wait_timer is not None:
+            request.wait_timer.cancel()
         self._gate.queues.put(lane.queue, request)
 
     def _finish(self, running: Running, finished: ExecutionFinished) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_retries.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_retries.py
@@ -57,6 +57,8 @@
         request.phase = Phase.waiting
         request.ticket += 1
         request.wait_until = None
+        if request.wait_timer is not None:
+            request.wait_timer.cancel()
         request.wait_timer = self._work.after(delay, lambda: _resume(request))
 
     def _may_retry(self, request: Request) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_fuzz.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_fuzz.py
@@ -21,10 +21,11 @@
 
 _EXAMPLES = int(os.environ.get('BERGAMOTCART_FUZZ_EXAMPLES', '40'))
 _SEED = os.environ.get('BERGAMOTCART_FUZZ_SEED')
-_ACTIONS = ('INSERT', 'INSERT', 'SELECT', 'SELECT', 'SELECT', 'BEGIN', 'END', 'END')
+_ACTIONS = tuple('INSERT INSERT SELECT SELECT BEGIN BEGIN END END FAILOVER JUMP'.split())
 _ANY = st.integers(min_value=0, max_value=1_000_000)
 
-_FAULTS = st.tuples(st.sampled_from(('ok', 'ok', *MODES)), st.integers(0, 5))
+_STEPS = (0, 0, 0, 1, 2, 3, 4, 5)
+_FAULTS = st.tuples(st.sampled_from(('ok', 'ok', *MODES)), st.sampled_from(_STEPS))
 
 
 @dataclass
@@ -139,6 +140,12 @@
     def _ask(self, client: Client, action: str, detail: int) -> None:
         getattr(self, f'_{action.lower()}')(client, detail)
 
+    def _failover(self, client: Client, detail: int) -> None:
+        self.fail_over('aabc'[detail % 4], detail % 3 == 0, 1.1)
+
+    def _jump(self, client: Client, detail: int) -> None:
+        self.advance((0.05, 0.3, 1.1)[detail % 3])
+
     def _end(self, client: Client, detail: int) -> None:
         self._send(client, 'ROLLBACK' if detail % 4 == 0 else 'COMMIT')
 
--- a/packages/bergamotcart/src/bergamotcart/routing/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/routing/__init__.py
@@ -1,6 +1,8 @@
 """Choice of the instance that serves a read."""
 
 from bergamotcart.routing._choice import (
+    CATCH_UP,
+    PRIMARY_BUSY,
     Candidate,
     PrimaryState,
     ReadNeed,
@@ -10,6 +12,8 @@
 )
 
 __all__ = (
+    'CATCH_UP',
+    'PRIMARY_BUSY',
     'Candidate',
     'PrimaryState',
     'ReadNeed',
--- a/packages/bergamotcart/src/bergamotcart/routing/_choice.py
+++ b/packages/bergamotcart/src/bergamotcart/routing/_choice.py
@@ -11,6 +11,10 @@
 # only when that one has this many more statements per allowed connection.
 _OTHER_ZONE_LOAD: Final = 1.0
 
+# Reasons for a wait: a replica will catch up soon; the reads' share of the primary is used up.
+CATCH_UP: Final = 'catch_up'
+PRIMARY_BUSY: Final = 'primary_protected'
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -125,8 +129,8 @@
     if primary is PrimaryState.unavailable:
         return Route(RouteAction.wait, 'no_eligible_replica', wait_s=need.wait_left_s)
     if primary is PrimaryState.busy:
-        return Route(RouteAction.wait, 'primary_protected', wait_s=need.wait_left_s)
+        return Route(RouteAction.wait, PRIMARY_BUSY, wait_s=need.wait_left_s)
     expected = min((candidate.catch_up_s for candidate in candidates), default=float('inf'))
     if expected < need.wait_left_s:
-        return Route(RouteAction.wait, 'catch_up', wait_s=need.wait_left_s)
+        return Route(RouteAction.wait, CATCH_UP, wait_s=need.wait_left_s)
     return Route(RouteAction.primary, 'replicas_behind')
