Wait for callers to take their answers before a process exits

Closing a connection leaves unsent bytes to the event loop, which ended before a slow caller had taken them.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -1,6 +1,7 @@
 """Service that listens for callers."""
 
 import asyncio
+import contextlib
 import itertools
 import logging
 import socket
@@ -38,7 +39,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 4),
 )
-_CLOSE_WAIT_S: Final = 5.0
+# A caller that takes its answer more slowly than this does not hold up the shutdown.
+_CLOSE_WAIT_S: Final = 30.0
 _CLOSE_CHECK_S: Final = 0.01
 _NS_PER_MS: Final = 1_000_000
 
@@ -75,6 +77,7 @@
         self._pending: dict[int, _Pending] = {}
         self._running: dict[int, int] = {}
         self._connections: dict[CallerConnection, asyncio.StreamWriter] = {}
+        self._listener: asyncio.Server | None = None
         self._control = LocalControl()
         self._identities = AnyCaller()
 
@@ -88,17 +91,15 @@
             backlog=_BACKLOG,
         )
         self.exit_stack.callback(server.close)
+        self._listener = server
 
     async def on_stop(self) -> None:
-        """Let answers that are being written end, then close all connections."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + _CLOSE_WAIT_S
-        while any(connection.busy for connection in self._connections):
-            if loop.time() > deadline:
-                break
-            await asyncio.sleep(_CLOSE_CHECK_S)
-        for writer in self._connections.values():
-            writer.close()
+        """Let callers take the answers that are being written, then close all connections."""
+        if self._listener is not None:
+            self._listener.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CLOSE_WAIT_S):
+                await self._finish_answers()
 
     def open_session(self, caller: str, group: str | None) -> int:
         """Start a session and return its identifier."""
@@ -131,6 +132,12 @@
             now = asyncio.get_running_loop().time()
             self._metrics.observe_statement(now - pending.arrived_at)
 
+    async def _finish_answers(self) -> None:
+        while any(connection.busy for connection in self._connections):
+            await asyncio.sleep(_CLOSE_CHECK_S)
+        closings = [_close(writer) for writer in self._connections.values()]
+        await asyncio.gather(*closings, return_exceptions=True)
+
     def _finish(self, request_id: int, outcome: Outcome | None) -> _Pending | None:
         pending = self._pending.pop(request_id, None)
         if pending is None:
@@ -178,3 +185,9 @@
 def _close_unopened(session: CallerSession, writer: asyncio.StreamWriter) -> None:
     if session.session_id is None:
         writer.close()
+
+
+async def _close(writer: asyncio.StreamWriter) -> None:
+    writer.close()
+    # A closed connection still sends what its caller has not taken yet.
+    await writer.wait_closed()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
@@ -24,6 +24,7 @@
 from bergamotcart_daemon.callers import CallerServer
 from bergamotcart_daemon.metrics import Metrics
 
+_QUERY = 0x03
 _RESET_CONNECTION = 0x1F
 
 
@@ -177,3 +178,20 @@
         await asyncio.gather(running, return_exceptions=True)
         await asyncio.sleep(0.05)
         assert len(engine.take(entry.SessionClosed)) == 1
+
+
+async def test_a_stop_waits_until_the_caller_has_taken_its_answer():
+    """A graceful shutdown must not cut off an answer that is already being sent."""
+    rows = tuple((number, 'x' * 1000) for number in range(20_000))
+    async with _open_engine() as engine:
+        connection = await engine.connect()
+        engine.outcome = Ran(RequestResult(('number', 'text'), rows))
+        await connection._execute_command(_QUERY, 'SELECT many')
+        await engine.wait_for(entry.RequestArrived)
+        stopping = asyncio.ensure_future(engine.server.stop())
+        await asyncio.sleep(0.3)
+        assert not stopping.done()
+        await connection._read_query_result()
+        assert len(connection._result.rows) == len(rows)
+        connection.close()
+        await stopping
