Ask for the position together with the statement before it

The position was asked for only after the answer, so each write held its connection for one more round trip.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
@@ -8,7 +8,7 @@
 import aiomysql
 import pymysql
 from pymysql.connections import MAX_PACKET_LEN
-from pymysql.constants import CLIENT, CR
+from pymysql.constants import CLIENT, COMMAND, CR
 from pymysql.protocol import FieldDescriptorPacket, MysqlPacket
 
 from bergamotcart.outcomes import RequestResult
@@ -109,7 +109,24 @@
 
         :raises ReportedError: if the target reports an error.
         """
-        await self.query(sql)
+        await self.send(sql)
+        return await self.receive()
+
+    async def send(self, sql: str) -> None:
+        """Send a statement without waiting for its answer.
+
+        Answers come in the order of the statements, and each must be received.
+        """
+        await self._execute_command(COMMAND.COM_QUERY, sql)
+
+    async def receive(self) -> RequestResult:
+        """Read the complete answer to the oldest unanswered statement.
+
+        :raises ReportedError: if the target reports an error.
+        """
+        # The packets of each answer are numbered from 1.
+        self._next_seq_id = 1
+        await self._read_query_result()
         answer = self._result
         while answer.has_next:
             await self.next_result()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_steps.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_steps.py
@@ -1,6 +1,8 @@
 """Runs the steps of one execution on one connection."""
 
 import asyncio
+import contextlib
+import itertools
 from collections.abc import Mapping
 from dataclasses import replace
 from types import MappingProxyType
@@ -44,6 +46,7 @@
         '_dialect',
         '_in_transaction',
         '_ledger_created',
+        '_position_sent',
         '_record',
         '_report',
         '_result',
@@ -62,6 +65,7 @@
         self._current: StepKind | None = None
         self._in_transaction = action.use in _PINNED_USES
         self._ledger_created = False
+        self._position_sent = False
         self._result: RequestResult | None = None
         self._report: PositionReport | None = None
         self._record: LedgerRecord | None = None
@@ -87,17 +91,27 @@
             return self._finish(ExecutionStatus.lost, refused=errors.is_refusal(error))
 
     async def _run_steps(self) -> ExecutionFinished:
+        steps = self._action.steps
         try:
-            for step in self._action.steps:
-                await self._run_step(step)
+            for step, following in itertools.zip_longest(steps, steps[1:]):
+                await self._run_step(step, following)
         except errors.ReportedError as error:
             return await self._handle_error(error)
         self._current = None
         return self._finish(ExecutionStatus.completed)
 
-    async def _run_step(self, step: Step) -> None:
+    async def _run_step(self, step: Step, following: Step | None = None) -> None:
         self._current = step.kind
-        answer = await self._connection.run(self._build_sql(step))
+        if step.kind != StepKind.position or not self._position_sent:
+            await self._connection.send(self._build_sql(step))
+        # The position is asked for whatever the step's outcome is, so the question need not
+        # wait for it; that saves a round trip for each write.
+        self._position_sent = following is not None and following.kind == StepKind.position
+        if self._position_sent:
+            await self._connection.send(self._build_sql(following))
+        self._note_answer(step, await self._connection.receive())
+
+    def _note_answer(self, step: Step, answer: RequestResult) -> None:
         if step.kind == StepKind.begin:
             self._in_transaction = True
         elif step.kind in _TRANSACTION_ENDS:
@@ -122,6 +136,8 @@
 
     async def _handle_error(self, error: errors.ReportedError) -> ExecutionFinished:
         code = error.error.code
+        if self._position_sent:
+            await self._skip_position()
         if self._current == StepKind.ledger_insert:
             if code == errors.UNKNOWN_TABLE and self._may_create_ledger():
                 return await self._retry_with_ledger()
@@ -139,6 +155,11 @@
     async def _roll_back(self) -> None:
         await self._run_step(Step(StepKind.rollback))
 
+    async def _skip_position(self) -> None:
+        self._position_sent = False
+        with contextlib.suppress(errors.ReportedError):
+            await self._connection.receive()
+
     def _may_create_ledger(self) -> bool:
         # A table definition would commit what an earlier execution did in the transaction.
         return not self._ledger_created and self._action.use not in _PINNED_USES
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_executions.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_executions.py
@@ -121,6 +121,30 @@
         assert harness.target.statements[-1] == 'ROLLBACK'
 
 
+async def test_the_answer_to_a_position_never_goes_to_the_next_statement():
+    """A statement that fails leaves the answer to the position sent with it unread."""
+    async with _open_harness() as harness:
+        position = entry.Step(entry.StepKind.position)
+        harness.target.fail('UPDATE seats', 1054, 'unknown column')
+        failed = await harness.execute(_statement('UPDATE seats'), position)
+        assert failed.status == entry.ExecutionStatus.target_error
+        assert failed.failed_step == entry.StepKind.statement
+        following = await harness.execute(_statement())
+        assert following.result.rows == ((1, 'one', None),)
+        assert harness.target.connections == 1
+
+
+async def test_a_write_whose_position_is_missing_keeps_its_answer():
+    """A write that was answered must not be reported as lost with its position."""
+    async with _open_harness() as harness:
+        harness.target.hooks['SHOW REPLICATION POSITION'] = stay_silent
+        steps = (_statement('UPDATE seats'), entry.Step(entry.StepKind.position))
+        finished = await harness.execute(*steps, timeout_s=0.2)
+        assert finished.status == entry.ExecutionStatus.lost
+        assert finished.failed_step == entry.StepKind.position
+        assert finished.result is not None
+
+
 async def test_a_refused_connection_is_not_sent_and_a_silent_statement_is_lost():
     """Reporting a sent statement as not sent would let it run twice."""
 
