--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -27,6 +27,7 @@
     :param report: newest answer of the current incarnation.
     :param report_sent_at: time at which the probe of that answer was sent, in seconds.
     :param since: time from which the reachability holds, in seconds.
+    :param ended_sent_at: time at which the last probe that ended was sent, in seconds.
     :param needed_after: an answer to a probe sent after this time is waited for.
     :param catch_up_s: smoothed time that the instance needs to reach a position waited for.
     """
@@ -39,6 +40,7 @@
     since: float = 0.0
     in_flight: bool = False
     last_sent: float = float('-inf')
+    ended_sent_at: float = float('-inf')
     waited_for: Position | None = None
     needed_after: float = float('-inf')
     catch_up_s: float = _INITIAL_CATCH_UP_S
@@ -53,7 +55,14 @@
     :param wanted: returns the position that requests of a target's group wait for.
     """
 
-    __slots__ = ('_on_change', '_on_report', '_wanted', '_watched', '_work')
+    __slots__ = (
+        '_on_change',
+        '_on_report',
+        '_wanted',
+        '_watched',
+        '_work',
+        'reports_version',
+    )
 
     def __init__(
         self,
@@ -68,6 +77,7 @@
         self._on_change = on_change
         self._wanted = wanted
         self._watched: dict[TargetKey, Watched] = {}
+        self.reports_version = 1
 
     def __iter__(self) -> Iterator[Watched]:
         """Iterate over all watched targets."""
@@ -111,6 +121,7 @@
     def forget(self, key: TargetKey) -> None:
         """Stop probing a target."""
         watched = self._watched.pop(key, None)
+        self.reports_version += 1
         if watched is not None and watched.timer is not None:
             watched.timer.cancel()
 
@@ -142,14 +153,17 @@
         if watched is None or finished.sent_at < watched.last_sent:
             return
         was_in_flight = watched.in_flight
+        is_repeated = not was_in_flight and finished.sent_at <= watched.ended_sent_at
         watched.in_flight = False
+        watched.ended_sent_at = max(watched.ended_sent_at, finished.sent_at)
+        if is_repeated:
+            return
         if finished.report is None:
-            if was_in_flight:
-                self._set_reachability(watched, finished.failure or Reachability.silent)
+            # The adapter also reports without being asked when its connection breaks.
+            self._set_reachability(watched, finished.failure or Reachability.silent)
         elif finished.sent_at > watched.report_sent_at:
             self._accept(watched, finished.report, finished.sent_at)
-        if was_in_flight:
-            self._schedule(watched)
+        self._schedule(watched)
 
     def _accept(self, watched: Watched, report: PositionReport, sent_at: float) -> None:
         progressed = watched.report is None or report.position > watched.report.position
@@ -173,6 +187,7 @@
         if watched.reachability is reachability:
             return
         watched.reachability = reachability
+        self.reports_version += 1
         watched.since = self._work.now
         self._on_change(watched)
 
