Write texts in the character set that a caller names

The engine answers SET NAMES itself, so the connection has to note it; a letter that the character set lacks becomes a question mark instead of breaking off the answer. A statement that finds an idle connection needs no timer for its wait.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection.py
@@ -4,6 +4,7 @@
 import re
 from typing import Any, Final
 
+from mysql_mimic.charset import CharacterSet
 from mysql_mimic.connection import Connection
 from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
 from mysql_mimic.errors import MysqlError
@@ -21,6 +22,10 @@
     r'\s*(?:/\*.*?\*/\s*)*USE\s+(?:`([^`]+)`|([^\s;`]+))\s*;?\s*',
     re.IGNORECASE | re.DOTALL,
 )
+_SET_NAMES: Final = re.compile(
+    r'\s*SET\s+NAMES\s+[\'"]?(\w+)[\'"]?(?:\s+COLLATE\s+[\'"]?\w+[\'"]?)?\s*;?\s*',
+    re.IGNORECASE,
+)
 _NO_ROWS: Final = ResultSet([], [])
 _INVALID_STRING: Final = 1300
 _IDENTIFIER_BYTES: Final = 4
@@ -43,12 +48,18 @@
 
     def __init__(self, **parameters: Any) -> None:
         """Announce autocommit, so that drivers need not set it."""
+        self._charset = CharacterSet.utf8mb4
         super().__init__(server_capabilities=_CAPABILITIES, **parameters)
         self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
         self._counts: dict[str, int] = {}
         self._templates: dict[int, StatementTemplate] = {}
         self._busy = False
 
+    @property
+    def server_charset(self) -> CharacterSet:
+        """Character set of results; the library looks it up for each column."""
+        return self._charset
+
     @property
     def busy(self) -> bool:
         """True while a command of the caller has not been answered completely."""
@@ -120,8 +131,8 @@
         if error is not None:
             raise _Refused(error)
         if outcome.result.columns:
-            return build_result_set(outcome.result)
-        self._keep_group(sql)
+            return build_result_set(outcome.result, self._charset)
+        self._note_setting(sql)
         return self._keep_counts(outcome.result)
 
     def ok(self, **fields: Any) -> bytes:
@@ -134,10 +145,16 @@
         await self.query(f'USE `{name}`', {})
         await self.stream.write(self.ok())
 
-    def _keep_group(self, sql: str) -> None:
+    def _note_setting(self, sql: str) -> None:
+        """Keep what an accepted statement changes on this side of the engine."""
         used = _USE.fullmatch(sql)
         if used is not None:
             self.session.database = used.group(1) or used.group(2)
+            return
+        named = _SET_NAMES.fullmatch(sql)
+        if named is not None and named.group(1).lower() in CharacterSet.__members__:
+            self._charset = CharacterSet[named.group(1).lower()]
+            self.session.variables.set('character_set_client', self._charset.name)
 
     def _keep_counts(self, answer: RequestResult) -> ResultSet:
         self._counts = {
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_results.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_results.py
@@ -7,8 +7,8 @@
 from typing import Any, Final
 
 from mysql_mimic.charset import CharacterSet
-from mysql_mimic.results import ResultColumn, ResultSet
-from mysql_mimic.types import ColumnType
+from mysql_mimic.results import Encoder, ResultColumn, ResultSet
+from mysql_mimic.types import ColumnType, str_len
 
 from bergamotcart.outcomes import RequestResult
 
@@ -32,28 +32,37 @@
 _MICROSECONDS_PER_SECOND: Final = 1_000_000
 
 
-def build_result_set(answer: RequestResult) -> ResultSet:
+def build_result_set(answer: RequestResult, charset: CharacterSet) -> ResultSet:
     """Return the rows of an answer with the type of each column.
 
     The type is that of the values found: a result carries Python values without
     the column types of the target.
 
     :param answer: a complete answer with at least one column.
+    :param charset: character set that the caller reads texts in.
     """
     columns = [
-        _build_column(name, [row[index] for row in answer.rows])
+        _build_column(name, [row[index] for row in answer.rows], charset)
         for index, name in enumerate(answer.columns)
     ]
     return ResultSet(rows=answer.rows, columns=columns)
 
 
-def _build_column(name: str, cells: list[Any]) -> ResultColumn:
+def _build_column(name: str, cells: list[Any], charset: CharacterSet) -> ResultColumn:
     column_type = _infer_type(cells)
     if column_type == ColumnType.BLOB:
         return ResultColumn(name, column_type, character_set=CharacterSet.binary)
     if column_type == ColumnType.TIME:
         return ResultColumn(name, column_type, text_encoder=_encode_time)
-    return ResultColumn(name, column_type)
+    if charset == CharacterSet.utf8mb4:
+        return ResultColumn(name, column_type)
+    return ResultColumn(
+        name,
+        column_type,
+        character_set=charset,
+        text_encoder=_TEXT_ENCODERS.get(column_type),
+        binary_encoder=_BINARY_ENCODERS.get(column_type),
+    )
 
 
 def _infer_type(cells: list[Any]) -> ColumnType:
@@ -79,3 +88,20 @@
     sign = '-' if span < datetime.timedelta(0) else ''
     fraction = f'.{micros:06d}' if micros else ''
     return f'{sign}{hours:02d}:{minutes:02d}:{rest:02d}{fraction}'.encode()
+
+
+def _encode_text(column: ResultColumn, text: object) -> bytes:
+    # A letter that the caller's character set lacks must not break off the answer.
+    return str(text).encode(column.codec, 'replace')
+
+
+def _encode_binary(column: ResultColumn, text: object) -> bytes:
+    return str_len(_encode_text(column, text))
+
+
+_TEXT_ENCODERS: Mapping[ColumnType, Encoder] = MappingProxyType(
+    {ColumnType.VAR_STRING: _encode_text},
+)
+_BINARY_ENCODERS: Mapping[ColumnType, Encoder] = MappingProxyType(
+    {ColumnType.VAR_STRING: _encode_binary},
+)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
@@ -195,3 +195,13 @@
         assert len(connection._result.rows) == len(rows)
         connection.close()
         await stopping
+
+
+async def test_texts_follow_the_character_set_that_the_caller_names():
+    """A caller that reads another character set must not get wrong letters."""
+    async with _open_engine() as engine, await engine.connect(charset='latin1') as connection:
+        await _query(connection, 'SET NAMES latin1')
+        engine.outcome = Ran(RequestResult(('text',), (('é',), ('山',))))
+        cursor = await _query(connection, "SELECT 'é'")
+        assert await cursor.fetchall() == (('é',), ('?',))
+        assert engine.take(entry.RequestArrived)[-1].sql == "SELECT 'é'"
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
@@ -80,8 +80,7 @@
     async def _execute(self, action: Execute) -> None:
         deadline = asyncio.get_running_loop().time() + action.timeout_s
         try:
-            async with asyncio.timeout_at(deadline):
-                pin = await self._take(action)
+            pin = self._take_at_once(action) or await self._take(action, deadline)
         except TimeoutError:
             self._submit(_not_sent(action, ConnectError(refused=False)))
             return
@@ -100,7 +99,7 @@
         if not pin.connection.usable:
             self._note_pin_broken(action.session_id, pin)
 
-    async def _take(self, action: Execute) -> _Pin:
+    def _take_at_once(self, action: Execute) -> _Pin | None:
         if action.use in {ConnectionUse.pinned, ConnectionUse.unpin}:
             pinned = self._pins.get(action.session_id)
             if pinned is None:
@@ -108,7 +107,22 @@
             pinned.running = True
             return pinned
         pool = self._find_pool(action)
-        pin = _Pin(pool, await pool.acquire())
+        connection = pool.take_idle()
+        return None if connection is None else self._note_taken(action, pool, connection)
+
+    async def _take(self, action: Execute, deadline: float) -> _Pin:
+        pool = self._find_pool(action)
+        async with asyncio.timeout_at(deadline):
+            connection = await pool.acquire()
+        return self._note_taken(action, pool, connection)
+
+    def _note_taken(
+        self,
+        action: Execute,
+        pool: ConnectionPool,
+        connection: TargetConnection,
+    ) -> _Pin:
+        pin = _Pin(pool, connection)
         if action.use == ConnectionUse.pin:
             self._pins[action.session_id] = pin
         return pin
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
@@ -62,6 +62,10 @@
             self.discard(self._idle[0])
         self._admit()
 
+    def take_idle(self) -> TargetConnection | None:
+        """Return an idle connection, or ``None`` if one has to be waited for."""
+        return self._idle.pop() if self._idle and not self._waiting else None
+
     async def acquire(self) -> TargetConnection:
         """Return a connection that nobody else uses, waiting for one if necessary.
 
