Bound idle transactions at the stand-in target, and fix a leak of the relay

A caller that gave up during an isolation still got a connection to the target when it ended, and nobody held it any more, so the target refused connections for good. An entry that was cut off inside a transaction held the only write lock until the isolation ended; real databases bound this as well. The measurement now counts the writes of all its sessions, since three closed-loop writers could all hang in requests sent before the fault, and refused sessions go on at other entries.

--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_load.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/load/_load.py
@@ -11,13 +11,15 @@
 from bergamotcart_testkit.deployment import Deployment, EntryPlan, wait_until
 from bergamotcart_testkit.load import _schema as schema
 from bergamotcart_testkit.load._caller import Caller, UnreachableError
-from bergamotcart_testkit.load._operations import Journal
+from bergamotcart_testkit.load._operations import Journal, Operation
 from bergamotcart_testkit.load._session import Session, SessionSettings
 
 _STOP_GRACE_S: Final = 15.0
 _REFUSED_PAUSE_S: Final = 0.05
 _REPEAT_SHARE: Final = 0.4
 _CONCURRENT_SHARE: Final = 0.3
+# A caller that stayed at a cut-off entry would never see the others take over.
+_LEAVE_SHARE: Final = 0.5
 
 # Weights of the steps of a session.
 MIXED: Final[Mapping[str, int]] = MappingProxyType(
@@ -63,7 +65,7 @@
     user: str = 'desk'
 
 
-Step = Callable[['Load', Session], Awaitable[None]]
+Step = Callable[['Load', Session], Awaitable[Operation | None]]
 
 
 class Load:
@@ -71,9 +73,14 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, deployment: Deployment, settings: LoadSettings) -> None:
-        """Prepare the sessions."""
-        self.journal = Journal()
+    def __init__(
+        self, deployment: Deployment, settings: LoadSettings, journal: Journal | None = None
+    ) -> None:
+        """Prepare the sessions.
+
+        :param journal: journal that several loads share, or ``None`` for one of its own.
+        """
+        self.journal = journal or Journal()
         self._settings = settings
         self._entries = tuple(settings.entries) or tuple(deployment.plan.entries)
         self._stopping = asyncio.Event()
@@ -140,45 +147,46 @@
         weights = list(settings.weights.values())
         while not self._stopping.is_set():
             chosen = session.generator.choices(names, weights)
-            await self._steps[chosen[0]](self, session)
+            operation = await self._steps[chosen[0]](self, session)
+            if operation and not operation.answer.ran:
+                await _back_off(session, operation)
             await asyncio.sleep(settings.pause * session.generator.random())
 
-    async def _write(self, session: Session) -> None:
+    async def _write(self, session: Session) -> Operation:
         operation = await session.write_register()
         if operation.is_acknowledged_write and session.generator.random() < _REPEAT_SHARE:
             await session.remember_token(await session.connect())
-        if not operation.is_acknowledged_write:
-            await asyncio.sleep(max(operation.answer.retry_after, _REFUSED_PAUSE_S))
+        return operation
 
-    async def _read_own(self, session: Session) -> None:
-        await session.read_own()
+    async def _read_own(self, session: Session) -> Operation:
+        return await session.read_own()
 
-    async def _read_other(self, session: Session) -> None:
-        await session.read_other(self._other(session))
+    async def _read_other(self, session: Session) -> Operation:
+        return await session.read_other(self._other(session))
 
-    async def _read_aged(self, session: Session) -> None:
-        await session.read_aged(self._other(session))
+    async def _read_aged(self, session: Session) -> Operation:
+        return await session.read_aged(self._other(session))
 
-    async def _order(self, session: Session) -> None:
+    async def _order(self, session: Session) -> Operation | None:
         """Send an order; often repeat it blindly, also at the same time through another entry."""
         generator = session.generator
         request = f'{session.name}.order{len(self.journal.operations)}'
         entry = generator.choice(self._entries)
         if generator.random() < _CONCURRENT_SHARE:
-            await asyncio.gather(
-                session.order(request),
-                session.repeat_order(request, entry),
-            )
-            return
+            repeat = asyncio.create_task(session.repeat_order(request, entry))
+            operation = await session.order(request)
+            await repeat
+            return operation
         operation = await session.order(request)
         if not operation.is_acknowledged_write or generator.random() < _REPEAT_SHARE:
-            await session.repeat_order(request, entry)
+            return await session.repeat_order(request, entry)
+        return operation
 
-    async def _transaction(self, session: Session) -> None:
-        await session.transaction()
+    async def _transaction(self, session: Session) -> Operation:
+        return await session.transaction()
 
-    async def _read_pair(self, session: Session) -> None:
-        await session.read_pair(self._other(session))
+    async def _read_pair(self, session: Session) -> Operation:
+        return await session.read_pair(self._other(session))
 
     async def _move(self, session: Session) -> None:
         await session.move()
@@ -202,6 +210,13 @@
     )
 
 
+async def _back_off(session: Session, operation: Operation) -> None:
+    """Wait as the entry says, then often go on elsewhere, as behind a load balancer."""
+    await asyncio.sleep(max(operation.answer.retry_after, _REFUSED_PAUSE_S))
+    if session.generator.random() < _LEAVE_SHARE:
+        await session.close()
+
+
 async def run_setup(entries: Sequence[EntryPlan], group: str, statements: Sequence[str]) -> None:
     """Run idempotent statements through any entry, each until it ran."""
     turns = itertools.cycle(entries)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_figures.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_figures.py
@@ -75,14 +75,13 @@
         )
 
 
-def latencies_by_kind(journals: tuple[Journal, ...]) -> dict[str, Latencies]:
+def latencies_by_kind(journal: Journal) -> dict[str, Latencies]:
     """Return the latencies of answered requests for each kind of operation."""
     histograms: dict[str, LatencyHistogram] = {}
-    for journal in journals:
-        for operation in journal.operations:
-            if operation.answer.ran:
-                histogram = histograms.setdefault(operation.kind.value, LatencyHistogram())
-                histogram.add(operation.answer.ended - operation.answer.started)
+    for operation in journal.operations:
+        if operation.answer.ran:
+            histogram = histograms.setdefault(operation.kind.value, LatencyHistogram())
+            histogram.add(operation.answer.ended - operation.answer.started)
     return {kind: histogram.summary() for kind, histogram in sorted(histograms.items())}
 
 
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_program.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_program.py
@@ -23,6 +23,7 @@
         option('duration', None, 'length of the load in seconds', flag=False, default=20),
         option('seed', None, 'seed of the load and the relays', flag=False, default=1),
         option('output', None, 'file for the report', flag=False, default='report.json'),
+        option('folder', None, 'folder that keeps the logs', flag=False),
         option('plot', None, 'file for the plot (default: beside the report)', flag=False),
     ]
 
@@ -31,11 +32,13 @@
         logging.basicConfig(level=logging.WARNING)
         output = Path(self.option('output'))
         plot = self.option('plot')
+        folder = self.option('folder')
         settings = MeasureSettings(
             layout=LAYOUTS[self.option('layout')],
             fault=Fault(self.option('fault')),
             duration_s=float(self.option('duration')),
             seed=int(self.option('seed')),
+            folder=Path(folder) if folder else None,
             plot=Path(plot) if plot else output.with_suffix('.png'),
         )
         report = asyncio.run(Measurement(settings).run())
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_report.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_report.py
@@ -43,13 +43,12 @@
         return '\n'.join(lines)
 
 
-def count_outcomes(journals: tuple[Journal, ...]) -> dict[str, int]:
+def count_outcomes(journal: Journal) -> dict[str, int]:
     """Count the answers by verdict and reason."""
     counts: Counter[str] = Counter()
-    for journal in journals:
-        for operation in journal.operations:
-            reason = '' if operation.answer.ran else f' ({operation.answer.reason})'
-            counts[f'{operation.verdict}{reason}'] += 1
+    for operation in journal.operations:
+        reason = '' if operation.answer.ran else f' ({operation.answer.reason})'
+        counts[f'{operation.verdict}{reason}'] += 1
     return dict(counts.most_common())
 
 
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_run.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_run.py
@@ -33,6 +33,7 @@
 
     :param duration_s: length of the mixed load, in seconds.
     :param plot: file for the plot, or ``None``.
+    :param folder: folder that keeps the logs, or ``None`` for a temporary one.
     """
 
     layout: Layout
@@ -40,6 +41,7 @@
     duration_s: float
     seed: int
     plot: Path | None = None
+    folder: Path | None = None
 
 
 class Measurement:
@@ -55,22 +57,18 @@
     async def run(self) -> Report:
         """Measure and return the report."""
         settings = self._settings
-        async with Deployment(settings.layout, seed=settings.seed) as deployment:
+        started = Deployment(settings.layout, seed=settings.seed, folder=settings.folder)
+        async with started as deployment:
             await deployment.ready()
             await self._measure_without_fault(deployment)
-            readers, writers = await self._run_load(deployment)
+            load = await self._run_load(deployment)
             evidence = await collect_evidence(deployment)
         self._add_failover_figures()
-        self._add_shares(readers, evidence)
-        violations = [
-            violation
-            for load in (readers, writers)
-            for violation in find_violations(load.journal, evidence)
-        ]
+        self._add_shares(load, evidence)
+        violations = find_violations(load.journal, evidence)
         self._add_violations(violations)
         if settings.plot:
-            plot_writes(writers, self._failovers, settings.plot)
-        journals = (readers.journal, writers.journal)
+            plot_writes(load, self._failovers, settings.plot)
         return Report(
             layout=settings.layout.name,
             fault=settings.fault.value,
@@ -78,8 +76,8 @@
             duration_s=settings.duration_s,
             figures=self._figures,
             failovers=self._failovers,
-            latencies=latencies_by_kind(journals),
-            outcomes=count_outcomes(journals),
+            latencies=latencies_by_kind(load.journal),
+            outcomes=count_outcomes(load.journal),
             violations=[f'{each.kind}: {each.detail}' for each in violations],
         )
 
@@ -90,16 +88,17 @@
         self._figures.append(await static.measure_throughput(deployment))
         self._figures.append(await static.measure_distribution(deployment))
 
-    async def _run_load(self, deployment: Deployment) -> tuple[Load, Load]:
+    async def _run_load(self, deployment: Deployment) -> Load:
         seed = self._settings.seed
         reading = LoadSettings(seed=seed, sessions=8, pause=0.04, weights=MOSTLY_READS)
         writing = LoadSettings(seed=seed, sessions=3, pause=0.03, weights=_WRITES_ONLY)
-        readers, writers = Load(deployment, reading), Load(deployment, writing)
+        readers = Load(deployment, reading)
+        writers = Load(deployment, writing, readers.journal)
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(readers)
             await stack.enter_async_context(writers)
             await self._run_fault(deployment, writers)
-        return readers, writers
+        return writers
 
     async def _run_fault(self, deployment: Deployment, writers: Load) -> None:
         until = time.monotonic() + self._settings.duration_s
@@ -132,13 +131,13 @@
             for name, measured, target in rows
         )
 
-    def _add_shares(self, readers: Load, evidence: list[GroupEvidence]) -> None:
+    def _add_shares(self, load: Load, evidence: list[GroupEvidence]) -> None:
         rows = (
             ('reads that tolerate age served by replicas', _AGED, 97),
             ('all reads served by replicas', READ_KINDS, 90),
         )
         for name, kinds, target in rows:
-            share = replica_share(readers.journal, evidence, kinds)
+            share = replica_share(load.journal, evidence, kinds)
             measured = None if share is None else 100 * share
             figure = Figure(name=name, measured=measured, target=target, unit='%', at_least=True)
             self._figures.append(figure)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_static.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_static.py
@@ -11,6 +11,7 @@
 from bergamotcart_testkit.deployment import (
     Deployment,
     EntryPlan,
+    TargetPlan,
     control_status,
     in_force_everywhere,
     wait_until,
@@ -66,13 +67,8 @@
 async def measure_added_latency(deployment: Deployment) -> Figure:
     """Compare reads through an entry with reads at an instance of its availability zone."""
     entry = deployment.plan.entries[0]
-    zone = entry.availability_zone
-    group = deployment.group
-    target = next(
-        each
-        for each in deployment.plan.targets
-        if each.group == group and each.availability_zone == zone
-    )
+    target = await _find_replica(deployment, entry.availability_zone)
+    group = target.group
     through = await _read_latency('entry', entry.mysql, group)
     direct = await _read_latency('target', target.mysql, group)
     return Figure(
@@ -84,6 +80,15 @@
     )
 
 
+async def _find_replica(deployment: Deployment, zone: str) -> TargetPlan:
+    """Find a replica in a zone, since an entry sends such reads to a near one."""
+    for target in deployment.plan.targets:
+        primary = await deployment.group_settled(target.group)
+        if target.availability_zone == zone and target.name != primary.instance:
+            return target
+    raise LookupError(f'every instance in {zone} is a primary')
+
+
 async def measure_throughput(deployment: Deployment) -> Figure:
     """Count the reads that one entry process answers to many connections."""
     entry = deployment.plan.entries[0]
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_link.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_link.py
@@ -67,6 +67,10 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Pass the end of the stream on."""
         super().connection_lost(error)
+        if self._connecting and self._upstream.lost:
+            # The end of the stream was lost as well, so a target would wait for ever.
+            self._connecting.cancel()
+            self._link.closed_early += 1
         self._forget_if_closed()
 
     def settings_changed(self) -> None:
@@ -104,13 +108,18 @@
         address = self._link.target
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_connection(
-            lambda: _TargetEnd(self._downstream, self._forget_if_closed),
+            lambda: _TargetEnd(self._downstream, self._target_closed),
             address.host,
             address.port,
         )
         self._target = transport
+        self._link.opened += 1
         self._upstream.connect_sink(transport)
 
+    def _target_closed(self) -> None:
+        self._link.closed += 1
+        self._forget_if_closed()
+
     def _forget_if_closed(self) -> None:
         transports = (self.transport, self._target)
         if all(transport is None or transport.is_closing() for transport in transports):
@@ -130,7 +139,12 @@
 
 
 class Link:
-    """Relays the connections of one listening address to one target address."""
+    """Relays the connections of one listening address to one target address.
+
+    :ivar opened: connections made to the target.
+    :ivar closed: those of them that have ended.
+    :ivar closed_early: callers that gave up during a drop, before a target was connected.
+    """
 
     def __init__(self, address: LinkAddress, settings: LinkSettings, seed: int) -> None:
         """Prepare a link that does not listen yet.
@@ -143,6 +157,9 @@
         self.settings = settings
         self.generator = random.Random(f'{seed}:{address.name}')
         self.relayed: set[_Relayed] = set()
+        self.opened = 0
+        self.closed = 0
+        self.closed_early = 0
         self._server: asyncio.Server | None = None
         self._changed = asyncio.Event()
         self._finished_bytes = 0
@@ -165,6 +182,7 @@
             target=str(self.target),
             settings=self.settings,
             connections=len(self.relayed),
+            target_connections=self.opened - self.closed,
             relayed_bytes=self._finished_bytes + sum(each.passed for each in self.relayed),
         )
 
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_settings.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_settings.py
@@ -71,4 +71,5 @@
     target: str
     settings: LinkSettings
     connections: int
+    target_connections: int
     relayed_bytes: int
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/tests/test_relay.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/tests/test_relay.py
@@ -62,6 +62,22 @@
             await reader.readexactly(3)
 
 
+async def test_caller_that_gave_up_reaches_nobody_when_healed():
+    """Guards against connections to a target that no caller holds any more."""
+    async with _echo_through_relay() as (relay, listen):
+        relay.change(LinkChange(pattern='*', settings=LinkSettings(drop=Drop.both)))
+        _, writer = await _connect(listen)
+        writer.close()
+        while not relay.links[0].closed_early:
+            await asyncio.sleep(0)
+        relay.change(LinkChange(pattern='*', settings=PLAIN))
+        reader, writer = await _connect(listen)
+        writer.write(b'new')
+        assert await reader.readexactly(3) == b'new'
+        assert relay.links[0].state().target_connections == 1
+        writer.close()
+
+
 async def test_hold_delivers_late():
     """Guards against a relay that loses what it should only delay."""
     async with _echo_through_relay() as (relay, listen):
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_mysql.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_mysql.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import struct
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 from typing import Final
 
 from mysql_mimic.auth import SimpleIdentityProvider
@@ -61,6 +61,7 @@
     async def close(self) -> None:
         """Roll back the open transaction of a lost connection."""
         if self._executor:
+            self._executor.start_statement()
             self._executor.roll_back('ROLLBACK /* connection closed */')
 
     async def reset(self) -> None:
@@ -77,7 +78,10 @@
         if self._executor is None:
             raise MysqlError('the session is not bound to a connection')
         self.last_result = EMPTY_RESULT
-        result = await self._execute(self._executor, parse_statement(sql))
+        with ExitStack() as stack:
+            self._executor.start_statement()
+            stack.callback(self._executor.end_statement)
+            result = await self._execute(self._executor, parse_statement(sql))
         self.last_result = result
         if result.columns:
             return ResultSet(rows=result.rows, columns=_result_columns(result))
@@ -200,6 +204,7 @@
         connection.status_flags = connection.session.status_flags
         tuning = self._instance.tuning
         if self.open_connections > tuning.connections:
+            _logger.warning('refused a connection beyond the limit of %d', tuning.connections)
             error = connection.error(msg='Too many connections', code=TOO_MANY_CONNECTIONS)
             await stream.write(error)
             return
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_program.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_program.py
@@ -31,6 +31,7 @@
         'lag': 'seconds by which a replica stays behind',
         'execution-time': 'least duration of a statement, in seconds',
         'lock-wait': 'seconds that a writing transaction waits for another one',
+        'idle-transaction': 'seconds until an idle transaction is rolled back',
     }
 )
 _LOG_FILE: Final = 'log.jsonl'
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_settings.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_settings.py
@@ -16,6 +16,9 @@
     :param lag: seconds by which a replica stays behind.
     :param execution_time: least duration of a statement, in seconds.
     :param lock_wait: seconds that a writing transaction waits for another one.
+    :param idle_transaction: seconds without a statement after which an open transaction is rolled
+        back; longer than the greatest pause that entries allow by default. Without it, an entry
+        that is cut off inside a transaction would stop the writes of a group for ever.
     """
 
     slots: int = 5
@@ -24,6 +27,7 @@
     lag: float = 0.0
     execution_time: float = 0.001
     lock_wait: float = 5.0
+    idle_transaction: float = 6.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_transactions.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_transactions.py
@@ -15,6 +15,7 @@
 from bergamotcart_testkit.target._storage import StorageResult
 
 EMPTY_RESULT = StorageResult((), [], 0, 0)
+_ROLLED_BACK = -1
 
 
 @dataclass(slots=True, kw_only=True)
@@ -39,6 +40,7 @@
         self._user = user
         self._transaction: _Transaction | None = None
         self._autocommit = True
+        self._idle_timer: asyncio.TimerHandle | None = None
 
     @property
     def in_transaction(self) -> bool:
@@ -50,6 +52,20 @@
         """Whether a statement outside of a transaction commits by itself."""
         return self._autocommit
 
+    def start_statement(self) -> None:
+        """Stop the limit on the pause inside a transaction."""
+        if self._idle_timer:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def end_statement(self) -> None:
+        """Start the limit on the pause inside a transaction, if one is open."""
+        self.start_statement()
+        if self.in_transaction:
+            limit_s = self._instance.tuning.idle_transaction
+            loop = asyncio.get_running_loop()
+            self._idle_timer = loop.call_later(limit_s, self._end_idle_transaction)
+
     def change_autocommit(self, enabled: bool) -> None:
         """Change the mode; enabling it commits an open transaction."""
         if enabled and not self._autocommit:
@@ -167,6 +183,14 @@
         async with self._slots.hold():
             await asyncio.sleep(self._instance.tuning.execution_time)
 
+    def _end_idle_transaction(self) -> None:
+        transaction = self._transaction
+        self.roll_back('ROLLBACK /* idle for too long */')
+        if transaction:
+            # Later statements of the caller belong to the transaction that is gone.
+            transaction.generation = _ROLLED_BACK
+            self._transaction = transaction
+
     def _require_transaction(self) -> _Transaction:
         if self._transaction is None:
             raise MysqlError('no transaction is open', code=TRANSACTION_ROLLED_BACK)
@@ -178,7 +202,7 @@
         if self._transaction is transaction:
             self._transaction = None
         self._finish(transaction, committed=False)
-        message = 'The transaction was rolled back: the instance was demoted'
+        message = 'The transaction was rolled back: demoted instance, or idle for too long'
         raise MysqlError(message, code=TRANSACTION_ROLLED_BACK)
 
     def _new_transaction(self) -> _Transaction:
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/tests/test_instance.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/tests/test_instance.py
@@ -91,6 +91,22 @@
     assert await _run(second, 'SELECT id FROM notes') == [('b',)]
 
 
+async def test_idle_transaction_ends():
+    """Guards against a cut-off proxy that stops the writes of a group for ever."""
+    instance = _make_instance()
+    instance.promote(1)
+    instance.tuning.idle_transaction = 0.0
+    first, second = _make_executor(instance), _make_executor(instance, 2)
+    await _run(first, TABLE)
+    first.begin()
+    await _run(first, "INSERT INTO notes VALUES ('a', 'x')")
+    first.end_statement()
+    await _run(second, "INSERT INTO notes VALUES ('b', 'y')")
+    with pytest.raises(MysqlError):
+        first.commit()
+    assert await _run(second, 'SELECT id FROM notes') == [('b',)]
+
+
 def test_discards_the_records_of_another_branch():
     """Guards against a deposed primary that keeps records that the new one never had."""
     old, new = _make_instance('old'), _make_instance('new')
