Raise a group's term when an instance refuses orders with a newer one

An attempt that was not committed may leave a newer term on an instance that then refuses to follow; with one other replica lost, the group never opened. The roster is cleaned once a second and entries are pulled when they renew, since a look at all of them in each step grew with the square of their number.

--- a/packages/bergamotcart/src/bergamotcart/control/_failover.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_failover.py
@@ -36,9 +36,19 @@
     work = GroupWork(
         phase=phase,
         since=tick.now,
-        attempt_term=row.term + 1,
+        attempt_term=_newest_term(tick, row) + 1,
         opened_at=tick.now if changed else None,
     )
     tick.local.groups[row.name] = work
     tick.local.orders.forget_before(row.name, row.term)
     return work
+
+
+def _newest_term(tick: Tick, row: messages.GroupRow) -> int:
+    """Return the newest term that an instance is known to have accepted.
+
+    An attempt that was not committed may have left a newer term on some instances, which
+    would refuse all orders of the next one.
+    """
+    seen_terms = [seen.announcement.term for seen in tick.local.sightings.of_group(row.name)]
+    return max([row.term, *seen_terms])
--- a/packages/bergamotcart/src/bergamotcart/control/_leases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leases.py
@@ -10,6 +10,7 @@
 from bergamotcart.control._distribution import push_update
 from bergamotcart.control._entry_table import EntryContact
 from bergamotcart.control._quotas import grant_quotas
+from bergamotcart.control._sightings import pull_sightings
 from bergamotcart.control._tick import Tick
 
 # An entry that is back within this time needs no new roster row.
@@ -46,6 +47,7 @@
         _refuse(tick, envelope, tick.authority.reason)
         return
     contact = tick.local.entries.note_request(envelope, request, tick.now)
+    pull_sightings(tick, contact)
     if request.applied_index < tick.state.index:
         push_update(tick, contact)
     reason = _reason_against(tick, contact, request)
--- a/packages/bergamotcart/src/bergamotcart/control/_local.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -15,6 +15,8 @@
     """Unreplicated tables of one member.
 
     :param looked_at: time of the last look at each group.
+    :param pushed_index: index of the state that was last pushed to all known entries.
+    :param cleaned_at: time at which old rows were last removed.
     :param led_since: time at which this member's leadership began.
     """
 
@@ -26,6 +28,8 @@
     groups: dict[str, GroupWork] = field(default_factory=dict)
     looked_at: dict[str, float] = field(default_factory=dict)
     led_since: float = 0
+    pushed_index: int = 0
+    cleaned_at: float = 0
 
     def restart(self, now: float, assumed_until: float) -> None:
         """Begin a leadership without any memory of a former one.
@@ -41,3 +45,5 @@
         self.groups.clear()
         self.looked_at.clear()
         self.led_since = now
+        self.pushed_index = 0
+        self.cleaned_at = now
--- a/packages/bergamotcart/src/bergamotcart/control/_open_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_open_group.py
@@ -20,6 +20,7 @@
 def run_open(tick: Tick, row: messages.GroupRow, work: GroupWork) -> None:
     """Freeze the group if its primary must be replaced, else guide the other instances."""
     reason = find_suspicion(tick, row, work) or _find_planned(tick, row, work)
+    reason = reason or find_newer_term(tick, row)
     if not reason:
         work.waiting_for = ''
         order_strays(tick, row)
@@ -90,6 +91,17 @@
         _report_extra(tick, row, key.instance, Position(status.log_term, status.position))
 
 
+def find_newer_term(tick: Tick, row: messages.GroupRow) -> str:
+    """Return the reason to raise a group's term if an instance refuses to follow, or nothing."""
+    for seen in tick.local.sightings.of_group(row.name):
+        instance = seen.announcement.instance
+        key = OrderKey(OrderKind.follow, row.name, instance, row.term)
+        status = tick.local.orders.answer(key)
+        if status is not None and not status.accepted and status.term > row.term:
+            return 'newer_term_seen'
+    return ''
+
+
 def _find_planned(tick: Tick, row: messages.GroupRow, work: GroupWork) -> str:
     if not is_leaving(tick, row.name, row.primary):
         return ''
--- a/packages/bergamotcart/src/bergamotcart/control/_promotion.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_promotion.py
@@ -6,7 +6,7 @@
 from bergamotcart.control._commands import OpenGroup
 from bergamotcart.control._events import InstanceStatus, OrderKind
 from bergamotcart.control._group_work import GroupWork, Note
-from bergamotcart.control._open_group import decide, freeze
+from bergamotcart.control._open_group import decide, find_newer_term, freeze
 from bergamotcart.control._order_book import OrderKey
 from bergamotcart.control._planned import poll_statuses
 from bergamotcart.control._sightings import Seen
@@ -28,7 +28,7 @@
         return
     _order_follow(tick, row, seen)
     status = _order_promotion(tick, row, seen)
-    failure = _find_failure(tick, row, status)
+    failure = _find_failure(tick, row, status) or find_newer_term(tick, row)
     if failure:
         freeze(tick, row, failure)
     elif status is None:
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -16,12 +16,13 @@
 from bergamotcart.control._open_group import report_discarded
 from bergamotcart.control._operators import OperatorDesk
 from bergamotcart.control._proposals import Proposals
-from bergamotcart.control._sightings import pull_sightings
 from bergamotcart.control._state import ReplicatedState, decode_state, encode_state
 from bergamotcart.control._tick import Tick
 
 # Replaying this many records at a start takes a few milliseconds.
 SNAPSHOT_RECORDS: Final = 300
+# A look at the whole roster in each step would cost more with each entry that sends one.
+CLEANING_S: Final = 1.0
 
 
 class Runtime:
@@ -128,11 +129,14 @@
 
     def _run_systems(self, tick: Tick) -> None:
         self._members.readmit(tick)
-        push_changes(tick)
-        pull_sightings(tick)
-        leases.remove_idle_entries(tick)
-        leases.forget_gone_contacts(tick)
-        self._local.sightings.forget_old(tick.now)
+        if self._local.pushed_index < self._state.index:
+            self._local.pushed_index = self._state.index
+            push_changes(tick)
+        if tick.now >= self._local.cleaned_at + CLEANING_S:
+            self._local.cleaned_at = tick.now
+            leases.remove_idle_entries(tick)
+            leases.forget_gone_contacts(tick)
+            self._local.sightings.forget_old(tick.now)
         run_failover(tick)
 
     def _drain(self, tick: Tick) -> None:
--- a/packages/bergamotcart/src/bergamotcart/control/_sightings.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_sightings.py
@@ -4,10 +4,12 @@
 from typing import Final
 
 from bergamotcart import messages
+from bergamotcart.control._entry_table import EntryContact
 from bergamotcart.control._tick import Tick
 from bergamotcart.discovery import PeerSightings, has_same_content
 
-PULL_PERIOD_S: Final = 0.5
+# Entries renew their leases every 0.25 s, and each second renewal is followed by a pull.
+PULL_PERIOD_S: Final = 0.45
 FRESH_S: Final = 3.0
 # A dead instance keeps its addresses for this long, so that it is told to follow on return.
 FORGET_S: Final = 3600.0
@@ -105,14 +107,12 @@
     return now - seen.made_after <= FRESH_S
 
 
-def pull_sightings(tick: Tick) -> None:
-    """Ask each known entry for the targets that announced themselves to it."""
-    for contact in tick.local.entries.contacts:
-        if tick.now - contact.pulled_at >= PULL_PERIOD_S:
-            contact.pulled_at = tick.now
-            pull = tick.local.sightings.pull(contact.key.name, tick.now)
-            tick.send(contact.key.name, contact.address, pull)
-        tick.wake_at(contact.pulled_at + PULL_PERIOD_S)
+def pull_sightings(tick: Tick, contact: EntryContact) -> None:
+    """Ask an entry that renews its lease for the targets that announced themselves to it."""
+    if tick.now - contact.pulled_at >= PULL_PERIOD_S:
+        contact.pulled_at = tick.now
+        pull = tick.local.sightings.pull(contact.key.name, tick.now)
+        tick.send(contact.key.name, contact.address, pull)
 
 
 def _is_newer(seen: Seen, known: Seen) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_groups.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_groups.py
@@ -160,3 +160,14 @@
 def test_lent_connections_leave_room_for_all_base_quotas(limit, bound, entries, lendable):
     """Entries beyond the operator's bound use base quotas as well."""
     assert count_lendable(limit, bound, entries) == lendable
+
+
+def test_an_instance_with_a_newer_term_is_won_back():
+    """An attempt that was not committed must not leave a replica that refuses all orders."""
+    world = start()
+    world.run(0.5)
+    stray = world.targets[replicas(world)[0]]
+    stray.term = 5
+    stray.following = None
+    world.run_until(lambda: is_open(world, 6))
+    world.run_until(lambda: stray.following == world.group.primary or stray.is_serving)
