Give no vote to a newcomer whatever its announcement says

A newcomer that asked to be admitted as a voter would have entered the proposed membership as one. The leader refused such a change, so the operator's request had no effect.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_joining.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_joining.py
@@ -1,5 +1,7 @@
 """How a member without a vote makes itself known to the leader."""
 
+from msgspec.structs import replace
+
 from bergamotcart import messages
 from bergamotcart.consensus._config import Role
 from bergamotcart.consensus._core import Core
@@ -96,7 +98,8 @@
         core, newcomer = self._core, request.member
         fresh = request.echo_sent_at >= core.now - self._kept_s
         if request.echo_term == core.hard.term and fresh:
-            self._newcomers[newcomer.name] = (newcomer, core.now)
+            # Nobody comes in with a vote.
+            self._newcomers[newcomer.name] = (replace(newcomer, voter=False), core.now)
         challenge = messages.JoinResponse(
             term=core.hard.term,
             incarnation=newcomer.incarnation,
--- a/packages/bergamotcart/src/bergamotcart/consensus/_membership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_membership.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Collection, Iterable
 
+from msgspec.structs import replace
+
 from bergamotcart.messages import LogMember
 
 Members = tuple[LogMember, ...]
@@ -65,18 +67,8 @@
     present = find_member(members, newcomer.name)
     if present is None or present.incarnation != newcomer.incarnation:
         others = tuple(member for member in members if member.name != newcomer.name)
-        return (*others, _with_vote(newcomer, voter=False))
+        return (*others, replace(newcomer, voter=False))
     if present.voter or not caught_up:
         return None
     others = tuple(member for member in members if member.name != newcomer.name)
-    return (*others, _with_vote(present, voter=True))
-
-
-def _with_vote(member: LogMember, *, voter: bool) -> LogMember:
-    return LogMember(
-        name=member.name,
-        incarnation=member.incarnation,
-        address=member.address,
-        availability_zone=member.availability_zone,
-        voter=voter,
-    )
+    return (*others, replace(present, voter=True))
