Give a vote only to a newcomer that has just answered

The window is now that of the check-quorum. The fuzz test found it, and no longer empties more folders than the group tolerates once its non-voters are promoted: two voters, or four, tolerate the loss of one less than it assumed.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
@@ -46,10 +46,8 @@
         :param now: current time in seconds.
         :returns: whether this leader may serve reads and grant leases.
         """
-        config = self._core.config
-        sticky_s = config.election_timeout_s[0] * (1 - config.drift_margin)
-        since = now - min(config.lease_s, sticky_s)
-        return is_majority(self._answered_since(since), self._core.voters)
+        answered = self._answered_since(now - self._quorum_window_s)
+        return is_majority(answered, self._core.voters)
 
     def tick(self) -> None:
         """Send heartbeats when it is time, or stop leading."""
@@ -90,11 +88,12 @@
         return self._append(members=members)
 
     def is_caught_up(self, member: messages.LogMember) -> bool:
-        """Whether a member answers and has synced all committed records."""
+        """Whether a member has just answered and has synced all committed records."""
         peer = self._peers.get(member_id(member))
         if peer is None:
             return False
-        return peer.match_index >= self._core.commit_index and self.answers(member)
+        has_answered = peer.answered_sent_at >= self._core.now - self._quorum_window_s
+        return has_answered and peer.match_index >= self._core.commit_index
 
     def answers(self, member: messages.LogMember) -> bool:
         """Whether a member answered an append sent within the greatest election timeout."""
@@ -155,6 +154,12 @@
         if index > core.commit_index and core.log.term_at(index) == core.hard.term:
             core.commit_index = index
 
+    @property
+    def _quorum_window_s(self) -> float:
+        config = self._core.config
+        sticky_s = config.election_timeout_s[0] * (1 - config.drift_margin)
+        return min(config.lease_s, sticky_s)
+
     def _append(self, command: bytes = b'', members: Members | None = None) -> int:
         core = self._core
         entry = messages.LogEntry(
@@ -196,8 +201,8 @@
 
     def _can_commit(self, members: Members) -> bool:
         """Whether a majority of the new voters answers; otherwise the group would be stuck."""
-        since = self._core.now - self._core.config.election_timeout_s[1]
-        return is_majority(self._answered_since(since), voter_ids(members))
+        answered = self._answered_since(self._core.now - self._quorum_window_s)
+        return is_majority(answered, voter_ids(members))
 
     def _answered_since(self, since: float) -> list[str]:
         answered = [key for key, peer in self._peers.items() if peer.answered_sent_at >= since]
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
+
 from bergamotcart import messages
 from bergamotcart.actions import Send
 from bergamotcart.consensus import (
@@ -346,7 +348,9 @@
         for envelope in self.mail:
             records = getattr(envelope.body, 'records', ())
             found.extend(entry.members for entry in records if entry.members)
-        return [members for members in found if members]
+        # A non-voter may be given a vote before its loss is noticed.
+        promoted = [tuple(replace(member, voter=True) for member in members) for members in found]
+        return [members for members in (*found, *promoted) if members]
 
     def _all_vote(self) -> bool:
         return all(server.node and server.node.is_voter for server in self.servers.values())
