--- a/packages/bergamotcart/src/bergamotcart/discovery/tests/test_discovery.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/tests/test_discovery.py
@@ -1,7 +1,14 @@
 """Guards against targets that look fresh, and ages that are not proved."""
 
-from bergamotcart.discovery import HeadHistory, Position, TargetKey, TargetTable, meets
-from bergamotcart.messages import Announcement, RelayBatch, Sighting, TargetRole
+from bergamotcart.discovery import (
+    HeadHistory,
+    Position,
+    TargetKey,
+    TargetTable,
+    answer_pull,
+    meets,
+)
+from bergamotcart.messages import Announcement, RelayPull, Sighting, TargetRole
 
 _KEY = TargetKey('tickets', 'a')
 
@@ -64,14 +71,12 @@
 def test_a_relayed_sighting_ages_from_the_pull():
     """A relay answer that was buffered must not look fresh, and is not relayed again."""
     table = TargetTable(3.0)
-    batch = RelayBatch(
-        echo_sent_at=18.0,
-        sightings=(Sighting(announcement=_announcement(1), age_s=1.5),),
-    )
-    assert table.receive_batch(19.0, batch) == [_KEY]
+    sighting = Sighting(announcement=_announcement(1), age_s=1.5)
+    assert table.receive_sightings(19.0, 18.0, (sighting,)) == [_KEY]
     assert table.takes_new_work(_KEY, 19.4)
     assert not table.takes_new_work(_KEY, 19.5)
-    assert table.sightings(19.0) == ()
+    pull = RelayPull(sent_at=1.0)
+    assert answer_pull(table, 'e1', 19.0, pull).sightings == ()
 
 
 def test_age_is_proved_by_the_last_head_at_or_below_the_position():
