--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_fuzz.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_fuzz.py
@@ -21,11 +21,12 @@
 
 _EXAMPLES = int(os.environ.get('BERGAMOTCART_FUZZ_EXAMPLES', '40'))
 _SEED = os.environ.get('BERGAMOTCART_FUZZ_SEED')
-_ACTIONS = tuple('INSERT INSERT SELECT SELECT BEGIN BEGIN END END FAILOVER JUMP'.split())
+_ACTIONS = tuple(f'{"INSERT SELECT SELECT END " * 3}BEGIN BEGIN FAILOVER JUMP'.split())
 _ANY = st.integers(min_value=0, max_value=1_000_000)
 
 _STEPS = (0, 0, 0, 1, 2, 3, 4, 5)
-_FAULTS = st.tuples(st.sampled_from(('ok', 'ok', *MODES)), st.sampled_from(_STEPS))
+_ENDS = ('ok',) * 8 + MODES
+_FAULTS = st.tuples(st.sampled_from(_ENDS), st.sampled_from(_STEPS))
 
 
 @dataclass
@@ -48,7 +49,7 @@
     _ANY,
     st.sampled_from(_ACTIONS),
     _ANY,
-    st.sampled_from((0, 2, 6, 6, 6)),
+    st.sampled_from((0, 4, 6, 6, 6, 6)),
     _FAULTS,
 )
 
@@ -75,7 +76,7 @@
         self.texts = 0
 
     @rule(
-        burst=st.lists(_STATEMENTS, min_size=2, max_size=12),
+        burst=st.lists(_STATEMENTS, min_size=6, max_size=16),
         lagging=st.sampled_from(('', 'b', 'c', 'bc')),
     )
     def ask(self, burst: list[Statement], lagging: str) -> None:
