--- a/packages/bergamotcart/src/bergamotcart/discovery/tests/test_discovery.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/tests/test_discovery.py
@@ -75,8 +75,7 @@
     assert table.receive_sightings(19.0, 18.0, (sighting,)) == [_KEY]
     assert table.takes_new_work(_KEY, 19.4)
     assert not table.takes_new_work(_KEY, 19.5)
-    pull = RelayPull(sent_at=1.0)
-    assert answer_pull(table, 'e1', 19.0, pull).sightings == ()
+    assert answer_pull(table, 'i1', 19.0, RelayPull(sent_at=19.0)).sightings == ()
 
 
 def test_age_is_proved_by_the_last_head_at_or_below_the_position():
--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -104,6 +104,8 @@
         """Use a lease that became valid; refuse what waits once control is out of reach."""
         was_valid = self._had_lease
         self._had_lease = self._work.lease_valid
+        if was_valid and not self._had_lease:
+            self._work.decide('leases', 'lose', 'expired')
         if self._had_lease and not was_valid:
             for group in self._work.groups:
                 self.on_group(group.name)
