--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_fuzz.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_fuzz.py
@@ -22,6 +22,7 @@
 _EXAMPLES = int(os.environ.get('BERGAMOTCART_FUZZ_EXAMPLES', '40'))
 _SEED = os.environ.get('BERGAMOTCART_FUZZ_SEED')
 _ACTIONS = tuple(f'{"INSERT SELECT SELECT END " * 3}BEGIN BEGIN FAILOVER JUMP'.split())
+_TALKS = ('SELECT INSERT SELECT', 'INSERT SELECT INSERT', 'BEGIN INSERT END SELECT')
 _ANY = st.integers(min_value=0, max_value=1_000_000)
 
 _STEPS = (0, 0, 0, 1, 2, 3, 4, 5)
@@ -89,6 +90,32 @@
                 self.world.announce()
                 self.world.settle(statement.rounds, lagging, statement.fault)
 
+    @rule(
+        which=_ANY,
+        actions=st.sampled_from(_TALKS),
+        detail=st.integers(0, 11),
+        lagging=st.sampled_from(('', 'b', 'c', 'bc')),
+        faulty=st.integers(0, 3),
+        fault=_FAULTS,
+    )
+    def talk(
+        self,
+        which: int,
+        actions: str,
+        detail: int,
+        lagging: str,
+        faulty: int,
+        fault: tuple[str, int],
+    ) -> None:
+        """Send statements of one caller that belong together, one of them with a fault."""
+        for number, action in enumerate(actions.split()):
+            client = self._idle(which)
+            if client is None:
+                return
+            self._ask(client, action, detail)
+            self.world.announce()
+            self.world.settle(6, lagging, fault if number == faulty else ('ok', 0))
+
     @rule()
     def calm_down(self) -> None:
         """End all faults for a moment."""
