--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -172,7 +172,8 @@
         self._update_catch_up(watched, report)
         self._set_reachability(watched, Reachability.reachable)
         self._on_report(watched, sent_at)
-        if progressed and not watched.in_flight and self._wanted(watched.key) is not None:
+        may_repeat = progressed or watched.waited_for is None
+        if may_repeat and not watched.in_flight and self._wanted(watched.key) is not None:
             self._send(watched)
 
     def _update_catch_up(self, watched: Watched, report: PositionReport) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -119,6 +119,7 @@
         if not self._may_continue(request, transaction):
             session.rolled_back = False
             return
+        self._report(request, transaction)
         transaction.phase = TransactionPhase.ending
         request.term = transaction.term
         request.ledger = transaction.ledger
@@ -136,12 +137,26 @@
         if transaction is None:
             self._replies.finish(request, Ran())
         elif transaction.phase is TransactionPhase.open:
+            self._report(request, transaction)
             transaction.phase = TransactionPhase.ending
             plan = Plan(transaction.target, (ROLLBACK,), ConnectionUse.unpin)
             self._executions.start(request, plan, self._finish_rollback)
         else:
             self._replies.refuse(request, Reason.rolled_back, 'the transaction is not open')
 
+    def _report(self, request: Request, transaction: Transaction) -> None:
+        self._work.decide(
+            'routing',
+            'send_on_pinned_connection',
+            request.statement.kind.value,
+            request=request.request_id,
+            session=request.session.session_id,
+            caller=request.session.caller,
+            group=transaction.group,
+            target=transaction.target.instance,
+            term=transaction.term,
+        )
+
     def _end_rolled_back(self, request: Request) -> None:
         if request.session.rolled_back:
             request.session.rolled_back = False
@@ -155,6 +170,7 @@
             self._replies.refuse(request, Reason.unsupported_statement, detail)
             return
         if self._may_continue(request, transaction):
+            self._report(request, transaction)
             steps = (Step(StepKind.statement, request.sql),)
             plan = Plan(transaction.target, steps, ConnectionUse.pinned)
             self._executions.start(request, plan, self._finish_statement)
