--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/tests/test_logs.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/tests/test_logs.py
@@ -20,10 +20,9 @@
 @pytest.fixture(autouse=True)
 def _restore_logging():
     root = logging.getLogger()
-    handlers, level = root.handlers[:], root.level
+    handlers = tuple(root.handlers)
     yield
-    root.handlers[:] = handlers
-    root.setLevel(level)
+    logging.basicConfig(level=logging.WARNING, handlers=handlers, force=True)
 
 
 def test_a_decision_is_one_json_line_with_its_fields(capsys):
