--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
@@ -4,7 +4,6 @@
 import contextlib
 import datetime
 import decimal
-import socket
 from collections.abc import AsyncIterator
 
 import aiomysql
@@ -58,12 +57,10 @@
 
 
 @contextlib.asynccontextmanager
-async def _open_engine() -> AsyncIterator[_Engine]:
+async def _open_engine(address: str) -> AsyncIterator[_Engine]:
     engine = _Engine()
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        engine.port = probe.getsockname()[1]
-    server = CallerServer(f'127.0.0.1:{engine.port}', Metrics(dict), engine.submit)
+    engine.port = int(address.partition(':')[2])
+    server = CallerServer(address, Metrics(dict), engine.submit)
     engine.server = server
     async with server:
         yield engine
@@ -80,7 +77,7 @@
     return cursor
 
 
-async def test_rows_reach_the_caller_with_their_types():
+async def test_rows_reach_the_caller_with_their_types(addresses):
     """A value that changes its type or becomes NULL on the way is a wrong answer."""
     row = (
         1,
@@ -96,7 +93,7 @@
     )
     columns = tuple(f'column{index}' for index in range(len(row)))
 
-    async with _open_engine() as engine:
+    async with _open_engine(next(addresses)) as engine:
         engine.outcome = Ran(RequestResult(columns, (row, (None,) * len(row))))
         async with await engine.connect() as connection:
             cursor = await _query(connection, 'SELECT all')
@@ -105,10 +102,10 @@
         assert tuple(column[0] for column in cursor.description) == columns
 
 
-async def test_counts_reach_the_caller_and_only_for_their_statement():
+async def test_counts_reach_the_caller_and_only_for_their_statement(addresses):
     """A repeated count would make a caller believe that its next write changed rows."""
 
-    async with _open_engine() as engine:
+    async with _open_engine(next(addresses)) as engine:
         engine.outcome = Ran(RequestResult(affected_rows=3, last_insert_id=9))
         async with await engine.connect() as connection:
             cursor = await _query(connection, 'INSERT')
@@ -134,10 +131,10 @@
         ),
     ],
 )
-async def test_each_verdict_has_its_error(outcome, code, text):
+async def test_each_verdict_has_its_error(outcome, code, text, addresses):
     """A caller that reads the wrong verdict repeats what already ran."""
 
-    async with _open_engine() as engine:
+    async with _open_engine(next(addresses)) as engine:
         engine.outcome = outcome
         async with await engine.connect() as connection:
             with pytest.raises(pymysql.MySQLError, match=text) as caught:
@@ -147,10 +144,10 @@
             await _query(connection, 'the connection still works')
 
 
-async def test_sessions_and_groups_follow_the_connection():
+async def test_sessions_and_groups_follow_the_connection(addresses):
     """A new session after a reset must not start in the group of an earlier ``USE``."""
 
-    async with _open_engine() as engine:
+    async with _open_engine(next(addresses)) as engine:
         async with await engine.connect(password='ignored') as connection:
             await _query(connection, '/* note */ use `members`;')
             await connection.select_db('orders')
@@ -164,10 +161,10 @@
         assert closed.session_id == opened[0].session_id
 
 
-async def test_a_caller_that_leaves_during_its_statement_closes_its_session_once():
+async def test_a_caller_that_leaves_during_its_statement_closes_its_session_once(addresses):
     """The transaction of a lost caller must not go on until its statement ends."""
 
-    async with _open_engine() as engine:
+    async with _open_engine(next(addresses)) as engine:
         engine.outcome = None
         connection = await engine.connect()
         running = asyncio.ensure_future(_query(connection, 'SELECT SLEEP'))
@@ -180,10 +177,10 @@
         assert len(engine.take(entry.SessionClosed)) == 1
 
 
-async def test_a_stop_waits_until_the_caller_has_taken_its_answer():
+async def test_a_stop_waits_until_the_caller_has_taken_its_answer(addresses):
     """A graceful shutdown must not cut off an answer that is already being sent."""
     rows = tuple((number, 'x' * 1000) for number in range(20_000))
-    async with _open_engine() as engine:
+    async with _open_engine(next(addresses)) as engine:
         connection = await engine.connect()
         engine.outcome = Ran(RequestResult(('number', 'text'), rows))
         await connection._execute_command(_QUERY, 'SELECT many')
@@ -197,9 +194,12 @@
         await stopping
 
 
-async def test_texts_follow_the_character_set_that_the_caller_names():
+async def test_texts_follow_the_character_set_that_the_caller_names(addresses):
     """A caller that reads another character set must not get wrong letters."""
-    async with _open_engine() as engine, await engine.connect(charset='latin1') as connection:
+    async with (
+        _open_engine(next(addresses)) as engine,
+        await engine.connect(charset='latin1') as connection,
+    ):
         await _query(connection, 'SET NAMES latin1')
         engine.outcome = Ran(RequestResult(('text',), (('é',), ('山',))))
         cursor = await _query(connection, "SELECT 'é'")
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -32,12 +31,6 @@
 )
 
 
-def _find_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 @contextlib.asynccontextmanager
 async def _open(
     address: str,
@@ -80,11 +73,11 @@
         ({'group': ''}, 400),
     ],
 )
-async def test_only_valid_announcements_reach_the_engine(change, status):
+async def test_only_valid_announcements_reach_the_engine(change, status, addresses):
     """A malformed announcement must not put a target into the table."""
     received: list[object] = []
     api = AnnouncementApi(Metrics(dict), lambda: 12.5, received.append)
-    async with _open(_find_address(), api.build_routes()) as session:
+    async with _open(next(addresses), api.build_routes()) as session:
         body = msgspec.to_builtins(_ANNOUNCEMENT) | change
         async with session.post('/announcements', json=body) as response:
             answer = await response.json()
@@ -93,21 +86,21 @@
     assert ('echo' in answer) == bool(received)
 
 
-async def test_health_is_unavailable_while_draining():
+async def test_health_is_unavailable_while_draining(addresses):
     """The platform must stop sending callers to a process that leaves."""
     health = Health(serving=False, details={'state': 'draining'})
-    async with _open(_find_address(), health=health) as session:
+    async with _open(next(addresses), health=health) as session:
         async with session.get('/health') as response:
             assert response.status == 503
             assert await response.json() == {'state': 'draining'}
 
 
-async def test_a_follower_forwards_to_the_leader_and_never_in_a_loop():
+async def test_a_follower_forwards_to_the_leader_and_never_in_a_loop(addresses):
     """Two followers that take each other for the leader must not forward for ever."""
-    first, second = _find_address(), _find_address()
-    addresses = {'c1': first, 'c2': second}
-    follower = _Member('c1', 'c2', addresses)
-    leader = _Member('c2', 'c1', addresses)
+    first, second = next(addresses), next(addresses)
+    operators = {'c1': first, 'c2': second}
+    follower = _Member('c1', 'c2', operators)
+    leader = _Member('c2', 'c1', operators)
     leader.leads = True
     headers = {'Authorization': 'Bearer t1'}
     async with follower.api, leader.api, _open(second, leader.api.build_routes()):
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_transport.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_transport.py
@@ -1,7 +1,6 @@
 """Guards against bad input that stops a process, and senders that wait for dead peers."""
 
 import asyncio
-import socket
 import zlib
 
 import pynng
@@ -18,21 +17,15 @@
 _ADVERTISED = '10.9.9.9:1'
 
 
-def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def _build(name: str, address: str, peer: str, submit) -> Transport:
     identity = Identity('default', name, f'{name}-1', address)
     translation = AddressTranslation({_ADVERTISED: peer})
     return Transport(address, identity, translation, Metrics(dict), submit)
 
 
-async def test_messages_arrive_and_bad_input_is_dropped():
+async def test_messages_arrive_and_bad_input_is_dropped(addresses):
     """One malformed message must not end or block the receiver."""
-    first, second = (f'127.0.0.1:{_find_port()}' for _ in range(2))
+    first, second = (next(addresses) for _ in range(2))
     received: asyncio.Queue[MessageReceived] = asyncio.Queue()
 
     sender = _build('e1', first, second, received.put_nowait)
@@ -50,9 +43,9 @@
     assert arrived.envelope.body == messages.RelayPull(sent_at=2.0)
 
 
-async def test_sending_to_a_dead_peer_drops_and_never_waits():
+async def test_sending_to_a_dead_peer_drops_and_never_waits(addresses):
     """A process that waits for a dead peer cannot serve the living ones."""
-    address, dead = (f'127.0.0.1:{_find_port()}' for _ in range(2))
+    address, dead = (next(addresses) for _ in range(2))
 
     transport = _build('e1', address, dead, list().append)
     async with transport:
