Give up executions at a target that falls silent

A statement in flight at an isolated instance waited for its whole deadline of 10 s, reads as well, although the probes had found the instance silent after about 1 s.

--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_failovers.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_failovers.py
@@ -128,8 +128,8 @@
         zone = zones[turn % len(zones)]
         turn += 1
         hit = [failover async for failover in _primaries_in(deployment, zone)]
-        isolated_at = time.monotonic()
         await deployment.cut_off(zone)
+        isolated_at = time.monotonic()
         for failover in hit:
             failover.at = isolated_at
             await _wait_for_gap(load, failover)
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -16,10 +16,11 @@
 )
 from bergamotcart.entry._inputs import ExecutionFinished
 from bergamotcart.entry._lanes import Lane, Lanes
-from bergamotcart.entry._monitor import TargetMonitor
+from bergamotcart.entry._monitor import TargetMonitor, Watched
 from bergamotcart.entry._requests import Phase, Request
 from bergamotcart.entry._timers import Timer
 from bergamotcart.entry._workspace import Workspace
+from bergamotcart.messages import Reachability
 
 # The adapter reports every execution in time; this covers a report that is lost all the same.
 _LOST_REPORT_S: Final = 1.0
@@ -125,6 +126,18 @@
             answer_s = self._work.now - running.started_at if is_answered else None
             self._lanes.release(running.lane, is_read=running.plan.is_read, answer_s=answer_s)
 
+    def on_reachability(self, watched: Watched) -> None:
+        """End the executions at a target that falls silent, as if their answers were lost.
+
+        Otherwise their callers would wait for the whole deadline, though reads can be sent
+        elsewhere and a replaced primary's answer may not be acknowledged.
+        """
+        if watched.reachability is not Reachability.silent:
+            return
+        for execution_id, running in tuple(self._running.items()):
+            if running.plan.target == watched.key:
+                self.finish(_lost(execution_id))
+
     def release_pin(self, target: TargetKey) -> None:
         """Give back the place of a transaction that ended."""
         self._lanes.release(self._lanes.get(target), is_read=False)
