Hand over from a primary that no entry hears

Cause: test_primary_isolated_and_entry_killed waited for writes for ever. The only entry of an availability zone was killed just after an instance there had become primary. Targets announce themselves to entries of their own zone only, so after 3 s no entry sent work to it, while control could reach it and saw no reason to replace it. Ruled out: the freeze, which took 0.04 s.

Before: no write for 60 s. After: control treats such a primary like one that is leaving, and the test passes.

--- a/packages/bergamotcart/src/bergamotcart/control/_collection.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_collection.py
@@ -12,6 +12,7 @@
 from bergamotcart.control._placement import Candidate, choose_primary, count_needed
 from bergamotcart.control._planned import wait_for_catch_up
 from bergamotcart.control._sightings import Seen
+from bergamotcart.control._suspicion import takes_no_work
 from bergamotcart.control._tick import Tick
 from bergamotcart.documents import InsufficientInstances
 
@@ -67,7 +68,8 @@
     for seen in instances:
         status = tick.local.orders.answer(_stop_key(row, work, seen))
         if status is not None and status.accepted:
-            candidates.append(Candidate(status, seen.announcement))
+            takes_work = not takes_no_work(tick, row.name, status.instance)
+            candidates.append(Candidate(status, seen.announcement, takes_work))
         elif status is not None and status.term >= work.attempt_term:
             # The instance knows a newer term, for instance of an attempt that was not committed.
             work.attempt_term = status.term + 1
--- a/packages/bergamotcart/src/bergamotcart/control/_open_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_open_group.py
@@ -9,7 +9,7 @@
 from bergamotcart.control._group_work import GroupWork, Note
 from bergamotcart.control._order_book import OrderKey
 from bergamotcart.control._sightings import Seen, is_fresh
-from bergamotcart.control._suspicion import find_suspicion, is_leaving
+from bergamotcart.control._suspicion import find_suspicion, is_leaving, takes_no_work
 from bergamotcart.control._tick import Tick
 from bergamotcart.discovery import Position
 
@@ -103,12 +103,15 @@
 
 
 def _find_planned(tick: Tick, row: messages.GroupRow, work: GroupWork) -> str:
-    if not is_leaving(tick, row.name, row.primary):
+    if not takes_no_work(tick, row.name, row.primary):
         return ''
+    reason = 'primary_leaving'
+    if not is_leaving(tick, row.name, row.primary):
+        reason = 'primary_not_announced'
     if any(_can_succeed(tick, row, seen) for seen in tick.local.sightings.of_group(row.name)):
-        return 'primary_leaving'
+        return reason
     if work.note_once(Note.no_successor):
-        decide(tick, row, 'keep_primary', 'no_successor', 'the primary is leaving')
+        decide(tick, row, 'keep_primary', 'no_successor', reason)
     return ''
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_placement.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_placement.py
@@ -10,10 +10,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """An instance that has stopped following, with its final position."""
+    """An instance that has stopped following, with its final position.
+
+    :param takes_work: it is not leaving, and entries hear its announcements.
+    """
 
     status: InstanceStatus
     announcement: messages.Announcement
+    takes_work: bool
 
     @property
     def position(self) -> Position:
@@ -48,7 +52,7 @@
         staying = [
             candidate
             for candidate in candidates
-            if not candidate.announcement.leaving and candidate.position >= floor
+            if candidate.takes_work and candidate.position >= floor
         ]
         candidates = staying or candidates
     return max(candidates, key=lambda candidate: _rank(candidate, primaries_by_zone))
@@ -58,7 +62,7 @@
     announcement = candidate.announcement
     return (
         candidate.position,
-        not announcement.leaving,
+        candidate.takes_work,
         -primaries_by_zone[announcement.availability_zone],
         announcement.instance,
     )
--- a/packages/bergamotcart/src/bergamotcart/control/_planned.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_planned.py
@@ -7,7 +7,7 @@
 from bergamotcart.control._group_work import GroupWork, Note
 from bergamotcart.control._open_group import decide
 from bergamotcart.control._order_book import OrderKey
-from bergamotcart.control._suspicion import is_leaving, is_unreachable
+from bergamotcart.control._suspicion import is_unreachable, takes_no_work
 from bergamotcart.control._tick import Tick
 from bergamotcart.discovery import Position
 
@@ -66,7 +66,7 @@
 
 
 def _is_planned(tick: Tick, row: messages.GroupRow) -> bool:
-    if not is_leaving(tick, row.name, row.primary):
+    if not takes_no_work(tick, row.name, row.primary):
         return False
     return not is_unreachable(tick, row.name, row.primary or '')
 
@@ -80,6 +80,6 @@
     return any(
         Position(status.log_term, status.position) >= floor
         and instance != row.primary
-        and not is_leaving(tick, row.name, instance)
+        and not takes_no_work(tick, row.name, instance)
         for instance, status in statuses.items()
     )
--- a/packages/bergamotcart/src/bergamotcart/control/_suspicion.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_suspicion.py
@@ -11,6 +11,8 @@
 
 # A new primary may be silent while it is under the load that has waited for it.
 SILENCE_AFTER_CHANGE_S: Final = 5.0
+# Entries send no work to an instance whose announcement is 3 s old; one pull more covers relays.
+UNHEARD_S: Final = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +58,19 @@
     return seen is not None and seen.announcement.leaving and is_fresh(seen, tick.now)
 
 
+def takes_no_work(tick: Tick, group: str, instance: str | None) -> bool:
+    """Tell whether entries send no new work to an instance although it may be alive.
+
+    It is leaving, or no entry hears its announcements, for instance because all entries
+    of its availability zone are down. Writes would wait for ever for such a primary.
+    """
+    if is_leaving(tick, group, instance):
+        return True
+    seen = tick.local.sightings.find(group, instance) if instance else None
+    heard_at = max(seen.made_after if seen else 0, tick.local.led_since)
+    return seen is not None and tick.now > heard_at + UNHEARD_S
+
+
 def _find_loss(tick: Tick, group: str, instance: str, opened_at: float | None) -> str:
     votes = _count(tick, group, instance)
     if votes.reachable or not votes.holders:
