--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_groups.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_groups.py
@@ -171,3 +171,37 @@
     stray.following = None
     world.run_until(lambda: is_open(world, 6))
     world.run_until(lambda: stray.following == world.group.primary or stray.is_serving)
+
+
+@pytest.mark.parametrize('leader_crashes', [False, True])
+def test_a_promotion_waits_for_the_lease_of_an_entry_that_hears_nothing(leader_crashes: bool):
+    """An entry that missed the freeze goes on writing until its lease has ended."""
+    world = start()
+    world.run(0.5)
+    entry = world.entries['entry-1']
+    world.targets[world.group.primary].leaving = True
+    world.run_until(lambda: find(world, 'freeze', 'primary_leaving'))
+    world.cut.add(entry.name)
+    world.run_until(lambda: world.group.phase == messages.GroupPhase.frozen)
+    if leader_crashes:
+        world.crash(world.leader)
+    assert entry.open_row(world.now)
+    world.run_until(lambda: world.group.phase == messages.GroupPhase.promoting)
+    assert entry.open_row(world.now) is None
+
+
+def test_an_entry_that_missed_a_freeze_gets_no_lease():
+    """After the group has opened again, the entry would still write to the deposed primary."""
+    world = start()
+    world.run(0.5)
+    entry = world.entries['entry-1']
+    world.cut.add(entry.name)
+    lose(world, world.group.primary)
+    world.run_until(lambda: is_open(world, 2))
+    world.lost_type = messages.StateUpdate
+    world.cut.clear()
+    world.run(1)
+    assert find(world, 'refuse_lease', 'behind_freeze')
+    assert entry.open_row(world.now) is None
+    world.lost_type = None
+    world.run_until(lambda: entry.open_row(world.now) is not None)
