Count entries that have not renewed yet in the majority against a primary

After a change of the leader, the first entry to renew was the only one with a lease that the leader knew, so one entry that could not reach a primary had it replaced.

--- a/packages/bergamotcart/src/bergamotcart/control/_suspicion.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_suspicion.py
@@ -71,12 +71,13 @@
 
 
 def _count(tick: Tick, group: str, instance: str) -> _Votes:
-    holders = [
-        contact.observations.get((group, instance))
-        for contact in tick.local.entries.contacts
-        if contact.lease_until > tick.now
-    ]
-    known = [seen for seen in holders if seen is not None]
+    entries = tick.local.entries
+    # Under a new leader, entries that have not renewed yet count too: otherwise the first
+    # one to renew would be the majority.
+    holders = [row for row in tick.state.roster() if entries.lease_until(row) > tick.now]
+    contacts = [entries.find(row.name, row.incarnation) for row in holders]
+    reports = [contact.observations.get((group, instance)) for contact in contacts if contact]
+    known = [seen for seen in reports if seen is not None]
     return _Votes(
         refusing=sum(_refuses_long_enough(tick, seen) for seen in known),
         silent=sum(seen.reachability == messages.Reachability.silent for seen in known),
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
@@ -169,6 +169,7 @@
     clock: Clock
     starts: int = 1
     paused: bool = False
+    blind: frozenset[str] = frozenset()
     applied_index: int = 0
     revision: int = 0
     lease_end: float = 0
@@ -199,7 +200,7 @@
         """Probe the targets."""
         for target in targets:
             seen = messages.Reachability.reachable
-            if target.isolated:
+            if target.isolated or target.name in self.blind:
                 seen = messages.Reachability.silent
             elif not target.alive:
                 seen = messages.Reachability.refusing
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_groups.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_groups.py
@@ -205,3 +205,18 @@
     assert entry.open_row(world.now) is None
     world.lost_type = None
     world.run_until(lambda: entry.open_row(world.now) is not None)
+
+
+def test_one_entry_alone_does_not_replace_a_primary_under_a_new_leader():
+    """The first entry that renews with a new leader may be the one that is cut off."""
+    world = start()
+    world.run(0.5)
+    world.entries['entry-1'].blind = frozenset((world.group.primary,))
+    world.run(1)
+    world.cut |= {'entry-2', 'entry-3'}
+    world.crash(world.leader)
+    world.run_until(lambda: world.leader is not None)
+    world.run(0.3)
+    world.cut.clear()
+    world.run(2)
+    assert world.group.term == 1
