--- a/packages/bergamotcart/src/bergamotcart/entry/_floors.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_floors.py
@@ -64,13 +64,16 @@
         """Probe the instance of a read, and the primary in case the instance is gone."""
         self._monitor.need_report_after(last.target, last.ended_at)
         row = self._work.view.groups.get(group)
-        if row is not None and row.primary is not None and not self._is_same(last):
+        if row is not None and row.primary is not None and not self._answers_soon(last):
             self._monitor.need_report_after(TargetKey(group, row.primary), last.ended_at)
 
-    def _is_same(self, last: LastRead) -> bool:
+    def _answers_soon(self, last: LastRead) -> bool:
         watched = self._monitor.get(last.target)
         if watched is None or watched.incarnation != last.incarnation:
             return False
+        if watched.in_flight and watched.waited_for is not None:
+            # The instance is behind, so its answer may take long.
+            return False
         return self._monitor.is_reachable(last.target)
 
     def _position_after(self, last: LastRead, group: str) -> Position | None:
