--- a/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
@@ -49,7 +49,14 @@
 change makes it a voter. The two steps may not be merged: the former incarnation may have
 voted in a newer term, and a majority that relies on the newcomer instead would not meet that
 one. A change is refused until the one before it, and a record of the leader's own term, are
-committed.
+committed, or while a majority of the new voters does not answer.
+
+Limits
+------
+A membership is in force from the moment it is in a log. A group that loses a majority of its
+newest voters within the check-quorum window of a change cannot commit any more, and only its
+operator can start a new one. Two or four voters tolerate one loss less than three or five, so
+admit and remove one after the other without long pauses.
 """
 
 from bergamotcart.consensus._config import (
