--- a/packages/bergamotcart/src/bergamotcart/discovery/_positions.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_positions.py
@@ -1,20 +1,19 @@
 """Places in the log of a group and what instances report about them."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from bergamotcart import messages
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Position:
+class Position(NamedTuple):
     """Place in a group's log; compares by log term first, then by position."""
 
     log_term: int
     position: int
 
 
-@dataclass(frozen=True, slots=True)
-class TargetKey:
+class TargetKey(NamedTuple):
     """Names one instance of one group."""
 
     group: str
