--- a/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
@@ -77,7 +77,7 @@
         retries = Retries(work, replies)
         self.retries = retries
         confirmations = Confirmations(work, monitor, replies, floors)
-        self.flow = Flow(work, self.lanes, monitor, gate, confirmations)
+        self.flow = Flow(work, self.lanes, monitor, gate, confirmations, self.executions)
         self.control = ControlLink(
             work, monitor, self.lanes, self.flow.on_groups, self.flow.on_lease
         )
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -21,6 +21,7 @@
 from bergamotcart.entry._timers import Timer
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.messages import Reachability
+from bergamotcart.statements import StatementKind
 
 # The adapter reports every execution in time; this covers a report that is lost all the same.
 _LOST_REPORT_S: Final = 1.0
@@ -53,11 +54,17 @@
     started_at: float
     timer: Timer | None = None
 
+    @property
+    def is_single_read(self) -> bool:
+        """Whether it is a read outside a transaction, which may always be sent again."""
+        is_read = self.request.statement.kind is StatementKind.read
+        return is_read and self.plan.use is ConnectionUse.shared
+
 
 class Executions:
     """Starts executions and hands their results to the system that asked for them."""
 
-    __slots__ = ('_ids', '_lanes', '_monitor', '_running', '_work')
+    __slots__ = ('_at_target', '_ids', '_lanes', '_monitor', '_running', '_work')
 
     def __init__(self, work: Workspace, lanes: Lanes, monitor: TargetMonitor) -> None:
         """Start without executions."""
@@ -65,6 +72,7 @@
         self._lanes = lanes
         self._monitor = monitor
         self._running: dict[int, Running] = {}
+        self._at_target: dict[TargetKey, dict[int, Running]] = {}
         self._ids = itertools.count(1)
 
     def start(
@@ -84,6 +92,7 @@
         incarnation = target.announcement.incarnation if target else ''
         running = Running(request, plan, lane, on_finished, incarnation, self._work.now)
         self._running[execution_id] = running
+        self._at_target.setdefault(plan.target, {})[execution_id] = running
         request.phase = Phase.executing
         request.execution_id = execution_id
         request.ticket += 1
@@ -112,6 +121,7 @@
         running = self._running.pop(finished.execution_id, None)
         if running is None:
             return
+        self._at_target[running.plan.target].pop(finished.execution_id)
         if running.timer is not None:
             running.timer.cancel()
         if finished.refused and finished.status is ExecutionStatus.not_sent:
@@ -138,6 +148,22 @@
             if running.plan.target == watched.key:
                 self.finish(_lost(execution_id))
 
+    def abandon_reads(self, target: TargetKey) -> None:
+        """Give up the reads at a target that does not answer, so that they are sent again."""
+        for execution_id, running in list(self._at_target.get(target, {}).items()):
+            if running.is_single_read:
+                self.finish(_lost(execution_id))
+
+    def abandon_term(self, group: str) -> None:
+        """Give up the work for a term that is over: none of it can be acknowledged."""
+        for target, at_target in list(self._at_target.items()):
+            if target.group != group:
+                continue
+            for execution_id, running in list(at_target.items()):
+                is_open = self._work.view.is_open(group, running.request.term)
+                if not running.is_single_read and not is_open:
+                    self.finish(_lost(execution_id))
+
     def release_pin(self, target: TargetKey) -> None:
         """Give back the place of a transaction that ended."""
         self._lanes.release(self._lanes.get(target), is_read=False)
--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -4,12 +4,13 @@
 
 from bergamotcart.discovery import TargetKey
 from bergamotcart.entry._confirmations import Confirmations
+from bergamotcart.entry._executions import Executions
 from bergamotcart.entry._lanes import Lane, Lanes
 from bergamotcart.entry._monitor import TargetMonitor, Watched
 from bergamotcart.entry._primary import PrimaryGate
 from bergamotcart.entry._requests import Request
 from bergamotcart.entry._workspace import Workspace
-from bergamotcart.messages import TargetRole
+from bergamotcart.messages import Reachability, TargetRole
 from bergamotcart.outcomes import Reason
 
 # A target that stopped announcing itself is forgotten after this time.
@@ -21,6 +22,7 @@
 
     __slots__ = (
         '_confirmations',
+        '_executions',
         '_gate',
         '_had_lease',
         '_lanes',
@@ -36,6 +38,7 @@
         monitor: TargetMonitor,
         gate: PrimaryGate,
         confirmations: Confirmations,
+        executions: Executions,
     ) -> None:
         """Keep the tables that requests wait in."""
         self._work = work
@@ -43,6 +46,7 @@
         self._monitor = monitor
         self._gate = gate
         self._confirmations = confirmations
+        self._executions = executions
         self._usable: set[TargetKey] = set()
         self._had_lease = False
 
@@ -79,6 +83,7 @@
     def on_group(self, name: str) -> None:
         """Route again whatever waits in a group whose row, lease or targets changed."""
         group = self._work.groups.get(name)
+        self._executions.abandon_term(name)
         self._confirmations.on_group_change(group)
         self._route_again(name)
 
@@ -117,6 +122,8 @@
 
     def on_reachability(self, watched: Watched) -> None:
         """Route again what waits for a target that became reachable or unreachable."""
+        if watched.reachability is not Reachability.reachable:
+            self._executions.abandon_reads(watched.key)
         self._drain_lane(watched.key)
         self._route_again(watched.key.group)
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -145,6 +145,7 @@
             self._replies.refuse(request, Reason.rolled_back, 'the transaction is not open')
 
     def _report(self, request: Request, transaction: Transaction) -> None:
+        request.term = transaction.term
         self._work.decide(
             'routing',
             'send_on_pinned_connection',
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/world.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/world.py
@@ -161,6 +161,18 @@
             for name in self.engines:
                 self.step(name)
 
+    def fail_over(self) -> None:
+        """Kill the primary, replace it, and let everyone learn of it."""
+        self.control.freeze()
+        for engine in self.engines:
+            self.post('control', engine, self.control.update())
+        self.settle(4)
+        self.targets['a'].up = False
+        self.control.promote([self.targets[one] for one in 'bc'])
+        self.advance(0.3)
+        self.announce()
+        self.settle(12)
+
     def open_session(self, name: str) -> int:
         """Connect a caller."""
         self.sessions += 1
