Keep a begin until its own report when a term ends

Giving it up let the session ask for a second pinned connection while the adapter could still pin the first. The fake now also closes what is under way on a released connection, as the adapter does.

--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -156,13 +156,12 @@
 
     def abandon_term(self, group: str) -> None:
         """Give up the work for a term that is over: none of it can be acknowledged."""
-        for target, at_target in list(self._at_target.items()):
-            if target.group != group:
-                continue
-            for execution_id, running in list(at_target.items()):
-                is_open = self._work.view.is_open(group, running.request.term)
-                if not running.is_single_read and not is_open:
-                    self.finish(_lost(execution_id))
+        for execution_id, running in self._of_group(group):
+            # A begin ends by its own report: until then the adapter may still pin a
+            # connection, and a second one for the same session must not be asked for.
+            is_kept = running.is_single_read or running.plan.use is ConnectionUse.pin
+            if not is_kept and not self._work.view.is_open(group, running.request.term):
+                self.finish(_lost(execution_id))
 
     def release_pin(self, target: TargetKey) -> None:
         """Give back the place of a transaction that ended."""
@@ -172,6 +171,14 @@
         settings = self._work.view.document.group(request.group)
         return settings.ledger_retention_s if settings else None
 
+    def _of_group(self, group: str) -> list[tuple[int, Running]]:
+        return [
+            numbered
+            for target, at_target in self._at_target.items()
+            if target.group == group
+            for numbered in at_target.items()
+        ]
+
 
 def _lost(execution_id: int) -> ExecutionFinished:
     return ExecutionFinished(
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/fake_targets.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/fake_targets.py
@@ -121,6 +121,7 @@
     def __init__(self, target: FakeTarget, action: entry.Execute, engine: str) -> None:
         self.target = target
         self.action = action
+        self.engine = engine
         self.is_shared = action.use is entry.ConnectionUse.shared
         number = action.execution_id if self.is_shared else -action.session_id
         self.connection: object = (engine, number)
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/world.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/world.py
@@ -52,6 +52,7 @@
         self.executions: list[tuple[str, entry.Execute]] = []
         self.probes: list[tuple[str, float, entry.Probe]] = []
         self.late: list[Late] = []
+        self.closed: set[tuple[str, int]] = set()
         self.slow: list[tuple[str, entry.ProbeFinished]] = []
         self.decisions: list[Decision] = []
         self.requests = 0
@@ -227,12 +228,18 @@
     def _on_releasepin(self, name: str, action: entry.ReleasePin) -> None:
         for target in self.targets.values():
             target.open.pop((name, -action.session_id), None)
+        for engine, pending in self.executions:
+            is_pinned = pending.use in {entry.ConnectionUse.pinned, entry.ConnectionUse.unpin}
+            if is_pinned and (engine, pending.session_id) == (name, action.session_id):
+                self.closed.add((engine, pending.execution_id))
 
     def _on_decision(self, name: str, action: Decision) -> None:
         self.decisions.append(action)
 
     def _run(self, run: Run, mode: str, stop_at: int) -> entry.ExecutionFinished:
         action = run.action
+        if (run.engine, action.execution_id) in self.closed:
+            return _finished(action, Status.lost, failed_step=action.steps[0].kind, clean=False)
         if not run.target.up or mode == 'refuse':
             return _finished(action, Status.not_sent, refused=True, clean=False)
         end = len(action.steps) if mode == 'ok' else stop_at + int(mode == 'mute')
