--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_static.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/measure/_static.py
@@ -66,9 +66,9 @@
 
 async def measure_added_latency(deployment: Deployment) -> Figure:
     """Compare reads through an entry with reads at an instance of its availability zone."""
-    entry = deployment.plan.entries[0]
-    target = await _find_replica(deployment, entry.availability_zone)
+    target = await _find_replica(deployment)
     group = target.group
+    entry = deployment.entry(target.availability_zone)
     through = await _read_latency('entry', entry.mysql, group)
     direct = await _read_latency('target', target.mysql, group)
     return Figure(
@@ -80,13 +80,15 @@
     )
 
 
-async def _find_replica(deployment: Deployment, zone: str) -> TargetPlan:
-    """Find a replica in a zone, since an entry sends such reads to a near one."""
-    for target in deployment.plan.targets:
-        primary = await deployment.group_settled(target.group)
-        if target.availability_zone == zone and target.name != primary.instance:
-            return target
-    raise LookupError(f'every instance in {zone} is a primary')
+async def _find_replica(deployment: Deployment) -> TargetPlan:
+    """Find a replica, since an entry of its zone sends such reads to it."""
+    group = deployment.group
+    primary = await deployment.group_settled(group)
+    return next(
+        target
+        for target in deployment.plan.targets
+        if target.group == group and target.name != primary.instance
+    )
 
 
 async def measure_throughput(deployment: Deployment) -> Figure:
