--- a/packages/bergamotcart/src/bergamotcart/control/_local.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass, field
 
+from bergamotcart.admission import TargetLender
 from bergamotcart.control._entry_table import EntryTable
 from bergamotcart.control._group_work import GroupWork
 from bergamotcart.control._order_book import OrderBook
 from bergamotcart.control._proposals import Proposals
-from bergamotcart.control._quotas import LoanTable
 from bergamotcart.control._sightings import SightingTable
 
 
@@ -15,6 +15,8 @@
     """Unreplicated tables of one member.
 
     :param looked_at: time of the last look at each group.
+    :param pushed_index: index of the state that was last pushed to all known entries.
+    :param cleaned_at: time at which old rows were last removed.
     :param led_since: time at which this member's leadership began.
     """
 
@@ -22,10 +24,12 @@
     entries: EntryTable = field(default_factory=EntryTable)
     sightings: SightingTable = field(default_factory=SightingTable)
     orders: OrderBook = field(default_factory=OrderBook)
-    loans: LoanTable = field(default_factory=LoanTable)
+    lenders: dict[tuple[str, str], TargetLender] = field(default_factory=dict)
     groups: dict[str, GroupWork] = field(default_factory=dict)
     looked_at: dict[str, float] = field(default_factory=dict)
     led_since: float = 0
+    pushed_index: int = 0
+    cleaned_at: float = 0
 
     def restart(self, now: float, assumed_until: float) -> None:
         """Begin a leadership without any memory of a former one.
@@ -37,7 +41,9 @@
         self.entries.clear(assumed_until)
         self.sightings.clear()
         self.orders.clear()
-        self.loans.clear()
+        self.lenders.clear()
         self.groups.clear()
         self.looked_at.clear()
         self.led_since = now
+        self.pushed_index = 0
+        self.cleaned_at = now
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -13,14 +13,16 @@
 from bergamotcart.control._failover import run_failover
 from bergamotcart.control._local import LocalTables
 from bergamotcart.control._member_changes import MemberChanges
+from bergamotcart.control._open_group import report_discarded
 from bergamotcart.control._operators import OperatorDesk
 from bergamotcart.control._proposals import Proposals
-from bergamotcart.control._sightings import pull_sightings
 from bergamotcart.control._state import ReplicatedState, decode_state, encode_state
 from bergamotcart.control._tick import Tick
 
 # Replaying this many records at a start takes a few milliseconds.
 SNAPSHOT_RECORDS: Final = 300
+# A look at the whole roster in each step would cost more with each entry that sends one.
+CLEANING_S: Final = 1.0
 
 
 class Runtime:
@@ -107,10 +109,15 @@
             case MessageReceived(envelope):
                 self._handle_message(tick, envelope)
             case events.OrderFinished():
-                self._local.orders.finish(item, tick.now)
+                self._finish_order(tick, item)
             case events.OperatorRequest():
                 self._desk.handle(tick, item)
 
+    def _finish_order(self, tick: Tick, finished: events.OrderFinished) -> None:
+        key = self._local.orders.finish(finished, tick.now)
+        if key is not None and finished.status is not None:
+            report_discarded(tick, key, finished.status)
+
     def _handle_message(self, tick: Tick, envelope: messages.Envelope) -> None:
         match envelope.body:
             case messages.LeaseRequest() as request:
@@ -122,11 +129,14 @@
 
     def _run_systems(self, tick: Tick) -> None:
         self._members.readmit(tick)
-        push_changes(tick)
-        pull_sightings(tick)
-        leases.remove_idle_entries(tick)
-        leases.forget_gone_contacts(tick)
-        self._local.sightings.forget_old(tick.now)
+        if self._local.pushed_index < self._state.index:
+            self._local.pushed_index = self._state.index
+            push_changes(tick)
+        if tick.now >= self._local.cleaned_at + CLEANING_S:
+            self._local.cleaned_at = tick.now
+            leases.remove_idle_entries(tick)
+            leases.forget_gone_contacts(tick)
+            self._local.sightings.forget_old(tick.now)
         run_failover(tick)
 
     def _drain(self, tick: Tick) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_confirmations.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_confirmations.py
@@ -101,6 +101,8 @@
             return
         if request.position is not None:
             request.session.floors.raise_to(request.group, request.position)
+            # The primary held all that the session had read when the write was sent.
+            request.session.last_reads.pop(request.group, None)
         if request.outcome is not None:
             self._replies.finish(request, request.outcome)
 
