--- a/Makefile
+++ b/Makefile
@@ -22,16 +22,16 @@
 install: $(STAMP)
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest packages
+	$(VENV)/bin/python -m pytest packages integration
 
 lint: $(STAMP)
-	$(VENV)/bin/ruff format --check packages
-	$(VENV)/bin/ruff check packages
-	$(VENV)/bin/flake8 packages
+	$(VENV)/bin/ruff format --check packages integration
+	$(VENV)/bin/ruff check packages integration
+	$(VENV)/bin/flake8 packages integration
 
 format: $(STAMP)
-	$(VENV)/bin/ruff check --select I --fix packages
-	$(VENV)/bin/ruff format packages
+	$(VENV)/bin/ruff check --select I --fix packages integration
+	$(VENV)/bin/ruff format packages integration
 
 demo: $(STAMP)
 	$(VENV)/bin/python -m bergamotcart_testkit.demo
