--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -108,6 +108,9 @@
             return
         if self._leader is None or self._leader[0] != refusal.leader:
             self._leader = (refusal.leader, address)
+            # Asked soon, not at once: two members with old knowledge may name each other.
+            self._answered = True
+            self._schedule(_MIN_REPORT_INTERVAL_S)
 
     def take_update(self, envelope: messages.Envelope, update: messages.StateUpdate) -> None:
         """Apply an update and acknowledge the state at once."""
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_failover.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_failover.py
@@ -1,5 +1,8 @@
 """Scenarios of requests in flight while a target falls silent or a primary is replaced."""
 
+from bergamotcart import messages
+from bergamotcart.actions import MessageReceived, Send
+from bergamotcart.entry import EntryConfig, EntryEngine
 from bergamotcart.entry.tests.oracle import Caller
 from bergamotcart.entry.tests.world import World
 from bergamotcart.outcomes import MayHaveRun, Ran
@@ -52,3 +55,31 @@
     world.post('control', E1, world.control.update())
     world.deliver(len(world.mail) - 1)
     assert isinstance(world.outcome(request), MayHaveRun)
+
+
+def test_a_refusal_that_names_the_leader_is_followed():
+    """After a change of leader the lease must not wait for a whole round of all members."""
+    engine = EntryEngine(
+        EntryConfig(
+            name=E1,
+            incarnation='1',
+            availability_zone='z1',
+            address=E1,
+            control_members=(('m1', 'm1:1'), ('m2', 'm2:1')),
+            session_key=b'k' * 16,
+        )
+    )
+    engine.step(1.0, ())
+    refusal = messages.LeaseRefusal(echo_sent_at=1.0, leader='m2')
+    envelope = messages.Envelope(
+        version=1,
+        domain='default',
+        sender='m1',
+        incarnation='1',
+        sender_address='m1:1',
+        recipient=E1,
+        body=refusal,
+    )
+    outbox = engine.step(1.001, (MessageReceived(envelope),))
+    asked = engine.step(outbox.next_tick, ()).actions
+    assert [sent.recipient for sent in asked if isinstance(sent, Send)] == ['m2']
