--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_deployment.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_deployment.py
@@ -51,7 +51,10 @@
         :param seed: seed of the relays.
         :param folder: folder for logs and data; a temporary one is removed at the end.
         :param extra_control: further options of the control processes.
+        :raises FileExistsError: if the folder holds data, whose addresses would be out of date.
         """
+        if folder and folder.exists() and any(folder.iterdir()):
+            raise FileExistsError(f'{folder} is not empty')
         self.layout = layout
         self.seed = seed
         self._own_folder = folder is None
