--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -0,0 +1,113 @@
+"""The table of deliberate faults."""
+
+from dataclasses import dataclass
+from typing import Final
+
+_CONSENSUS_FUZZ: Final = 'bergamotcart/consensus/tests/test_fuzz.py'
+_CONTROL_FUZZ: Final = 'bergamotcart/control/tests/test_fuzz.py'
+_ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
+
+
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """A change of text.
+
+    :param old: text that must occur exactly once in the file.
+    :param new: text that takes its place.
+    """
+
+    old: str
+    new: str
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A deliberate fault in one file.
+
+    :param path: changed file, from the library's source folder on.
+    :param replacements: changes of the file; more than one if several checks guard the same.
+    :param tests: test that must fail, as pytest names it from the library's source folder on.
+    :param examples: examples of a fuzz test, or ``None`` for the test's default.
+    :param seed: seed of a fuzz test, or ``None`` for the fixed examples.
+    """
+
+    name: str
+    path: str
+    replacements: tuple[Replacement, ...]
+    tests: str
+    examples: int | None = None
+    seed: int | None = None
+
+
+FAULTS: Final = (
+    Fault(
+        'skip the lease check before a write is acknowledged',
+        'bergamotcart/entry/_confirmations.py',
+        (Replacement('if not self._work.lease_valid:', 'if False:'),),
+        # The fixed examples of the fuzz test do not meet this fault.
+        'bergamotcart/entry/tests/test_engine.py'
+        '::test_a_confirmation_after_the_end_of_the_lease_acknowledges_nothing',
+    ),
+    Fault(
+        'drop the freeze wait',
+        'bergamotcart/control/_collection.py',
+        (Replacement('if not waiting:', 'if True:'),),
+        _CONTROL_FUZZ,
+    ),
+    Fault(
+        'forget the session floor in replica choice',
+        'bergamotcart/routing/_choice.py',
+        (
+            Replacement(
+                'return meets(candidate.position, need.floor, branch_points)',
+                'return meets(candidate.position, None, branch_points)',
+            ),
+        ),
+        _ENTRY_FUZZ,
+    ),
+    Fault(
+        'answer NotRun for a lost write after sending',
+        'bergamotcart/entry/_writes.py',
+        (
+            Replacement(
+                'finished.failed_step in _COMMIT_SENT:\n            request.may_have_run = True',
+                'finished.failed_step in _COMMIT_SENT:\n            request.may_have_run = False',
+            ),
+        ),
+        _ENTRY_FUZZ,
+    ),
+    Fault(
+        "count an emptied member's vote",
+        'bergamotcart/consensus/_election.py',
+        # Either check alone keeps the tests passing, so the fault removes both.
+        (
+            Replacement(
+                'candidate not in listed or core.my_id not in core.voters | listed:',
+                'candidate not in listed:',
+            ),
+            Replacement(
+                'return is_majority(ids, core.voters)',
+                'return len(ids) * 2 > len(core.voters)',
+            ),
+        ),
+        _CONSENSUS_FUZZ,
+    ),
+    Fault(
+        "count a leader's own unsynced record",
+        'bergamotcart/consensus/_leadership.py',
+        (
+            Replacement(
+                'matches[core.my_id] = core.outbox.durable_index',
+                'matches[core.my_id] = core.log.last_index',
+            ),
+        ),
+        _CONSENSUS_FUZZ,
+    ),
+    Fault(
+        'renew a lease although the entry is behind a freeze',
+        'bergamotcart/control/_leases.py',
+        (Replacement('if request.applied_index < tick.state.frozen_index:', 'if False:'),),
+        'bergamotcart/control/tests/test_groups.py'
+        '::test_an_entry_that_missed_a_freeze_gets_no_lease',
+    ),
+)
--- /dev/null
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_program.py
@@ -0,0 +1,59 @@
+"""The check of the tests by deliberate faults as a command."""
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
+from bergamotcart_testkit.mutants._copies import MutantError, apply_fault, library_source
+from bergamotcart_testkit.mutants._faults import FAULTS, Fault
+from bergamotcart_testkit.mutants._trial import Trial, try_fault, try_unchanged
+
+
+class MutantsCommand(Command):
+    """Runs tests on copies of the library with deliberate faults."""
+
+    name = 'mutants'
+    description = 'Check that the tests catch deliberate faults in copies of the library.'
+    options: ClassVar[list[Option]] = [
+        option('jobs', None, 'copies tested at the same time', flag=False, default='4'),
+        option('only', None, 'only faults whose name contains this text', flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Try the unchanged copy and each fault, and report."""
+        chosen = [fault for fault in FAULTS if (self.option('only') or '') in fault.name]
+        if not chosen:
+            self.line_error('no fault has such a name')
+            return 1
+        try:
+            _check_texts(chosen)
+        except MutantError as error:
+            self.line_error(str(error))
+            return 1
+        with ThreadPoolExecutor(int(self.option('jobs'))) as pool:
+            unchanged = pool.submit(try_unchanged, chosen)
+            trials = list(pool.map(try_fault, chosen))
+            unchanged_trials = unchanged.result()
+        for trial in unchanged_trials:
+            self._report('passed' if trial.passed else 'FAILED', 'unchanged copy', trial)
+        for fault, mutant in zip(chosen, trials, strict=True):
+            self._report('caught' if mutant.failed else 'NOT CAUGHT', fault.name, mutant)
+        caught = sum(each.failed for each in trials)
+        self.line(f'{caught} of {len(trials)} faults caught')
+        is_good = caught == len(trials) and all(each.passed for each in unchanged_trials)
+        return 0 if is_good else 1
+
+    def _report(self, verdict: str, subject: str, trial: Trial) -> None:
+        self.line(f'{verdict}: {subject}')
+        self.line(f'  {trial.tests}')
+        # A line of a test may contain what the formatter would take for a tag.
+        self.line('  {0}'.format(trial.last_line.replace('<', r'\<')))
+
+
+def _check_texts(faults: list[Fault]) -> None:
+    """Fail at once, and not after minutes, if a fault does not apply."""
+    for fault in faults:
+        apply_fault(fault, (library_source() / fault.path).read_text())
