Keep the addresses of instances in the replicated state

The leader learned addresses from announcements only, and an instance announces itself to entries of its own availability zone. When the leader was lost together with a zone while the only entry of a third zone was dead, the new leader never heard of the instance there, collected one answer of two and kept the group read-only. Ruled out: the term of the orders and the hysteresis after a change.

Now new or changed addresses are committed, a new leader assumes them as not heard recently, and an instance that nobody hears for an hour is forgotten.

--- a/packages/bergamotcart/src/bergamotcart/control/_apply.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_apply.py
@@ -7,7 +7,7 @@
 from bergamotcart import documents, messages
 from bergamotcart.control import _commands as commands
 from bergamotcart.control._section_changes import apply_change, note_removal
-from bergamotcart.control._state import RecordedChange, ReplicatedState
+from bergamotcart.control._state import RecordedChange, ReplicatedState, instance_key
 
 BRANCH_POINTS: Final = 64
 RETIRED_INCARNATIONS: Final = 256
@@ -76,6 +76,10 @@
             _promote(state, command, index)
         case commands.OpenGroup():
             _open(state, command, index)
+        case commands.NoteInstance(row=row):
+            state.instances[instance_key(row.group, row.instance)] = row
+        case commands.ForgetInstance():
+            state.instances.pop(instance_key(command.group, command.instance), None)
     return None
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_collection.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_collection.py
@@ -5,14 +5,13 @@
 
 from bergamotcart import messages
 from bergamotcart.control._commands import HoldGroup, PromoteGroup
-from bergamotcart.control._events import OrderKind
+from bergamotcart.control._events import InstanceStatus, OrderKind
 from bergamotcart.control._group_work import GroupWork, Note
 from bergamotcart.control._open_group import decide
 from bergamotcart.control._order_book import OrderKey
 from bergamotcart.control._placement import Candidate, choose_primary, count_needed
 from bergamotcart.control._planned import wait_for_catch_up
-from bergamotcart.control._sightings import Seen
-from bergamotcart.control._suspicion import takes_no_work
+from bergamotcart.control._sightings import Seen, is_fresh
 from bergamotcart.control._tick import Tick
 from bergamotcart.documents import InsufficientInstances
 
@@ -59,24 +58,37 @@
 
 def _collect(tick: Tick, row: messages.GroupRow, work: GroupWork) -> list[Candidate]:
     instances = tick.local.sightings.of_group(row.name)
-    for seen in instances:
-        key = _stop_key(row, work, seen)
-        order = tick.local.orders.prepare(key, seen.announcement, tick.now, NEVER_S)
+    for instance in instances:
+        key = _stop_key(row, work, instance)
+        order = tick.local.orders.prepare(key, instance.announcement, tick.now, NEVER_S)
         if order is not None:
             tick.actions.append(order)
-    candidates: list[Candidate] = []
-    for seen in instances:
-        status = tick.local.orders.answer(_stop_key(row, work, seen))
-        if status is not None and status.accepted:
-            takes_work = not takes_no_work(tick, row.name, status.instance)
-            candidates.append(Candidate(status, seen.announcement, takes_work))
-        elif status is not None and status.term >= work.attempt_term:
-            # The instance knows a newer term, for instance of an attempt that was not committed.
-            work.attempt_term = status.term + 1
-            decide(tick, row, 'raise_term', 'newer_term_seen', target=status.instance)
-            tick.wake_at(tick.now)
-            return []
-    return candidates
+    answers = [(seen, tick.local.orders.answer(_stop_key(row, work, seen))) for seen in instances]
+    if any(_raise_term(tick, row, work, status) for _, status in answers):
+        return []
+    return [
+        Candidate(status, seen.announcement, is_fresh(seen, tick.now))
+        for seen, status in answers
+        if status is not None and status.accepted
+    ]
+
+
+def _raise_term(
+    tick: Tick,
+    row: messages.GroupRow,
+    work: GroupWork,
+    status: InstanceStatus | None,
+) -> bool:
+    """Raise the term of the orders if an instance knows a newer one.
+
+    It may come from an attempt of a former leader that was not committed.
+    """
+    if status is None or status.accepted or status.term < work.attempt_term:
+        return False
+    work.attempt_term = status.term + 1
+    decide(tick, row, 'raise_term', 'newer_term_seen', target=status.instance)
+    tick.wake_at(tick.now)
+    return True
 
 
 def _are_enough(
--- a/packages/bergamotcart/src/bergamotcart/control/_commands.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_commands.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bergamotcart import documents
+from bergamotcart.control._state import InstanceRow
 
 COMMAND_FORMAT: Final = 1
 
@@ -77,8 +78,29 @@
     term: int
 
 
+class NoteInstance(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Stores the addresses of an instance."""
+
+    row: InstanceRow
+
+
+class ForgetInstance(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Removes an instance that was not seen for long."""
+
+    group: str
+    instance: str
+
+
 Command = (
-    AdmitEntry | RemoveEntry | ChangeSection | FreezeGroup | HoldGroup | PromoteGroup | OpenGroup
+    AdmitEntry
+    | RemoveEntry
+    | ChangeSection
+    | FreezeGroup
+    | HoldGroup
+    | PromoteGroup
+    | OpenGroup
+    | NoteInstance
+    | ForgetInstance
 )
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_failover.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_failover.py
@@ -4,6 +4,7 @@
 from bergamotcart.control._attention import find_due_groups
 from bergamotcart.control._collection import run_frozen
 from bergamotcart.control._group_work import GroupWork
+from bergamotcart.control._instances import note_instances
 from bergamotcart.control._open_group import run_open
 from bergamotcart.control._promotion import run_promoting
 from bergamotcart.control._tick import Tick
@@ -13,6 +14,7 @@
     """Advance each group of the document by one step of its phase."""
     due = find_due_groups(tick.local, tick.state, tick.now)
     for name in sorted(due & tick.document.groups.keys()):
+        note_instances(tick, name)
         row = tick.state.groups[name]
         work = _find_work(tick, row)
         if tick.local.proposals.is_pending(f'group {name}'):
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_instances.py
@@ -0,0 +1,76 @@
+"""Last known addresses of instances, kept in the replicated state.
+
+Instances announce themselves to entries of their own availability zone. While none of
+these runs, a new leader would never hear of an instance there, and could not collect its
+position although it is reachable.
+"""
+
+from typing import Final
+
+from bergamotcart import messages
+from bergamotcart.control._commands import ForgetInstance, NoteInstance
+from bergamotcart.control._sightings import Seen, is_fresh
+from bergamotcart.control._state import InstanceRow, instance_key
+from bergamotcart.control._tick import Tick
+
+# Older than any instance that counts as live, younger than one that is forgotten.
+ASSUMED_AGE_S: Final = 60.0
+
+
+def note_instances(tick: Tick, group: str) -> None:
+    """Commit the addresses of a group's instances if they are new or have changed."""
+    for seen in tick.local.sightings.of_group(group):
+        announcement = seen.announcement
+        if not is_fresh(seen, tick.now):
+            continue
+        row = _row_of(announcement)
+        if tick.state.instances.get(instance_key(group, row.instance)) != row:
+            subject = f'instance {group} {row.instance}'
+            tick.local.proposals.submit(subject, NoteInstance(row=row), tick.now)
+
+
+def forget_instances(tick: Tick) -> None:
+    """Forget instances that nobody has seen for long."""
+    for seen in tick.local.sightings.forget_old(tick.now):
+        group, instance = seen.announcement.group, seen.announcement.instance
+        if instance_key(group, instance) in tick.state.instances:
+            command = ForgetInstance(group=group, instance=instance)
+            tick.local.proposals.submit(f'instance {group} {instance}', command, tick.now)
+
+
+def assume_instances(tick: Tick) -> None:
+    """Let a new leader know the instances of the replicated state, as not heard recently.
+
+    This waits for the first tick with authority, since a new leader applies the newest
+    records of its predecessor only after its own first record.
+    """
+    if tick.local.assumed_instances:
+        return
+    tick.local.assumed_instances = True
+    for row in tick.state.instances.values():
+        announcement = messages.Announcement(
+            group=row.group,
+            instance=row.instance,
+            availability_zone=row.availability_zone,
+            address=row.address,
+            admin_address=row.admin_address,
+            role=messages.TargetRole.replica,
+            term=0,
+            log_term=0,
+            position=0,
+            slots=1,
+            connection_limit=1,
+            incarnation='',
+            sequence=0,
+        )
+        tick.local.sightings.assume(Seen(announcement, tick.now - ASSUMED_AGE_S))
+
+
+def _row_of(announcement: messages.Announcement) -> InstanceRow:
+    return InstanceRow(
+        group=announcement.group,
+        instance=announcement.instance,
+        availability_zone=announcement.availability_zone,
+        address=announcement.address,
+        admin_address=announcement.admin_address,
+    )
--- a/packages/bergamotcart/src/bergamotcart/control/_local.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -17,6 +17,7 @@
     :param looked_at: time of the last look at each group.
     :param pushed_index: index of the state that was last pushed to all known entries.
     :param cleaned_at: time at which old rows were last removed.
+    :param assumed_instances: instances of the replicated state were taken over.
     :param led_since: time at which this member's leadership began.
     """
 
@@ -27,6 +28,7 @@
     lenders: dict[tuple[str, str], TargetLender] = field(default_factory=dict)
     groups: dict[str, GroupWork] = field(default_factory=dict)
     looked_at: dict[str, float] = field(default_factory=dict)
+    assumed_instances: bool = False
     led_since: float = 0
     pushed_index: int = 0
     cleaned_at: float = 0
@@ -44,6 +46,7 @@
         self.lenders.clear()
         self.groups.clear()
         self.looked_at.clear()
+        self.assumed_instances = False
         self.led_since = now
         self.pushed_index = 0
         self.cleaned_at = now
--- a/packages/bergamotcart/src/bergamotcart/control/_placement.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_placement.py
@@ -12,12 +12,17 @@
 class Candidate:
     """An instance that has stopped following, with its final position.
 
-    :param takes_work: it is not leaving, and entries hear its announcements.
+    :param is_heard: entries have heard it recently, so they would send work to it.
     """
 
     status: InstanceStatus
     announcement: messages.Announcement
-    takes_work: bool
+    is_heard: bool
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether entries would send work to it for long."""
+        return self.is_heard and not self.announcement.leaving
 
     @property
     def position(self) -> Position:
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -11,6 +11,7 @@
 from bergamotcart.control._config import ControlConfig, ControlOutbox, ControlStatus
 from bergamotcart.control._distribution import handle_state_ack, push_changes
 from bergamotcart.control._failover import run_failover
+from bergamotcart.control._instances import assume_instances, forget_instances
 from bergamotcart.control._local import LocalTables
 from bergamotcart.control._member_changes import MemberChanges
 from bergamotcart.control._open_group import report_discarded
@@ -128,6 +129,7 @@
                 self._local.sightings.add(envelope, batch, tick.now)
 
     def _run_systems(self, tick: Tick) -> None:
+        assume_instances(tick)
         self._members.readmit(tick)
         if self._local.pushed_index < self._state.index:
             self._local.pushed_index = self._state.index
@@ -136,7 +138,7 @@
             self._local.cleaned_at = tick.now
             leases.remove_idle_entries(tick)
             leases.forget_gone_contacts(tick)
-            self._local.sightings.forget_old(tick.now)
+            forget_instances(tick)
         run_failover(tick)
 
     def _drain(self, tick: Tick) -> None:
--- a/packages/bergamotcart/src/bergamotcart/control/_sightings.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_sightings.py
@@ -64,18 +64,23 @@
             made_after = batch.echo_sent_at - sighting.age_s
             self._store(Seen(sighting.announcement, made_after))
 
+    def assume(self, seen: Seen) -> None:
+        """Store an instance that is known from the replicated state only."""
+        self._store(seen)
+
     def take_changed(self) -> set[str]:
         """Return and forget the groups whose instances announced something new."""
         changed = self._changed
         self._changed = set()
         return changed
 
-    def forget_old(self, now: float) -> None:
-        """Drop instances that nobody has seen for long."""
-        old = [key for key, seen in self._rows.items() if now - seen.made_after >= FORGET_S]
-        for key in old:
-            self._rows.pop(key)
-            self._groups[key[0]].discard(key)
+    def forget_old(self, now: float) -> list[Seen]:
+        """Drop and return the instances that nobody has seen for long."""
+        old = [seen for seen in self._rows.values() if now - seen.made_after >= FORGET_S]
+        for seen in old:
+            self._rows.pop(_key(seen))
+            self._groups[seen.announcement.group].discard(_key(seen))
+        return old
 
     def of_group(self, group: str) -> list[Seen]:
         """Return the known instances of a group, ordered by name."""
--- a/packages/bergamotcart/src/bergamotcart/control/_state.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_state.py
@@ -43,6 +43,16 @@
     diff: str
 
 
+class InstanceRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Last known place and addresses of an instance."""
+
+    group: str
+    instance: str
+    availability_zone: str
+    address: str
+    admin_address: str
+
+
 class ReplicatedState(msgspec.Struct, kw_only=True):
     """Tables that are the same on every member at the same log index.
 
@@ -57,6 +67,7 @@
     :param removed_sections: index of the removal by name, newest last.
     :param removed_entries: index of the removal by name, newest last.
     :param removal_floor: removals up to this index may have been forgotten.
+    :param instances: last known addresses, by ``instance_key``.
     :param retired: former incarnations, which late messages must not bring back.
     """
 
@@ -77,6 +88,7 @@
     removal_floor: int = 0
     retired: list[str] = msgspec.field(default_factory=list)
     entries_limit: int = 1
+    instances: dict[str, InstanceRow] = msgspec.field(default_factory=dict)
 
     def roster(self) -> list[messages.EntryRow]:
         """Return all rows of the roster, former incarnations included."""
@@ -92,6 +104,11 @@
         return max(rows, key=_modified_index, default=None)
 
 
+def instance_key(group: str, instance: str) -> str:
+    """Return the key of an instance in the replicated state."""
+    return f'{group}/{instance}'
+
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(ReplicatedState)
 
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
@@ -61,6 +61,7 @@
     isolated: bool = False
     lagging: bool = False
     leaving: bool = False
+    unheard: bool = False
     role: messages.TargetRole = messages.TargetRole.replica
     term: int = 0
     following: str | None = None
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
@@ -45,7 +45,7 @@
     sightings = tuple(
         messages.Sighting(announcement=target.announce(), age_s=0)
         for target in targets
-        if target.alive and not target.isolated
+        if target.alive and not target.isolated and not target.unheard
     )
     return messages.RelayBatch(echo_sent_at=pull.sent_at, sightings=sightings)
 
