Give up what runs at an unreachable target in one place, and never a begin

Two functions gave up executions at a silent target; one of them also gave up begins, so the session could ask for a second pinned connection while the adapter could still pin the first. Ruled out: the fake target, whose rules match the adapter's.

--- a/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
@@ -105,7 +105,6 @@
 
     def _on_reachability(self, watched: Watched) -> None:
         self.control.report_change()
-        self.executions.on_reachability(watched)
         self.flow.on_reachability(watched)
 
     def _wanted(self, key: TargetKey) -> Position | None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -60,6 +60,15 @@
         is_read = self.request.statement.kind is StatementKind.read
         return is_read and self.plan.use is ConnectionUse.shared
 
+    @property
+    def is_pinning(self) -> bool:
+        """Whether it pins a connection, so that only its own report may end it.
+
+        Until then the adapter may still pin the connection, and a second one for the same
+        session must not be asked for.
+        """
+        return self.plan.use is ConnectionUse.pin
+
 
 class Executions:
     """Starts executions and hands their results to the system that asked for them."""
@@ -136,30 +145,22 @@
             answer_s = self._work.now - running.started_at if is_answered else None
             self._lanes.release(running.lane, is_read=running.plan.is_read, answer_s=answer_s)
 
-    def on_reachability(self, watched: Watched) -> None:
-        """End the executions at a target that falls silent, as if their answers were lost.
+    def abandon_target(self, watched: Watched) -> None:
+        """Give up what runs at a target that cannot be reached, as if the answers were lost.
 
-        Otherwise their callers would wait for the whole deadline, though reads can be sent
-        elsewhere and a replaced primary's answer may not be acknowledged.
+        Otherwise callers would wait for the whole deadline, though reads can be sent
+        elsewhere and a replaced primary's answer may not be acknowledged. A write at a
+        target that refuses a probe may still be answered on its own connection.
         """
-        if watched.reachability is not Reachability.silent:
-            return
-        for execution_id, running in tuple(self._running.items()):
-            if running.plan.target == watched.key:
-                self.finish(_lost(execution_id))
-
-    def abandon_reads(self, target: TargetKey) -> None:
-        """Give up the reads at a target that does not answer, so that they are sent again."""
-        for execution_id, running in list(self._at_target.get(target, {}).items()):
-            if running.is_single_read:
+        is_silent = watched.reachability is Reachability.silent
+        for execution_id, running in tuple(self._at_target.get(watched.key, {}).items()):
+            if running.is_single_read or (is_silent and not running.is_pinning):
                 self.finish(_lost(execution_id))
 
     def abandon_term(self, group: str) -> None:
         """Give up the work for a term that is over: none of it can be acknowledged."""
         for execution_id, running in self._of_group(group):
-            # A begin ends by its own report: until then the adapter may still pin a
-            # connection, and a second one for the same session must not be asked for.
-            is_kept = running.is_single_read or running.plan.use is ConnectionUse.pin
+            is_kept = running.is_single_read or running.is_pinning
             if not is_kept and not self._work.view.is_open(group, running.request.term):
                 self.finish(_lost(execution_id))
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -123,7 +123,7 @@
     def on_reachability(self, watched: Watched) -> None:
         """Route again what waits for a target that became reachable or unreachable."""
         if watched.reachability is not Reachability.reachable:
-            self._executions.abandon_reads(watched.key)
+            self._executions.abandon_target(watched)
         self._drain_lane(watched.key)
         self._route_again(watched.key.group)
 
