Probe the targets of idle groups once a second

Cause: an idle entry in front of nine targets spent most of its time on 36 probes a second. A refused or broken probe connection is still noticed at once, and the first request for a group probes its targets.

--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -43,7 +43,7 @@
             inputs.SessionOpened: self._open_session,
             inputs.GroupSelected: self._select_group,
             inputs.SessionClosed: self._close_session,
-            inputs.RequestArrived: self._parts.intake.arrive,
+            inputs.RequestArrived: self._arrive,
             inputs.ExecutionFinished: self._parts.executions.finish,
             inputs.ProbeFinished: self._parts.monitor.finish,
             inputs.ConnectionCount: self._count_connections,
@@ -158,6 +158,12 @@
                 self._parts.systems.transactions.abort(session, 'group_changed')
             session.group = selected.group
 
+    def _arrive(self, arrived: inputs.RequestArrived) -> None:
+        session = self._parts.sessions.get(arrived.session_id)
+        if session is not None and session.group is not None:
+            self._parts.monitor.note_use(session.group)
+        self._parts.intake.arrive(arrived)
+
     def _close_session(self, closed: inputs.SessionClosed) -> None:
         session = self._parts.sessions.close(closed.session_id)
         if session is not None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -12,6 +12,9 @@
 from bergamotcart.messages import Reachability, TargetReport
 
 PROBE_INTERVAL_S: Final = 0.25
+# At nine idle targets, four probes a second each were most of an idle entry's processor time.
+IDLE_PROBE_INTERVAL_S: Final = 1.0
+IDLE_AFTER_S: Final = 10.0
 # A replica that answers a waiting probe without progress is not asked in a tight loop.
 _REPEAT_S: Final = 0.005
 # The adapter reports every probe; this covers a report that is lost all the same.
@@ -58,6 +61,7 @@
     __slots__ = (
         '_on_change',
         '_on_report',
+        '_used_at',
         '_wanted',
         '_watched',
         '_work',
@@ -77,6 +81,7 @@
         self._on_change = on_change
         self._wanted = wanted
         self._watched: dict[TargetKey, Watched] = {}
+        self._used_at: dict[str, float] = {}
         self.reports_version = 1
 
     def __iter__(self) -> Iterator[Watched]:
@@ -125,6 +130,14 @@
         if watched is not None and watched.timer is not None:
             watched.timer.cancel()
 
+    def note_use(self, group: str) -> None:
+        """Probe the targets of a group often while requests come for it."""
+        was_idle = self._is_idle(group)
+        self._used_at[group] = self._work.now
+        if was_idle:
+            for target in self._work.table.of_group(group):
+                self.probe_soon(target.key)
+
     def need_report_after(self, key: TargetKey, when: float) -> None:
         """Ask for an answer to a probe that is sent after a time."""
         watched = self._watched.get(key)
@@ -200,11 +213,22 @@
             self._send(watched)
             return
         is_wanted = is_answered and self._wanted(watched.key) is not None
-        delay = _REPEAT_S if is_wanted else PROBE_INTERVAL_S
+        delay = _REPEAT_S if is_wanted else self._interval(watched)
         if watched.timer is not None:
             watched.timer.cancel()
         watched.timer = self._work.after(delay, lambda: self._send(watched))
 
+    def _interval(self, watched: Watched) -> float:
+        # A target that does not answer is probed often, so that its return is noticed.
+        is_answered = watched.reachability is Reachability.reachable
+        if is_answered and self._is_idle(watched.key.group):
+            return IDLE_PROBE_INTERVAL_S
+        return PROBE_INTERVAL_S
+
+    def _is_idle(self, group: str) -> bool:
+        used_at = self._used_at.get(group, float('-inf'))
+        return self._work.now - used_at > IDLE_AFTER_S
+
     def _send(self, watched: Watched) -> None:
         target = self._work.table.get(watched.key)
         if watched.in_flight or target is None:
