--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_apply.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_apply.py
@@ -58,13 +58,14 @@
         if stated is None:
             changed = changes.find_changed(sections, _require_base(path, base).sections)
         else:
-            base = _state_version(base, sections[only], only, stated)
+            base = base or changes.BaseCopy()
             changed = {only: sections[only]}
         return Plan(
             path=path,
             base=base,
             sections={name: changed[name] for name in changed if only in {None, name}},
             change_id=self.option('change-id'),
+            base_version=None if stated is None else _parse_version(stated),
             dry_run=self.option('dry-run'),
         )
 
@@ -87,14 +88,7 @@
     return base
 
 
-def _state_version(
-    base: changes.BaseCopy | None,
-    section: changes.Section,
-    name: str,
-    version: str,
-) -> changes.BaseCopy:
+def _parse_version(version: str) -> int:
     if not version.isdigit():
         raise UsageError('--base-version must be a whole number')
-    stated = changes.Section(kind=section.kind, body='', version=int(version))
-    known = base or changes.BaseCopy()
-    return changes.BaseCopy(sections=known.sections | {name: stated}, pending=known.pending)
+    return int(version)
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_send.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_send.py
@@ -19,6 +19,7 @@
 
     :param path: the document file; its base copy lies beside it.
     :param change_id: identifier that the operator chose, if any.
+    :param base_version: version that the operator stated, which the base copy does not keep.
     """
 
     path: Path
@@ -26,6 +27,7 @@
     sections: Mapping[str, changes.Section]
     change_id: str | None
     dry_run: bool
+    base_version: int | None = None
 
 
 async def send_section(client: ControlClient, plan: Plan, name: str) -> int:
@@ -50,11 +52,12 @@
 def _build_body(plan: Plan, name: str) -> dict[str, object]:
     section = plan.sections[name]
     known = plan.base.sections.get(name)
+    read_version = known.version if known else 0
     pending = plan.base.pending.get(name)
     return {
         'section': name,
         'kind': section.kind,
-        'base_version': known.version if known else 0,
+        'base_version': read_version if plan.base_version is None else plan.base_version,
         'change_id': plan.change_id or _reuse(pending, section) or uuid.uuid4().hex,
         'body': section.body,
         'dry_run': plan.dry_run,
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/tests/test_commands.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/tests/test_commands.py
@@ -120,6 +120,14 @@
     assert 'current version: 5' in capsys.readouterr().err
 
 
+def test_a_refused_base_version_is_not_kept(control, document):
+    """A wrong --base-version must not make the next apply without it fail."""
+    _edit(document, 'databases', {'groups': {}})
+    stated = ('--section', 'databases', '--base-version', '1')
+    assert _run(control, 'apply', str(document), *stated) == 1
+    assert _run(control, 'apply', str(document)) == 0
+
+
 def test_a_resend_after_a_lost_answer_has_the_same_identifier(control, document):
     """A change whose answer was lost must not be applied a second time."""
     _edit(document, 'databases', {'groups': {}})
