Count votes only for groups that some entry suspects

Cause: the look at each open group once a second counted the votes of all entries, which grows with the square of the deployment. The voting rules are the same, since a group that no entry suspects has no vote against its primary.

--- a/packages/bergamotcart/src/bergamotcart/control/_attention.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_attention.py
@@ -23,8 +23,9 @@
     :param now: seconds.
     """
     due = local.entries.take_changed() | local.sightings.take_changed()
-    for contact in local.entries.contacts:
-        due |= contact.suspects
+    suspects = (contact.suspects for contact in local.entries.contacts)
+    local.suspects = frozenset().union(*suspects)
+    due |= local.suspects
     for row in state.groups.values():
         if row.phase is not messages.GroupPhase.open or _is_new(local, row):
             due.add(row.name)
--- a/packages/bergamotcart/src/bergamotcart/control/_local.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -17,6 +17,7 @@
     :param looked_at: time of the last look at each group.
     :param pushed_index: index of the state that was last pushed to all known entries.
     :param cleaned_at: time at which old rows were last removed.
+    :param suspects: groups of which some entry cannot reach an instance, in this tick.
     :param assumed_instances: instances of the replicated state were taken over.
     :param led_since: time at which this member's leadership began.
     """
@@ -28,6 +29,7 @@
     lenders: dict[tuple[str, str], TargetLender] = field(default_factory=dict)
     groups: dict[str, GroupWork] = field(default_factory=dict)
     looked_at: dict[str, float] = field(default_factory=dict)
+    suspects: frozenset[str] = frozenset()
     assumed_instances: bool = False
     led_since: float = 0
     pushed_index: int = 0
--- a/packages/bergamotcart/src/bergamotcart/control/_suspicion.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_suspicion.py
@@ -72,6 +72,8 @@
 
 
 def _find_loss(tick: Tick, group: str, instance: str, opened_at: float | None) -> str:
+    if group not in tick.local.suspects:
+        return ''
     votes = _count(tick, group, instance)
     if votes.reachable or not votes.holders:
         return ''
