--- a/integration/tests/test_combinations.py
+++ b/integration/tests/test_combinations.py
@@ -42,6 +42,19 @@
         await load.acknowledged(40, deployment.group)
 
 
+async def test_control_leader_isolated_and_entry_killed(deployment: Deployment) -> None:
+    """Guards against a new leader that never hears of an instance beside a dead entry."""
+    async with checked_load(deployment, LoadSettings(seed=44)) as load:
+        await load.acknowledged(30, deployment.group)
+        leader = await control_leader(deployment)
+        plans = deployment.plan.controls
+        zone = next(each.availability_zone for each in plans if each.name == leader)
+        entry = next(each for each in deployment.plan.entries if each.availability_zone != zone)
+        deployment.processes[entry.name].kill()
+        await deployment.cut_off(zone)
+        await load.acknowledged(40, deployment.group)
+
+
 async def test_all_zones_separated(deployment: Deployment) -> None:
     """Guards against two zones that both take writes while no majority exists."""
     async with checked_load(deployment, LoadSettings(seed=43)) as load:
