--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/client/_client.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/client/_client.py
@@ -84,14 +84,28 @@
                 if round_number:
                     await asyncio.sleep(_ROUND_PAUSE_S)
                 faults.clear()
-                for server in self._servers:
-                    answer = await _try_server(session, method, f'http://{server}{path}', body)
-                    if isinstance(answer, Answer):
-                        return _check(answer)
-                    faults.append(f'{server}: {answer}')
+                answer = await self._try_servers(session, method, path, body, faults)
+                if answer is not None:
+                    return _check(answer)
         sent = any('cannot connect' not in fault for fault in faults)
         raise UnreachableError('; '.join(faults), sent=sent)
 
+    async def _try_servers(
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        path: str,
+        body: bytes | None,
+        faults: list[str],
+    ) -> Answer | None:
+        """Return the first answer; add why each server before it gave none to ``faults``."""
+        for server in self._servers:
+            answer = await _try_server(session, method, f'http://{server}{path}', body)
+            if isinstance(answer, Answer):
+                return answer
+            faults.append(f'{server}: {answer}')
+        return None
+
 
 async def _try_server(
     session: aiohttp.ClientSession,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_callers.py
@@ -23,7 +23,7 @@
 from bergamotcart_daemon.callers import CallerServer
 from bergamotcart_daemon.metrics import Metrics
 
-_QUERY = 0x03
+_QUERY = 0x3
 _RESET_CONNECTION = 0x1F
 
 
--- a/packages/bergamotcart/src/bergamotcart/consensus/_outbox.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_outbox.py
@@ -127,7 +127,9 @@
         self._unsynced[batch.batch_id] = last_index
         self._unsynced_since = min(self._unsynced_since, now)
         self._next_batch += 1
-        self._hard = self._snapshot = self._truncate_from = None
+        self._hard = None
+        self._snapshot = None
+        self._truncate_from = None
         self._records = []
         return (batch,)
 
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
@@ -186,7 +186,8 @@
     def restart(self) -> None:
         """Forget everything."""
         self.starts += 1
-        self.applied_index = self.revision = 0
+        self.applied_index = 0
+        self.revision = 0
         self.lease_end = 0
         self.groups = {}
         self.asked_at = set()
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_world.py
@@ -59,7 +59,9 @@
         self.now = 0.0
         self.token = ADMIN
         # Shares of messages that are lost, duplicated and delayed, and a type that is lost.
-        self.loss = self.duplication = self.delay = 0.0
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.delay = 0.0
         self.lost_type: type | None = None
         self.cut: set[str] = set()
         self.acknowledged: list[str] = []
--- a/packages/bergamotcart/src/bergamotcart/entry/_outcome_checks.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_outcome_checks.py
@@ -1,45 +1,23 @@
 """Checks in the ledger whether a COMMIT whose answer was lost took effect."""
 
 from bergamotcart.discovery import TargetKey
-from bergamotcart.entry._confirmations import Confirmations
 from bergamotcart.entry._execution import ExecutionStatus
-from bergamotcart.entry._executions import Executions, Plan, Running
+from bergamotcart.entry._executions import Plan, Running
 from bergamotcart.entry._inputs import ExecutionFinished
-from bergamotcart.entry._primary import PrimaryGate, QueuedSystem
-from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._primary_system import PrimarySystem
 from bergamotcart.entry._requests import Request
-from bergamotcart.entry._retries import Retries
 from bergamotcart.entry._writes import BEGIN, LEDGER_INSERT, ROLLBACK
 from bergamotcart.outcomes import Ran, Reason, RequestResult
 
 
-class OutcomeChecks(QueuedSystem):
+class OutcomeChecks(PrimarySystem):
     """Tries to insert the ledger row of a transaction and rolls back.
 
     The insert waits for a transaction that still holds the row. It fails if that
     committed, and succeeds if it was rolled back.
     """
 
-    __slots__ = ('_confirmations', '_executions', '_gate', '_replies', '_retries')
-
-    def __init__(
-        self,
-        gate: PrimaryGate,
-        executions: Executions,
-        confirmations: Confirmations,
-        replies: Replies,
-        retries: Retries,
-    ) -> None:
-        """Keep the systems that a check passes through."""
-        self._gate = gate
-        self._executions = executions
-        self._confirmations = confirmations
-        self._replies = replies
-        self._retries = retries
-
-    def resume(self, request: Request) -> None:
-        """Queue a check for the primary."""
-        self._gate.enqueue(request)
+    __slots__ = ()
 
     def dispatch(self, request: Request, target: TargetKey) -> None:
         """Send a check to the primary."""
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary_system.py
@@ -0,0 +1,38 @@
+"""What systems that run single executions at the primary have in common."""
+
+from bergamotcart.entry._confirmations import Confirmations
+from bergamotcart.entry._executions import Executions
+from bergamotcart.entry._primary import PrimaryGate, QueuedSystem
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Request
+from bergamotcart.entry._retries import Retries
+
+
+class PrimarySystem(QueuedSystem):
+    """Queues each request for the primary, and confirms or retries what ran there.
+
+    :param gate: lets requests pass to the primary while that is safe.
+    :param executions: runs them.
+    :param confirmations: waits until enough replicas have what they wrote.
+    """
+
+    __slots__ = ('_confirmations', '_executions', '_gate', '_replies', '_retries')
+
+    def __init__(
+        self,
+        gate: PrimaryGate,
+        executions: Executions,
+        confirmations: Confirmations,
+        replies: Replies,
+        retries: Retries,
+    ) -> None:
+        """Keep the systems that a request passes through."""
+        self._gate = gate
+        self._executions = executions
+        self._confirmations = confirmations
+        self._replies = replies
+        self._retries = retries
+
+    def resume(self, request: Request) -> None:
+        """Queue a request for the primary."""
+        self._gate.enqueue(request)
--- a/packages/bergamotcart/src/bergamotcart/entry/_writes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_writes.py
@@ -3,14 +3,11 @@
 from typing import Final
 
 from bergamotcart.discovery import TargetKey
-from bergamotcart.entry._confirmations import Confirmations
 from bergamotcart.entry._execution import ExecutionStatus, LedgerRecord, Step, StepKind
-from bergamotcart.entry._executions import Executions, Plan, Running
+from bergamotcart.entry._executions import Plan, Running
 from bergamotcart.entry._inputs import ExecutionFinished
-from bergamotcart.entry._primary import PrimaryGate, QueuedSystem
-from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._primary_system import PrimarySystem
 from bergamotcart.entry._requests import Request
-from bergamotcart.entry._retries import Retries
 from bergamotcart.outcomes import NotRun, Outcome, Ran, Reason, RequestResult
 
 BEGIN: Final = Step(StepKind.begin, 'BEGIN')
@@ -28,29 +25,10 @@
 _LEDGER_HELD: Final = frozenset((StepKind.statement, StepKind.ledger_record))
 
 
-class WriteSystem(QueuedSystem):
+class WriteSystem(PrimarySystem):
     """Sends autocommit writes to the primary and decides their verdicts."""
 
-    __slots__ = ('_confirmations', '_executions', '_gate', '_replies', '_retries')
-
-    def __init__(
-        self,
-        gate: PrimaryGate,
-        executions: Executions,
-        confirmations: Confirmations,
-        replies: Replies,
-        retries: Retries,
-    ) -> None:
-        """Keep the systems that a write passes through."""
-        self._gate = gate
-        self._executions = executions
-        self._confirmations = confirmations
-        self._replies = replies
-        self._retries = retries
-
-    def resume(self, request: Request) -> None:
-        """Queue a write for the primary."""
-        self._gate.enqueue(request)
+    __slots__ = ()
 
     def dispatch(self, request: Request, target: TargetKey) -> None:
         """Send a write to the primary."""
