Spread the pulls of sightings over the entries of a zone

Cause: every entry began with the first entry of each other zone, so with three entries in a zone one of them answered all pulls, 14 a second instead of 6 with those of control. Each entry now starts at a random one. Ruled out: a load measure, since the pulls are equal.

--- a/packages/bergamotcart/src/bergamotcart/entry/_relays.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_relays.py
@@ -12,6 +12,7 @@
 # An unanswered pull is repeated at another entry of the same availability zone.
 _RETRY_S: Final = 0.15
 _REMEMBERED_PULLS: Final = 64
+_PEER_STARTS: Final = 1 << 16
 
 
 class Relays:
@@ -67,13 +68,18 @@
             return
         self._note(self._work.now)
         for zone, rows in unanswered.items():
-            self._next_peer[zone] = self._next_peer.get(zone, 0) + 1
+            self._next_peer[zone] = self._peer_number(zone) + 1
             self._pull(zone, rows)
 
     def _pull(self, zone: str, rows: list[EntryRow]) -> None:
-        row = rows[self._next_peer.get(zone, 0) % len(rows)]
+        row = rows[self._peer_number(zone) % len(rows)]
         self._work.send(row.name, row.address, self._held.pull(row.name, self._work.now))
 
+    def _peer_number(self, zone: str) -> int:
+        # Without a random start, all entries would pull from the first one of each zone.
+        start = self._work.random.randrange(_PEER_STARTS)
+        return self._next_peer.setdefault(zone, start)
+
     def _note(self, sent_at: float) -> None:
         self._sent[sent_at] = None
         if len(self._sent) > _REMEMBERED_PULLS:
