--- a/Makefile
+++ b/Makefile
@@ -37,10 +37,10 @@
 	$(VENV)/bin/python -m bergamotcart_testkit.demo
 
 fuzz: $(STAMP)
-	$(VENV)/bin/python -m bergamotcart_testkit.fuzz
+	$(VENV)/bin/python -m bergamotcart_testkit.fuzz $(ARGS)
 
 mutants: $(STAMP)
-	$(VENV)/bin/python -m bergamotcart_testkit.mutants
+	$(VENV)/bin/python -m bergamotcart_testkit.mutants $(ARGS)
 
 measure: $(STAMP)
 	$(VENV)/bin/python -m bergamotcart_testkit.measure $(ARGS)
