--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
@@ -50,11 +50,6 @@
         """Identifier of the running process."""
         return self._running().pid
 
-    @property
-    def exit_status(self) -> int | None:
-        """Exit status of the last run, or ``None`` while it runs."""
-        return self._popen.poll() if self._popen else None
-
     def start(self) -> None:
         """Start the process; its output is appended to its log file."""
         self.data_folder.mkdir(parents=True, exist_ok=True)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_slots.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/target/_slots.py
@@ -22,11 +22,6 @@
         self._used = 0
         self._waiters: deque[asyncio.Future[None]] = deque()
 
-    @property
-    def queued(self) -> int:
-        """Number of statements that wait."""
-        return len(self._waiters)
-
     @asynccontextmanager
     async def hold(self) -> AsyncIterator[None]:
         """Wait for a slot and occupy it."""
--- a/packages/bergamotcart/src/bergamotcart/control/_instances.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_instances.py
@@ -25,8 +25,7 @@
             continue
         row = _row_of(announcement)
         if tick.state.instances.get(instance_key(group, row.instance)) != row:
-            subject = f'instance {group} {row.instance}'
-            tick.local.proposals.submit(subject, NoteInstance(row=row), tick.now)
+            _propose(tick, group, row.instance, NoteInstance(row=row))
 
 
 def forget_instances(tick: Tick) -> None:
@@ -34,8 +33,7 @@
     for seen in tick.local.sightings.forget_old(tick.now):
         group, instance = seen.announcement.group, seen.announcement.instance
         if instance_key(group, instance) in tick.state.instances:
-            command = ForgetInstance(group=group, instance=instance)
-            tick.local.proposals.submit(f'instance {group} {instance}', command, tick.now)
+            _propose(tick, group, instance, ForgetInstance(group=group, instance=instance))
 
 
 def assume_instances(tick: Tick) -> None:
@@ -66,6 +64,16 @@
         tick.local.sightings.assume(Seen(announcement, tick.now - ASSUMED_AGE_S))
 
 
+def _propose(
+    tick: Tick,
+    group: str,
+    instance: str,
+    command: NoteInstance | ForgetInstance,
+) -> None:
+    # One subject for both commands: a second one waits until the first is decided.
+    tick.local.proposals.submit(f'instance {group} {instance}', command, tick.now)
+
+
 def _row_of(announcement: messages.Announcement) -> InstanceRow:
     return InstanceRow(
         group=announcement.group,
--- a/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
@@ -84,10 +84,6 @@
                 reason = 'caught_up' if member.voter else 'new_incarnation'
                 _decide(tick, 'readmit_member', reason, member.name)
 
-    def describe_newcomers(self) -> list[str]:
-        """Return the names of processes that ask to be admitted."""
-        return sorted(member.name for member in self._node.newcomers)
-
     def _find_newcomer(self, name: str) -> messages.LogMember | None:
         for member in self._node.newcomers:
             if member.name == name:
