--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-from mode import Service
 from mysql_mimic.control import LocalControl
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 
@@ -27,6 +26,7 @@
 from bergamotcart_daemon.callers._reader import CallerReader
 from bergamotcart_daemon.callers._session import AnyCaller, CallerSession, StatementHandler
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.runtime import CallerFrontend
 
 # Callers of a whole VM may reconnect at once when another proxy leaves.
 _BACKLOG: Final = 1024
@@ -54,7 +54,7 @@
     answer: asyncio.Future[Outcome | None]
 
 
-class CallerServer(Service, StatementHandler):
+class CallerServer(CallerFrontend, StatementHandler):
     """MySQL server whose statements go to the entry engine.
 
     :param listen: listening address, as ``host:port``.
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_control.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_control.py
@@ -1,7 +1,5 @@
 """Endpoints for operators."""
 
-import asyncio
-import itertools
 from collections.abc import Callable, Mapping
 from typing import Final
 
@@ -9,11 +7,10 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 from mode import Service
 
-from bergamotcart.control._events import OperatorCommand, OperatorReply, OperatorRequest
+from bergamotcart.control import OperatorCommand
+from bergamotcart_daemon.http._gateway import OperatorGateway
 from bergamotcart_daemon.http._server import respond_json
 
-# Longer than an election and a commit; the operator may resend a change afterwards.
-_REPLY_TIMEOUT_S: Final = 5.0
 _FORWARD_TIMEOUT_S: Final = 6.0
 _FORWARDED: Final = 'X-Bergamotcart-Forwarded'
 _AUTHORIZATION: Final = 'Authorization'
@@ -29,22 +26,20 @@
 
     :param addresses: HTTP addresses of the control members by name.
     :param read_leader: returns the name of the leader, if it is known.
-    :param submit: takes the requests.
+    :param gateway: passes requests to the engine.
     """
 
     def __init__(
         self,
         addresses: Mapping[str, str],
         read_leader: Callable[[], str | None],
-        submit: Callable[[OperatorRequest], None],
+        gateway: OperatorGateway,
     ) -> None:
         """Keep the parameters; the client session is opened at start."""
         super().__init__()
         self._addresses = addresses
         self._read_leader = read_leader
-        self._submit = submit
-        self._request_ids = itertools.count(1)
-        self._pending: dict[int, asyncio.Future[OperatorReply]] = {}
+        self._gateway = gateway
         self._session: ClientSession | None = None
 
     async def on_start(self) -> None:
@@ -56,18 +51,13 @@
         """Return the routes."""
         return (
             web.get('/v1/document', self._handle_document),
+            web.put('/v1/document', self._handle_replacement),
             web.get('/v1/status', self._handle_status),
             web.get('/v1/changes/{section}', self._handle_history),
             web.post('/v1/changes', self._handle_change),
             web.post('/v1/members', self._handle_members),
         )
 
-    def reply(self, action: OperatorReply) -> None:
-        """Answer a request; one that has timed out gets no answer any more."""
-        answer = self._pending.get(action.request_id)
-        if answer is not None and not answer.done():
-            answer.set_result(action)
-
     async def _handle_document(self, request: web.Request) -> web.Response:
         return await self._handle(request, OperatorCommand.get_document, {})
 
@@ -81,6 +71,9 @@
     async def _handle_change(self, request: web.Request) -> web.Response:
         return await self._handle_body(request, OperatorCommand.change)
 
+    async def _handle_replacement(self, request: web.Request) -> web.Response:
+        return await self._handle_body(request, OperatorCommand.replace_document)
+
     async def _handle_members(self, request: web.Request) -> web.Response:
         return await self._handle_body(request, OperatorCommand.members)
 
@@ -99,7 +92,7 @@
     ) -> web.Response:
         header = request.headers.get(_AUTHORIZATION, '')
         token = header.removeprefix(_BEARER) if header.startswith(_BEARER) else ''
-        reply = await self._ask(command, token, body)
+        reply = await self._gateway.ask(command, token, body)
         if reply is None:
             error = 'no answer in time; it is unknown whether a change was accepted'
             return respond_json(_TIMEOUT, {'error': error})
@@ -107,26 +100,6 @@
             return await self._forward(request)
         return respond_json(reply.status, reply.body)
 
-    async def _ask(
-        self,
-        command: OperatorCommand,
-        token: str,
-        body: dict[str, object],
-    ) -> OperatorReply | None:
-        request_id = next(self._request_ids)
-        answer: asyncio.Future[OperatorReply] = asyncio.get_running_loop().create_future()
-        self._pending[request_id] = answer
-        self._submit(
-            OperatorRequest(request_id=request_id, command=command, token=token, body=body),
-        )
-        try:
-            async with asyncio.timeout(_REPLY_TIMEOUT_S):
-                return await answer
-        except TimeoutError:
-            return None
-        finally:
-            self._pending.pop(request_id)
-
     async def _forward(self, request: web.Request) -> web.Response:
         leader = self._read_leader()
         address = self._addresses.get(leader or '')
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
@@ -10,7 +10,13 @@
 
 from bergamotcart import messages
 from bergamotcart.control._events import OperatorReply, OperatorRequest
-from bergamotcart_daemon.http import AnnouncementApi, Health, HttpServer, OperatorApi
+from bergamotcart_daemon.http import (
+    AnnouncementApi,
+    Health,
+    HttpServer,
+    OperatorApi,
+    OperatorGateway,
+)
 from bergamotcart_daemon.metrics import Metrics
 
 _SERVING = Health(serving=True, details={'state': 'serving'})
@@ -49,7 +55,8 @@
         self.name = name
         self.leads = False
         self.tokens: list[str] = []
-        self.api = OperatorApi(addresses, lambda: leader, self._submit)
+        self.gateway = OperatorGateway(self._submit)
+        self.api = OperatorApi(addresses, lambda: leader, self.gateway)
 
     def _submit(self, request: OperatorRequest) -> None:
         self.tokens.append(request.token)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
@@ -2,7 +2,7 @@
 
 import logging
 import sys
-from typing import Final
+from typing import Final, TextIO
 
 from mode import Service
 from pythonjsonlogger.msgspec import MsgspecFormatter
@@ -10,15 +10,29 @@
 from bergamotcart.actions import Decision
 
 _FIELDS: Final = ('levelname', 'name', 'message')
-_OPTIONAL_FIELDS: Final = ('request', 'session', 'caller', 'group', 'target', 'term')
+_OPTIONAL_FIELDS: Final = (
+    'request',
+    'statement',
+    'session',
+    'caller',
+    'group',
+    'target',
+    'term',
+)
 
 
-def configure_logging(level: str, role: str, process: str) -> None:
-    """Write one JSON object per line to standard error.
+def configure_logging(
+    level: str,
+    role: str,
+    process: str,
+    stream: TextIO | None = None,
+) -> None:
+    """Write one JSON object per line.
 
     :param level: least level that is written, in lower case.
     :param role: role of this process, added to each line.
     :param process: name of this process, added to each line.
+    :param stream: where lines go; standard error if not given.
     """
     # Lines name no thread, process or source line, so records need not collect them.
     logging.logThreads = False
@@ -32,7 +46,7 @@
         rename_fields={'levelname': 'level', 'name': 'logger'},
         static_fields={'role': role, 'node': process},
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(formatter)
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     # The library logs each refused statement and each connection; decisions cover both.
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/main.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/main.py
@@ -9,7 +9,7 @@
 from cleo.helpers import option
 
 from bergamotcart_daemon.logs import configure_logging
-from bergamotcart_daemon.runtime import run_daemon
+from bergamotcart_daemon.runtime import build_daemon, run_daemon
 from bergamotcart_daemon.settings import FLAGS, SettingsError, load_settings
 
 _VERSION: Final = '0.1.0'
@@ -35,7 +35,7 @@
         except SettingsError as error:
             return _fail(error.problems)
         configure_logging(settings.log_level, settings.role, settings.name)
-        return run_daemon(settings)
+        return run_daemon(lambda: build_daemon(settings))
 
 
 class _DaemonApplication(Application):
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_control.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_control.py
@@ -12,13 +12,14 @@
 from bergamotcart.control._engine import ControlEngine
 from bergamotcart_daemon import storage
 from bergamotcart_daemon.addresses import AddressTranslation
-from bergamotcart_daemon.http import Health, HttpServer, OperatorApi
+from bergamotcart_daemon.http import Health, HttpServer, OperatorGateway
 from bergamotcart_daemon.logs import DecisionLog
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.runtime._adapters import ControlAdapters
 from bergamotcart_daemon.runtime._daemon import Daemon, read_clock
 from bergamotcart_daemon.runtime._loop import EngineLoop
 from bergamotcart_daemon.runtime._writer import BatchWriter
-from bergamotcart_daemon.settings import ControlSettings
+from bergamotcart_daemon.settings import AnnouncementPlace, ControlSettings
 from bergamotcart_daemon.targets import OrderRunner
 from bergamotcart_daemon.transport import Identity, Transport
 
@@ -28,7 +29,7 @@
 class ControlDaemon(Daemon):
     """Connects a control engine to its disk, peers, targets and operators."""
 
-    def __init__(self, settings: ControlSettings) -> None:
+    def __init__(self, settings: ControlSettings, adapters: ControlAdapters) -> None:
         """Load the durable state and build the engine and its adapters."""
         super().__init__()
         store = storage.SqliteStorage(settings.data_folder, settings.control_domain)
@@ -53,11 +54,14 @@
             self._metrics,
             submit,
         )
-        self._orders = OrderRunner(translation, submit)
-        self._operators = OperatorApi(settings.operator_address, self._read_leader, submit)
+        self._orders = OrderRunner(adapters.build_admin(), submit)
+        self._gateway = OperatorGateway(submit)
+        operators, routes = adapters.build_operators(self._gateway, self._read_leader)
+        further = adapters.build_services(self._gateway, self._read_leader, submit)
+        self._further = (*operators, *further)
         self._http = HttpServer(
             settings.http_listen,
-            self._operators.build_routes(),
+            routes,
             self._metrics,
             self._read_health,
         )
@@ -66,7 +70,7 @@
     def on_init_dependencies(self) -> Iterable[Service]:
         """Start the operators' endpoints last and stop them first."""
         adapters = (self._writer, self._transport, self._orders)
-        return (*adapters, self._engine_loop, self._operators, self._http)
+        return (*adapters, self._engine_loop, *self._further, self._http)
 
     def begin_shutdown(self) -> None:
         """Leave at once: the other members carry on, and all accepted state is synced."""
@@ -78,7 +82,7 @@
             Decision: self._note_decision,
             events.Persist: self._writer.write,
             events.Order: self._orders.send,
-            events.OperatorReply: self._operators.reply,
+            events.OperatorReply: self._gateway.reply,
         }
 
     def _note_decision(self, decision: Decision) -> None:
@@ -133,6 +137,10 @@
         lease_duration_s=settings.lease_duration,
         lease_renewal_s=settings.lease_renewal,
         silence_timeout_s=settings.silence_timeout,
+        target_expiry_s=settings.target_expiry,
+        may_found=settings.found_domain,
+        tolerated_losses=settings.tolerated_losses,
+        targets_announce_here=settings.announce_to is AnnouncementPlace.control,
         leader_heartbeat_s=settings.leader_heartbeat,
         election_timeout_s=(settings.election_timeout_min, settings.election_timeout_max),
         seed=random.SystemRandom().getrandbits(_SEED_BITS),
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_daemon.py
@@ -47,5 +47,16 @@
 
 
 def read_clock() -> float:
-    """Return the clock of the engine: monotonic, in seconds, as the event loop uses it."""
-    return time.monotonic()
+    """Return the clock of the engine, in seconds: it also counts while the VM is suspended.
+
+    A lease or an age counted on a clock that stands still meanwhile would outlive the sleep.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class BoottimeEventLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time is the clock of the engine."""
+
+    def time(self) -> float:
+        """Return the clock of the engine, in seconds."""
+        return read_clock()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_entry.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_entry.py
@@ -10,14 +10,14 @@
 from bergamotcart import entry
 from bergamotcart.actions import Decision, Send
 from bergamotcart_daemon.addresses import AddressTranslation
-from bergamotcart_daemon.callers import CallerServer
-from bergamotcart_daemon.http import AnnouncementApi, Health, HttpServer
+from bergamotcart_daemon.http import Health, HttpServer
 from bergamotcart_daemon.logs import DecisionLog
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.runtime._adapters import EntryAdapters
 from bergamotcart_daemon.runtime._daemon import Daemon, read_clock
 from bergamotcart_daemon.runtime._loop import EngineLoop
-from bergamotcart_daemon.settings import EntrySettings
-from bergamotcart_daemon.targets import ReplicationPositionDialect, Targets, TargetSettings
+from bergamotcart_daemon.settings import AnnouncementPlace, EntrySettings
+from bergamotcart_daemon.targets import Targets, TargetSettings
 from bergamotcart_daemon.transport import Identity, Transport
 
 _SEED_BITS = 63
@@ -29,9 +29,10 @@
 class EntryDaemon(Daemon):
     """Connects an entry engine to callers, targets, peers and the platform."""
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, adapters: EntryAdapters) -> None:
         """Build the engine and its adapters; nothing is opened yet."""
         super().__init__()
+        self._settings = settings
         config = _build_config(settings)
         self._engine = entry.EntryEngine(config)
         self._metrics = Metrics(self._read_gauges)
@@ -49,26 +50,28 @@
         target_settings = TargetSettings(
             translation=translation,
             connect_timeout_s=settings.connect_timeout,
-            dialect=ReplicationPositionDialect(),
+            driver=adapters.build_driver(),
         )
         self._targets = Targets(target_settings, submit)
-        self._callers = CallerServer(settings.mysql_listen, self._metrics, submit)
-        announcements = AnnouncementApi(self._metrics, read_clock, submit)
+        self._callers = adapters.build_callers(self._metrics, submit)
         self._http = HttpServer(
             settings.http_listen,
-            announcements.build_routes(),
+            adapters.build_routes(self._metrics, submit),
             self._metrics,
             self._read_health,
         )
+        self._further = adapters.build_services(self._read_health)
         self._engine_loop.register(self._build_handlers())
 
     def on_init_dependencies(self) -> Iterable[Service]:
         """Start callers last and stop them first."""
-        return (self._transport, self._targets, self._engine_loop, self._http, self._callers)
+        inner = (self._transport, self._targets, self._engine_loop, self._http)
+        return (*inner, *self._further, self._callers)
 
     def begin_shutdown(self) -> None:
         """Ask the engine to drain; it answers with ``Drained``."""
-        self._engine_loop.submit(entry.DrainRequested())
+        limit = self._settings.drain_limit
+        self._engine_loop.submit(entry.DrainRequested(self._settings.drain_notice, limit))
 
     def _build_handlers(self) -> dict[type, Callable[[Any], None]]:
         return {
@@ -79,6 +82,8 @@
             entry.ReleasePin: self._targets.release_pin,
             entry.LimitConnections: self._targets.limit_connections,
             entry.Reply: self._callers.reply,
+            entry.SessionAnswer: self._callers.answer_session,
+            entry.CloseSession: self._callers.close_session,
             entry.Drained: self._note_drained,
         }
 
@@ -123,6 +128,8 @@
         address=settings.advertised_address,
         control_members=tuple(settings.control_member.items()),
         session_key=settings.session_key.get_secret_value().encode(),
+        target_expiry_s=settings.target_expiry,
+        targets_announce_to_control=settings.announce_to is AnnouncementPlace.control,
         silence_timeout_s=settings.silence_timeout,
         statement_timeout_s=settings.statement_timeout,
         seed=random.SystemRandom().getrandbits(_SEED_BITS),
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_mysql.py
@@ -0,0 +1,68 @@
+"""MySQL towards callers and targets, HTTP towards operators and the administration of targets."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from mode import Service
+
+from bergamotcart import entry
+from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.callers import CallerServer
+from bergamotcart_daemon.http import AnnouncementApi, OperatorApi, OperatorGateway
+from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.runtime._adapters import CallerFrontend, ControlAdapters, EntryAdapters
+from bergamotcart_daemon.runtime._daemon import read_clock
+from bergamotcart_daemon.settings import ControlSettings, MysqlEntrySettings
+from bergamotcart_daemon.targets import TargetAdmin, TargetDriver
+from bergamotcart_daemon.targets._dialect import ReplicationPositionDialect
+from bergamotcart_daemon.targets._http_admin import HttpTargetAdmin
+from bergamotcart_daemon.targets._mysql import MysqlDriver
+
+
+class MysqlEntryAdapters(EntryAdapters):
+    """The protocols of an entry of the product's own interface."""
+
+    def __init__(self, settings: MysqlEntrySettings) -> None:
+        """Keep the settings."""
+        self._settings = settings
+
+    def build_callers(
+        self,
+        metrics: Metrics,
+        submit: Callable[[entry.EntryInput], None],
+    ) -> CallerFrontend:
+        """Build a MySQL server."""
+        return CallerServer(self._settings.mysql_listen, metrics, submit)
+
+    def build_driver(self) -> TargetDriver:
+        """Build a MySQL client."""
+        return MysqlDriver(ReplicationPositionDialect(), self._settings.connect_timeout)
+
+    def build_routes(
+        self,
+        metrics: Metrics,
+        submit: Callable[[entry.EntryInput], None],
+    ) -> tuple[web.RouteDef, ...]:
+        """Build the endpoint for announcements."""
+        return AnnouncementApi(metrics, read_clock, submit).build_routes()
+
+
+class HttpControlAdapters(ControlAdapters):
+    """The protocols of a control member of the product's own interface."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        """Keep the settings."""
+        self._settings = settings
+
+    def build_admin(self) -> TargetAdmin:
+        """Build an HTTP client for the administration addresses of targets."""
+        return HttpTargetAdmin(AddressTranslation(self._settings.address_translation))
+
+    def build_operators(
+        self,
+        gateway: OperatorGateway,
+        read_leader: Callable[[], str | None],
+    ) -> tuple[tuple[Service, ...], tuple[web.RouteDef, ...]]:
+        """Build the operators' endpoints."""
+        api = OperatorApi(self._settings.operator_address, read_leader, gateway)
+        return (api,), api.build_routes()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_process.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_process.py
@@ -3,11 +3,12 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Callable
 
 from pynng import NNGException
 
 from bergamotcart_daemon.runtime._control import ControlDaemon
-from bergamotcart_daemon.runtime._daemon import Daemon
+from bergamotcart_daemon.runtime._daemon import BoottimeEventLoop, Daemon
 from bergamotcart_daemon.runtime._entry import EntryDaemon
 from bergamotcart_daemon.settings import ControlSettings, EntrySettings
 from bergamotcart_daemon.storage import StorageError
@@ -16,18 +17,19 @@
 _FAILED = 1
 
 
-def run_daemon(settings: EntrySettings | ControlSettings) -> int:
-    """Run the process of a role.
+def run_daemon(build: Callable[[], Daemon]) -> int:
+    """Run a process.
 
-    :param settings: checked settings of the role.
+    :param build: builds the daemon of the role; called in the event loop.
     :returns: exit status: 0 after a graceful shutdown, 1 after a fault.
     """
-    return asyncio.run(_run(settings))
+    with asyncio.Runner(loop_factory=BoottimeEventLoop) as runner:
+        return runner.run(_run(build))
 
 
-async def _run(settings: EntrySettings | ControlSettings) -> int:
+async def _run(build: Callable[[], Daemon]) -> int:
     try:
-        daemon = _build(settings)
+        daemon = build()
     except Exception as error:
         return _report_failure(error)
     loop = asyncio.get_running_loop()
@@ -56,7 +58,14 @@
     return _FAILED
 
 
-def _build(settings: EntrySettings | ControlSettings) -> Daemon:
-    if isinstance(settings, EntrySettings):
-        return EntryDaemon(settings)
-    return ControlDaemon(settings)
+def build_daemon(settings: EntrySettings | ControlSettings) -> Daemon:
+    """Build the daemon of a role with the product's own protocols.
+
+    :param settings: checked settings of the role.
+    """
+    # Each process loads only the protocols that it speaks.
+    from bergamotcart_daemon.runtime import _mysql as protocols
+
+    if isinstance(settings, ControlSettings):
+        return ControlDaemon(settings, protocols.HttpControlAdapters(settings))
+    return EntryDaemon(settings, protocols.MysqlEntryAdapters(settings))
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_load.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_load.py
@@ -10,13 +10,13 @@
 from bergamotcart_daemon.settings._models import (
     CommonSettings,
     ControlSettings,
-    EntrySettings,
+    MysqlEntrySettings,
     Role,
 )
 from bergamotcart_daemon.settings._options import ENVIRONMENT_PREFIX, FLAGS
 
 _MODELS: Mapping[Role, type[CommonSettings]] = MappingProxyType(
-    {Role.entry: EntrySettings, Role.control: ControlSettings},
+    {Role.entry: MysqlEntrySettings, Role.control: ControlSettings},
 )
 _VARIABLES: Mapping[str, str] = MappingProxyType({flag.field: flag.variable for flag in FLAGS})
 
@@ -36,7 +36,7 @@
     role: Role
 
 
-def load_settings(flags: Mapping[str, object]) -> EntrySettings | ControlSettings:
+def load_settings(flags: Mapping[str, object]) -> MysqlEntrySettings | ControlSettings:
     """Read flags and environment variables; a flag wins over its variable.
 
     :param flags: given flags by field name.
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_models.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_models.py
@@ -22,6 +22,14 @@
     control = 'control'
 
 
+@enum.unique
+class AnnouncementPlace(enum.StrEnum):
+    """Processes to which targets announce themselves."""
+
+    entry = 'entry'
+    control = 'control'
+
+
 def _check_address(text: str) -> str:
     return str(Address.parse(text))
 
@@ -80,6 +88,8 @@
     operator_address: AddressMap = Field(default_factory=dict)
     address_translation: TranslationMap = Field(default_factory=dict)
     silence_timeout: Seconds = 0.8
+    announce_to: AnnouncementPlace = AnnouncementPlace.entry
+    target_expiry: Seconds = 3.0
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
 
     @property
@@ -89,12 +99,17 @@
 
 
 class EntrySettings(CommonSettings):
-    """Settings of the role entry."""
+    """Settings of the role entry, whatever protocol its callers speak.
+
+    :param drain_notice: seconds for which a draining entry still takes new sessions.
+    :param drain_limit: seconds after which a draining entry rolls back open transactions.
+    """
 
-    mysql_listen: AddressText
     session_key: SecretStr
     connect_timeout: Seconds = 0.5
     statement_timeout: Seconds = 30.0
+    drain_notice: Annotated[float, Field(ge=0, le=86_400)] = 0.0
+    drain_limit: Seconds | None = None
 
     @field_validator('session_key')
     @classmethod
@@ -105,11 +120,19 @@
         return key
 
 
+class MysqlEntrySettings(EntrySettings):
+    """Settings of an entry whose callers speak the MySQL protocol."""
+
+    mysql_listen: AddressText
+
+
 class ControlSettings(CommonSettings):
     """Settings of the role control."""
 
     control_zone: Annotated[NameMap, Field(validate_default=True)] = Field(default_factory=dict)
     data_folder: Path
+    found_domain: bool = True
+    tolerated_losses: Annotated[int, Field(ge=0, le=10)] | None = None
     admin_token: Annotated[SecretStr, Field(min_length=1)]
     lease_duration: Seconds = 1.0
     lease_renewal: Seconds = 0.25
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_options.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_options.py
@@ -67,6 +67,16 @@
         'Connect to TO wherever a peer or target advertised FROM, FROM=TO.',
         repeatable=True,
     ),
+    Flag(
+        'announce-to',
+        _BOTH,
+        'Processes to which targets announce themselves, entry (default) or control.',
+    ),
+    Flag(
+        'target-expiry',
+        _BOTH,
+        'Age in seconds from which an announcement counts no more, default 3.',
+    ),
     Flag('mysql-listen', _ENTRY, 'Address for callers, host:port.'),
     Flag(
         'session-key',
@@ -74,6 +84,17 @@
         'Secret of at least 16 bytes that authenticates session tokens; the same on all entries.',
     ),
     Flag('data-folder', _CONTROL, 'Folder for durable state.'),
+    Flag(
+        'found-domain',
+        _CONTROL,
+        'Whether the control members may form a new control domain, default true.',
+    ),
+    Flag(
+        'tolerated-losses',
+        _CONTROL,
+        'Control members that may be lost at once; newcomers join by themselves until there are '
+        'enough voters for that. By default, the operator changes the members.',
+    ),
     Flag('admin-token', _CONTROL, 'Bearer token of the administrator.'),
     Flag('lease-duration', _CONTROL, 'Length of a lease in seconds, default 1.0.'),
     Flag('lease-renewal', _CONTROL, 'Seconds between lease renewals, default 0.25.'),
@@ -87,5 +108,15 @@
     Flag('election-timeout-max', _CONTROL, 'Greatest election timeout in seconds, default 0.8.'),
     Flag('connect-timeout', _ENTRY, 'Seconds to open a connection to a target, default 0.5.'),
     Flag('statement-timeout', _ENTRY, 'Seconds that a statement may take, default 30.'),
+    Flag(
+        'drain-notice',
+        _ENTRY,
+        'Seconds for which a draining entry still takes new sessions, default 0.',
+    ),
+    Flag(
+        'drain-limit',
+        _ENTRY,
+        'Seconds after which a draining entry rolls back open transactions; unlimited by default.',
+    ),
     Flag('log-level', _BOTH, 'debug, info, warning or error; default info.'),
 )
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection.py
@@ -13,7 +13,8 @@
 
 from bergamotcart.outcomes import RequestResult
 from bergamotcart_daemon.addresses import Address
-from bergamotcart_daemon.targets._errors import ReportedError, describe_connect_error
+from bergamotcart_daemon.targets._driver import TargetLink
+from bergamotcart_daemon.targets._errors import MysqlError, describe_connect_error
 
 _USER: Final = 'bergamotcart'
 _CHARSET: Final = 'utf8mb4'
@@ -39,7 +40,7 @@
         else:
             sqlstate = _UNKNOWN_SQLSTATE
             text = payload[_ERROR_HEAD_BYTES:]
-        raise ReportedError(code, sqlstate, text.decode('utf-8', 'replace'))
+        raise MysqlError(code, sqlstate, text.decode('utf-8', 'replace'))
 
 
 class _Tap:
@@ -56,7 +57,7 @@
         self._then()
 
 
-class TargetConnection(aiomysql.Connection):
+class TargetConnection(aiomysql.Connection, TargetLink):
     """Runs one statement at a time; several statements in one text are not allowed."""
 
     def __init__(self, address: Address, group: str) -> None:
@@ -84,6 +85,11 @@
         """False once either side has closed the connection."""
         return not self._broken and not self.closed
 
+    @property
+    def closed(self) -> bool:
+        """Whether this side has closed the connection."""
+        return super().closed
+
     @classmethod
     async def open(cls, address: Address, group: str, timeout_s: float) -> Self:
         """Connect and log in.
@@ -107,7 +113,7 @@
     async def run(self, sql: str) -> RequestResult:
         """Run a statement and read its complete answer.
 
-        :raises ReportedError: if the target reports an error.
+        :raises MysqlError: if the target reports an error.
         """
         await self.send(sql)
         return await self.receive()
@@ -122,7 +128,7 @@
     async def receive(self) -> RequestResult:
         """Read the complete answer to the oldest unanswered statement.
 
-        :raises ReportedError: if the target reports an error.
+        :raises MysqlError: if the target reports an error.
         """
         # The packets of each answer are numbered from 1.
         self._next_seq_id = 1
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_errors.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_errors.py
@@ -1,39 +1,35 @@
 """Errors of connections to targets."""
 
 import asyncio
+from types import MappingProxyType
 from typing import Final
 
 import pymysql
 from pymysql.constants import CR
 
-from bergamotcart.outcomes import TargetError
+from bergamotcart.outcomes import ErrorKind, TargetError
+from bergamotcart_daemon.targets._driver import ConnectError, ReportedError
 
 _LOST_CODES: Final = frozenset((CR.CR_SERVER_LOST, CR.CR_SERVER_GONE_ERROR))
 UNKNOWN_TABLE: Final = 1146
 DUPLICATE_KEY: Final = 1062
+# An instance that became a replica refuses writes with 1290 or 1836; a deadlock ends with 1213.
+_KINDS: Final = MappingProxyType(
+    {
+        1290: ErrorKind.read_only,
+        1836: ErrorKind.read_only,
+        1213: ErrorKind.rolled_back,
+    }
+)
 
 
-class ReportedError(pymysql.MySQLError):
+class MysqlError(ReportedError, pymysql.MySQLError):
     """An error packet of the target, unlike the errors that the client library raises itself."""
 
     def __init__(self, code: int, sqlstate: str, message: str) -> None:
         """Keep the fields of the packet."""
-        super().__init__(code, message)
-        self.error = TargetError(code, sqlstate, message)
-
-
-class ConnectError(Exception):
-    """A connection could not be opened.
-
-    :param refused: the target's host refused or reset it, rather than staying silent.
-    :param error: error that the target itself reported, which shows that it is alive.
-    """
-
-    def __init__(self, refused: bool, error: TargetError | None = None) -> None:
-        """Keep the cause."""
-        super().__init__('connection not opened')
-        self.refused = refused
-        self.error = error
+        kind = _KINDS.get(code, ErrorKind.undone)
+        super().__init__(TargetError(code, sqlstate, message, kind))
 
 
 def describe_connect_error(error: BaseException) -> ConnectError:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
@@ -14,12 +14,13 @@
     ExecutionStatus,
     PinLost,
 )
-from bergamotcart_daemon.targets import _ledger as ledger
-from bergamotcart_daemon.targets._connection import TargetConnection
-from bergamotcart_daemon.targets._dialect import PositionDialect
-from bergamotcart_daemon.targets._errors import ConnectError
+from bergamotcart_daemon.targets._driver import (
+    ConnectError,
+    ExecutionRun,
+    TargetDriver,
+    TargetLink,
+)
 from bergamotcart_daemon.targets._pool import ConnectionPool
-from bergamotcart_daemon.targets._steps import StepRun
 
 # Rows are kept for hours, so a rare deletion is enough.
 _PRUNE_INTERVAL_S: Final = 600.0
@@ -31,7 +32,7 @@
 @dataclass(slots=True)
 class _Pin:
     pool: ConnectionPool
-    connection: TargetConnection
+    connection: TargetLink
     running: bool = True
 
 
@@ -43,12 +44,12 @@
 
     def __init__(
         self,
-        dialect: PositionDialect,
+        driver: TargetDriver,
         submit: Callable[[EntryInput], None],
         find_pool: Callable[[Execute], ConnectionPool],
     ) -> None:
         """Start without executions."""
-        self._dialect = dialect
+        self._driver = driver
         self._submit = submit
         self._find_pool = find_pool
         self._pins: dict[int, _Pin] = {}
@@ -91,7 +92,7 @@
             _logger.warning('target %s: %s', action.target, error)
             self._submit(_not_sent(action, ConnectError(refused=False)))
             return
-        run = StepRun(action, pin.connection, self._dialect)
+        run = self._driver.start(action, pin.connection)
         finished = await run.run(deadline)
         pin.running = False
         self._put_back(action, pin, run)
@@ -120,14 +121,14 @@
         self,
         action: Execute,
         pool: ConnectionPool,
-        connection: TargetConnection,
+        connection: TargetLink,
     ) -> _Pin:
         pin = _Pin(pool, connection)
         if action.use == ConnectionUse.pin:
             self._pins[action.session_id] = pin
         return pin
 
-    def _put_back(self, action: Execute, pin: _Pin, run: StepRun) -> None:
+    def _put_back(self, action: Execute, pin: _Pin, run: ExecutionRun) -> None:
         session_id = action.session_id
         is_pinned = self._pins.get(session_id) is pin
         if pin.connection.closed:
@@ -164,12 +165,12 @@
     async def _prune(self, pin: _Pin, retention_s: float) -> None:
         try:
             async with asyncio.timeout(_PRUNE_TIMEOUT_S):
-                answer = await pin.connection.run(ledger.build_prune(retention_s))
+                pruned = await self._driver.prune(pin.connection, retention_s)
         except Exception as error:
             _logger.warning('pruning the ledger failed: %s', error)
             pin.pool.discard(pin.connection)
             return
-        _logger.info('pruned %d rows of the ledger', answer.affected_rows)
+        _logger.info('pruned %d rows of the ledger', pruned)
         pin.pool.release(pin.connection)
 
 
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_http_admin.py
@@ -0,0 +1,66 @@
+"""Orders to the administration address of a target."""
+
+import dataclasses
+from typing import Final
+
+import aiohttp
+import msgspec
+
+from bergamotcart.control import InstanceStatus, Order, OrderKind
+from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.targets._admin import TargetAdmin
+
+_ORDER_TIMEOUT_S: Final = 1.0
+_OK: Final = 200
+_CONFLICT: Final = 409
+_MAX_ANSWER_BYTES: Final = 65536
+
+
+class HttpTargetAdmin(TargetAdmin):
+    """Sends orders as HTTP requests with JSON bodies."""
+
+    def __init__(self, translation: AddressTranslation) -> None:
+        """Keep the parameters; the client session is opened at start."""
+        super().__init__()
+        self._session: aiohttp.ClientSession | None = None
+        self._translation = translation
+        self._timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
+
+    async def on_start(self) -> None:
+        """Open the client session."""
+        self._session = await self.add_async_context(aiohttp.ClientSession())
+
+    async def send(self, order: Order) -> InstanceStatus | None:
+        """Send an order; a refused one is answered with ``accepted`` set to false."""
+        try:
+            return await self._exchange(order)
+        except (aiohttp.ClientError, OSError, ValueError):
+            return None
+
+    async def _exchange(self, order: Order) -> InstanceStatus | None:
+        address = self._translation.translate(order.admin_address)
+        path = order.kind.replace('_', '-')
+        method = 'GET' if order.kind == OrderKind.status else 'POST'
+        async with self._session.request(
+            method,
+            f'http://{address}/{path}',
+            json=None if method == 'GET' else _build_body(order),
+            timeout=self._timeout,
+        ) as response:
+            body = await response.content.read(_MAX_ANSWER_BYTES)
+            if response.status not in {_OK, _CONFLICT}:
+                return None
+            answer = msgspec.json.decode(body, type=InstanceStatus)
+            accepted = response.status == _OK and answer.accepted
+            return dataclasses.replace(answer, accepted=accepted)
+
+
+def _build_body(order: Order) -> dict[str, object]:
+    if order.kind != OrderKind.follow:
+        return {'term': order.term}
+    return {
+        'term': order.term,
+        'primary': order.primary,
+        'address': order.primary_address,
+        'admin_address': order.primary_admin_address,
+    }
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_orders.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_orders.py
@@ -1,38 +1,31 @@
 """Service that carries out the orders of the control engine."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-import aiohttp
 from mode import Service
 
 from bergamotcart.control._events import Order, OrderFinished
-from bergamotcart_daemon.addresses import AddressTranslation
-from bergamotcart_daemon.targets._admin import HttpTargetAdmin, TargetAdmin
+from bergamotcart_daemon.targets._admin import TargetAdmin
 
 
 class OrderRunner(Service):
     """Sends each order in a task of its own, so that a silent target delays no other one.
 
+    :param admin: sends them.
     :param submit: takes the answers.
     """
 
-    def __init__(
-        self,
-        translation: AddressTranslation,
-        submit: Callable[[OrderFinished], None],
-    ) -> None:
-        """Keep the parameters; the client session is opened at start."""
+    def __init__(self, admin: TargetAdmin, submit: Callable[[OrderFinished], None]) -> None:
+        """Keep the parameters."""
         super().__init__()
-        self._translation = translation
         self._submit = submit
-        self._admin: TargetAdmin | None = None
+        self._admin = admin
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def on_start(self) -> None:
-        """Open the client session."""
-        session = await self.add_async_context(aiohttp.ClientSession())
-        self._admin = HttpTargetAdmin(session, self._translation)
+    def on_init_dependencies(self) -> Iterable[Service]:
+        """Open what orders go through first."""
+        return (self._admin,)
 
     async def on_stop(self) -> None:
         """Give up orders that are under way."""
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from bergamotcart_daemon.addresses import Address
-from bergamotcart_daemon.targets._connection import TargetConnection
+from bergamotcart_daemon.targets._driver import TargetLink
 
-_Turn = asyncio.Future[TargetConnection | None]
+_Turn = asyncio.Future[TargetLink | None]
 
 
 class ConnectionPool:
@@ -18,8 +18,7 @@
 
     __slots__ = (
         '_address',
-        '_connect_timeout_s',
-        '_group',
+        '_connect',
         '_idle',
         '_limit',
         '_on_count',
@@ -31,22 +30,20 @@
     def __init__(
         self,
         address: Address,
-        group: str,
-        connect_timeout_s: float,
+        connect: Callable[[], Awaitable[TargetLink]],
         on_count: Callable[[int], None],
     ) -> None:
         """Start without connections.
 
-        :param connect_timeout_s: seconds to open a connection.
+        :param connect: opens a connection; raises ``ConnectError`` if that fails.
         """
         self._address = address
-        self._group = group
-        self._connect_timeout_s = connect_timeout_s
+        self._connect = connect
         self._on_count = on_count
         # Until the engine sets a limit, one connection is allowed: each entry owns at least one.
         self._limit = 1
-        self._open: set[TargetConnection] = set()
-        self._idle: list[TargetConnection] = []
+        self._open: set[TargetLink] = set()
+        self._idle: list[TargetLink] = []
         self._reserved = 0
         self._waiting: collections.deque[_Turn] = collections.deque()
 
@@ -62,11 +59,11 @@
             self.discard(self._idle[0])
         self._admit()
 
-    def take_idle(self) -> TargetConnection | None:
+    def take_idle(self) -> TargetLink | None:
         """Return an idle connection, or ``None`` if one has to be waited for."""
         return self._idle.pop() if self._idle and not self._waiting else None
 
-    async def acquire(self) -> TargetConnection:
+    async def acquire(self) -> TargetLink:
         """Return a connection that nobody else uses, waiting for one if necessary.
 
         :raises ConnectError: if a new connection cannot be opened.
@@ -76,11 +73,11 @@
                 return self._idle.pop()
             if self._used < self._limit:
                 self._reserved += 1
-                return await self._connect()
+                return await self._open_link()
         connection = await self._wait()
-        return connection or await self._connect()
+        return connection or await self._open_link()
 
-    def release(self, connection: TargetConnection) -> None:
+    def release(self, connection: TargetLink) -> None:
         """Take back a clean connection; it is closed if there are too many."""
         if connection not in self._open:
             return
@@ -95,7 +92,7 @@
         else:
             turn.set_result(connection)
 
-    def discard(self, connection: TargetConnection) -> None:
+    def discard(self, connection: TargetLink) -> None:
         """Close a connection and forget it."""
         connection.on_broken = None
         connection.close()
@@ -117,14 +114,10 @@
     def _used(self) -> int:
         return len(self._open) + self._reserved
 
-    async def _connect(self) -> TargetConnection:
+    async def _open_link(self) -> TargetLink:
         # The caller has reserved a place for the connection.
         try:
-            connection = await TargetConnection.open(
-                self._address,
-                self._group,
-                self._connect_timeout_s,
-            )
+            connection = await self._connect()
         except BaseException:
             self._reserved -= 1
             self._admit()
@@ -135,12 +128,12 @@
         self._on_count(self._used)
         return connection
 
-    def _note_broken(self, connection: TargetConnection) -> None:
+    def _note_broken(self, connection: TargetLink) -> None:
         # One in use reports the fault to whoever uses it.
         if connection in self._idle:
             self.discard(connection)
 
-    async def _wait(self) -> TargetConnection | None:
+    async def _wait(self) -> TargetLink | None:
         # ``None`` means that a place is reserved for a new connection.
         turn: _Turn = asyncio.get_running_loop().create_future()
         self._waiting.append(turn)
@@ -156,7 +149,7 @@
         elif turn.done() and not turn.cancelled():
             self._pass_on(turn.result())
 
-    def _pass_on(self, connection: TargetConnection | None) -> None:
+    def _pass_on(self, connection: TargetLink | None) -> None:
         if connection is None:
             self._reserved -= 1
             self._admit()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
@@ -3,17 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from bergamotcart.discovery import PositionReport, TargetKey
+from bergamotcart.discovery import TargetKey
 from bergamotcart.entry import Probe, ProbeFinished
-from bergamotcart.messages import Reachability
 from bergamotcart_daemon.addresses import Address
-from bergamotcart_daemon.targets import _errors as errors
-from bergamotcart_daemon.targets._connection import TargetConnection
-from bergamotcart_daemon.targets._dialect import PositionDialect
-
-_MS_PER_SECOND = 1000
-# A target that waits for a position must answer before the probe counts as silent.
-_WAIT_SHARE = 0.8
+from bergamotcart_daemon.targets._driver import TargetDriver, TargetLink
 
 
 class Prober:
@@ -26,7 +19,7 @@
         '_address',
         '_connect_timeout_s',
         '_connection',
-        '_dialect',
+        '_driver',
         '_lock',
         '_submit',
         '_target',
@@ -39,16 +32,16 @@
         target: TargetKey,
         address: Address,
         connect_timeout_s: float,
-        dialect: PositionDialect,
+        driver: TargetDriver,
         submit: Callable[[ProbeFinished], None],
     ) -> None:
         """Start without a connection."""
         self._target = target
         self._address = address
         self._connect_timeout_s = connect_timeout_s
-        self._dialect = dialect
+        self._driver = driver
         self._submit = submit
-        self._connection: TargetConnection | None = None
+        self._connection: TargetLink | None = None
         self._lock = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self.last_used = 0.0
@@ -83,29 +76,17 @@
                 async with asyncio.timeout(action.timeout_s):
                     connection = await self._connect()
                     sent_at = asyncio.get_running_loop().time()
-                    report = await self._ask(connection, action)
+                    report = await self._driver.ask(connection, action)
             except Exception as error:
-                failure = _classify(error)
+                failure = self._driver.classify(error)
                 self._disconnect()
                 self._submit(ProbeFinished(self._target, sent_at, None, failure))
                 return
         self._submit(ProbeFinished(self._target, sent_at, report))
 
-    async def _ask(self, connection: TargetConnection, action: Probe) -> PositionReport:
-        if action.wait_for is None:
-            sql = self._dialect.build_position_statement()
-        else:
-            timeout_ms = round(action.timeout_s * _WAIT_SHARE * _MS_PER_SECOND)
-            sql = self._dialect.build_wait_statement(action.wait_for, timeout_ms)
-        return self._dialect.parse(await connection.run(sql))
-
-    async def _connect(self) -> TargetConnection:
+    async def _connect(self) -> TargetLink:
         if self._connection is None or self._connection.closed:
-            self._connection = await TargetConnection.open(
-                self._address,
-                self._target.group,
-                self._connect_timeout_s,
-            )
+            self._connection = await self._driver.connect(self._target, self._address)
             self._connection.on_broken = self._note_broken
         return self._connection
 
@@ -116,7 +97,7 @@
             connection.on_broken = None
             connection.close()
 
-    def _note_broken(self, connection: TargetConnection) -> None:
+    def _note_broken(self, connection: TargetLink) -> None:
         if self._lock.locked() or connection is not self._connection:
             return
         # A target that ended closes this connection at once, and a new attempt shows
@@ -131,12 +112,3 @@
             ),
         )
 
-
-def _classify(error: Exception) -> Reachability:
-    if isinstance(error, errors.ConnectError):
-        if error.error is not None:
-            return Reachability.reachable
-        return Reachability.refusing if error.refused else Reachability.silent
-    if isinstance(error, errors.ReportedError):
-        return Reachability.reachable
-    return Reachability.refusing if errors.is_refusal(error) else Reachability.silent
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
@@ -22,7 +22,7 @@
 )
 from bergamotcart.messages import Reachability
 from bergamotcart_daemon.addresses import AddressTranslation
-from bergamotcart_daemon.targets._dialect import PositionDialect
+from bergamotcart_daemon.targets._driver import TargetDriver
 from bergamotcart_daemon.targets._executor import Executor
 from bergamotcart_daemon.targets._pool import ConnectionPool
 from bergamotcart_daemon.targets._probes import Prober
@@ -37,12 +37,13 @@
 class TargetSettings:
     """How targets are reached.
 
-    :param connect_timeout_s: seconds to open a connection.
+    :param connect_timeout_s: seconds that a probe of a broken connection may take.
+    :param driver: speaks the protocol of the targets.
     """
 
     translation: AddressTranslation
     connect_timeout_s: float
-    dialect: PositionDialect
+    driver: TargetDriver
 
 
 class Targets(Service):
@@ -60,7 +61,7 @@
         self._limits: dict[TargetKey, int] = {}
         self._probers: dict[TargetKey, Prober] = {}
         self._executor = Executor(
-            settings.dialect,
+            settings.driver,
             submit,
             lambda action: self._find_pool(action.target, action.address),
         )
@@ -111,8 +112,7 @@
             pool.close()
         pool = ConnectionPool(
             reached,
-            target.group,
-            self._settings.connect_timeout_s,
+            partial(self._settings.driver.connect, target, reached),
             partial(self._report_count, target),
         )
         self._pools[target] = pool
@@ -130,7 +130,7 @@
             target,
             reached,
             self._settings.connect_timeout_s,
-            self._settings.dialect,
+            self._settings.driver,
             self._submit,
         )
         self._probers[target] = prober
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_steps.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_steps.py
@@ -22,6 +22,7 @@
 from bergamotcart_daemon.targets import _ledger as ledger
 from bergamotcart_daemon.targets._connection import TargetConnection
 from bergamotcart_daemon.targets._dialect import PositionDialect
+from bergamotcart_daemon.targets._driver import ExecutionRun
 
 _DEFAULT_SQL: Mapping[StepKind, str] = MappingProxyType(
     {
@@ -36,7 +37,7 @@
 _PINNED_USES = frozenset((ConnectionUse.pinned, ConnectionUse.unpin))
 
 
-class StepRun:
+class StepRun(ExecutionRun):
     """One execution on one connection, stopped by its first failing step."""
 
     __slots__ = (
@@ -95,7 +96,7 @@
         try:
             for step, following in itertools.zip_longest(steps, steps[1:]):
                 await self._run_step(step, following)
-        except errors.ReportedError as error:
+        except errors.MysqlError as error:
             return await self._handle_error(error)
         self._current = None
         return self._finish(ExecutionStatus.completed)
@@ -134,7 +135,7 @@
     def _statements(self) -> ledger.LedgerStatements:
         return ledger.LedgerStatements(self._connection, self._action.ledger)
 
-    async def _handle_error(self, error: errors.ReportedError) -> ExecutionFinished:
+    async def _handle_error(self, error: errors.MysqlError) -> ExecutionFinished:
         code = error.error.code
         if self._position_sent:
             await self._skip_position()
@@ -157,7 +158,7 @@
 
     async def _skip_position(self) -> None:
         self._position_sent = False
-        with contextlib.suppress(errors.ReportedError):
+        with contextlib.suppress(errors.MysqlError):
             await self._connection.receive()
 
     def _may_create_ledger(self) -> bool:
@@ -171,7 +172,7 @@
         await self._connection.run(ledger.CREATE_TABLE)
         return await self._run_steps()
 
-    async def _read_duplicate(self, error: errors.ReportedError) -> ExecutionFinished:
+    async def _read_duplicate(self, error: errors.MysqlError) -> ExecutionFinished:
         if self._in_transaction:
             await self._roll_back()
         self._current = StepKind.ledger_insert
@@ -187,7 +188,7 @@
     def _finish(
         self,
         status: ExecutionStatus,
-        error: errors.ReportedError | None = None,
+        error: errors.MysqlError | None = None,
         *,
         refused: bool = False,
     ) -> ExecutionFinished:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_executions.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_executions.py
@@ -9,7 +9,9 @@
 from bergamotcart import entry, messages
 from bergamotcart.discovery import Position, TargetKey
 from bergamotcart_daemon.addresses import AddressTranslation
-from bergamotcart_daemon.targets import ReplicationPositionDialect, Targets, TargetSettings
+from bergamotcart_daemon.targets import Targets, TargetSettings
+from bergamotcart_daemon.targets._dialect import ReplicationPositionDialect
+from bergamotcart_daemon.targets._mysql import MysqlDriver
 from bergamotcart_daemon.targets.tests.fake_target import FakeTarget, stay_silent
 
 _TARGET = TargetKey('tickets', 'a')
@@ -67,7 +69,7 @@
     settings = TargetSettings(
         translation=AddressTranslation({}),
         connect_timeout_s=0.5,
-        dialect=ReplicationPositionDialect(),
+        driver=MysqlDriver(ReplicationPositionDialect(), 0.5),
     )
     async with FakeTarget() as target, Targets(settings, inbox.put_nowait) as targets:
         yield _Harness(target, targets, inbox)
--- a/packages/bergamotcart/src/bergamotcart/_decisions.py
+++ b/packages/bergamotcart/src/bergamotcart/_decisions.py
@@ -10,6 +10,7 @@
     :param system: part that decided, such as ``routing`` or ``failover``.
     :param action: what was decided, such as ``send_to_replica``.
     :param reason: why.
+    :param statement: the caller's own identifier of the statement.
     """
 
     system: str
@@ -22,3 +23,4 @@
     target: str | None = None
     term: int | None = None
     detail: str = ''
+    statement: str | None = None
--- a/packages/bergamotcart/src/bergamotcart/consensus/_config.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_config.py
@@ -31,6 +31,8 @@
     """What a consensus node is told at start; times are in seconds.
 
     :param initial_members: the same on every initial member; may include this one.
+    :param may_found: whether they may form a group, if every data folder is empty; otherwise
+        they are only asked for admission.
     :param election_timeout_s: least and greatest election timeout. A member that heard
         from a leader less than the least timeout ago gives no vote.
     :param lease_s: age from which an answer to an append no longer counts for the
@@ -50,6 +52,7 @@
     lease_s: float = 1.0
     drift_margin: float = 0.02
     seed: int = 0
+    may_found: bool = True
     trailing_records: int = 256
     part_bytes: int = 256 * 1024
 
--- a/packages/bergamotcart/src/bergamotcart/consensus/_core.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_core.py
@@ -91,6 +91,11 @@
         """Whether the log knows a membership."""
         return bool(self.log.members)
 
+    @property
+    def may_found(self) -> bool:
+        """Whether this member may take part in forming a group."""
+        return self.config.may_found and not self.is_formed
+
     @property
     def initial_names(self) -> tuple[str, ...]:
         """Names of the initial members, sorted."""
--- a/packages/bergamotcart/src/bergamotcart/consensus/_election.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_election.py
@@ -34,7 +34,7 @@
         """Begin a pre-vote, if this member may stand; called when the election timeout ends."""
         core = self._core
         core.restart_election_timer()
-        self._forming = not core.is_formed and core.config.name in core.initial_names
+        self._forming = core.may_found and core.config.name in core.initial_names
         if not (self._forming or core.is_voter):
             core.change_role(Role.follower, None, 'no leader heard; not a voter')
             return
@@ -214,7 +214,7 @@
     def _supports_formation(self, envelope: messages.Envelope) -> bool:
         core = self._core
         return (
-            not core.is_formed
+            core.may_found
             and envelope.body.initial_members == core.initial_names
             and find_member(core.config.initial_members, core.config.name) is not None
             and find_member(core.config.initial_members, envelope.sender) is not None
--- a/packages/bergamotcart/src/bergamotcart/control/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/control/__init__.py
@@ -17,6 +17,7 @@
     Persist,
     Persisted,
     Snapshot,
+    TargetAnnounced,
 )
 
 __all__ = (
@@ -38,4 +39,5 @@
     'Persist',
     'Persisted',
     'Snapshot',
+    'TargetAnnounced',
 )
--- a/packages/bergamotcart/src/bergamotcart/control/_apply.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_apply.py
@@ -8,6 +8,7 @@
 from bergamotcart.control import _commands as commands
 from bergamotcart.control._section_changes import apply_change, note_removal
 from bergamotcart.control._state import RecordedChange, ReplicatedState, instance_key
+from bergamotcart.control._whole_documents import replace_document
 
 BRANCH_POINTS: Final = 64
 RETIRED_INCARNATIONS: Final = 256
@@ -64,6 +65,8 @@
     match command:
         case commands.ChangeSection():
             return apply_change(state, command, index)
+        case commands.ReplaceDocument():
+            return replace_document(state, command, index)
         case commands.AdmitEntry():
             _admit(state, command, index)
         case commands.RemoveEntry():
@@ -142,6 +145,8 @@
         term=command.term,
         primary=command.primary,
         branch_points=_branch_points(row, command),
+        decided_by=command.decided_by,
+        decided_in=command.decided_in,
     )
 
 
@@ -190,6 +195,8 @@
     Terms after that of the chosen record keep nothing: their primary was promoted, but
     none of its records is in the chosen log.
     """
+    if command.log_term is None:
+        return row.branch_points
     points = dict(row.branch_points)
     points[command.log_term] = command.position
     for term in range(command.log_term + 1, row.term + 1):
--- a/packages/bergamotcart/src/bergamotcart/control/_authority.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_authority.py
@@ -21,6 +21,7 @@
         lease_s=config.lease_duration_s,
         drift_margin=config.drift_margin,
         seed=config.seed,
+        may_found=config.may_found,
     )
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_collection.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_collection.py
@@ -23,7 +23,7 @@
 
 def run_frozen(tick: Tick, row: messages.GroupRow, work: GroupWork) -> None:
     """Advance a frozen group."""
-    if not _is_freeze_complete(tick, row, work):
+    if not is_freeze_complete(tick, row, work):
         return
     if work.frozen_complete_at is None:
         work.frozen_complete_at = tick.now
@@ -35,7 +35,8 @@
         _promote(tick, row, work, candidates)
 
 
-def _is_freeze_complete(tick: Tick, row: messages.GroupRow, work: GroupWork) -> bool:
+def is_freeze_complete(tick: Tick, row: messages.GroupRow, work: GroupWork) -> bool:
+    """Tell whether no entry works with the primary of a frozen group any more."""
     if work.frozen_complete_at is not None:
         return True
     entries = tick.local.entries
@@ -67,7 +68,7 @@
     if any(_raise_term(tick, row, work, status) for _, status in answers):
         return []
     return [
-        Candidate(status, seen.announcement, is_fresh(seen, tick.now))
+        Candidate(status, seen.announcement, is_fresh(tick, seen))
         for seen, status in answers
         if status is not None and status.accepted
     ]
@@ -127,7 +128,7 @@
     work: GroupWork,
     candidates: list[Candidate],
 ) -> None:
-    chosen = choose_primary(candidates, work.floor, _primaries_by_zone(tick, row))
+    chosen = choose_primary(candidates, work.floor, primaries_by_zone(tick, row))
     command = PromoteGroup(
         group=row.name,
         frozen_term=row.term,
@@ -145,7 +146,8 @@
         decide(tick, row, 'promote', 'highest_position', answers, command.primary)
 
 
-def _primaries_by_zone(tick: Tick, row: messages.GroupRow) -> Counter[str]:
+def primaries_by_zone(tick: Tick, row: messages.GroupRow) -> Counter[str]:
+    """Count the primaries of all other groups by availability zone."""
     zones: Counter[str] = Counter()
     for other in tick.state.groups.values():
         seen = tick.local.sightings.find(other.name, other.primary or '')
--- a/packages/bergamotcart/src/bergamotcart/control/_commands.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_commands.py
@@ -41,6 +41,19 @@
     token_hash: str
 
 
+class ReplaceDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Replaces the section of routes by a whole document, unless it is not newer.
+
+    :param version: version that the operator gave it; the highest one counts.
+    :param body: JSON text of the section.
+    :param source: the document as the operator sent it, to be read back unchanged.
+    """
+
+    version: int
+    body: str
+    source: str
+
+
 class FreezeGroup(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Stops writes to a group at ``term``."""
 
@@ -59,16 +72,21 @@
     """Names the new primary of a frozen group.
 
     :param frozen_term: term at which the group is frozen.
-    :param log_term: log term of the chosen instance's last record.
+    :param log_term: log term of the chosen instance's last record; ``None`` if the group's
+        terms are not those of its log.
     :param position: position of that record.
+    :param decided_by: member that decided, if an authority promotes the instance.
+    :param decided_in: control term in which it decided.
     """
 
     group: str
     frozen_term: int
     term: int
     primary: str
-    log_term: int
+    log_term: int | None
     position: int
+    decided_by: str = ''
+    decided_in: int = 0
 
 
 class OpenGroup(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -95,6 +113,7 @@
     AdmitEntry
     | RemoveEntry
     | ChangeSection
+    | ReplaceDocument
     | FreezeGroup
     | HoldGroup
     | PromoteGroup
--- a/packages/bergamotcart/src/bergamotcart/control/_config.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_config.py
@@ -13,7 +13,14 @@
         members that form the replicated log when every data folder is empty.
     :param admin_token: bearer token of the administrator.
     :param election_timeout_s: least and greatest election timeout, in seconds.
+    :param may_found: whether the initial members may form the replicated log.
+    :param tolerated_losses: members that may be lost at once; newcomers take part until there
+        are enough voters for that, and replace members that are gone. ``None`` leaves all
+        changes of members to the operator.
     :param seed: seed of the engine's random numbers.
+    :param target_expiry_s: age in seconds from which an announcement counts no more.
+    :param targets_announce_here: targets announce themselves to the control members, not to
+        the entries.
     """
 
     name: str
@@ -29,6 +36,10 @@
     leader_heartbeat_s: float = 0.1
     election_timeout_s: tuple[float, float] = (0.4, 0.8)
     seed: int = 0
+    target_expiry_s: float = 3.0
+    targets_announce_here: bool = False
+    may_found: bool = True
+    tolerated_losses: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bergamotcart/src/bergamotcart/control/_events.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_events.py
@@ -23,6 +23,7 @@
     'Persist',
     'Persisted',
     'Snapshot',
+    'TargetAnnounced',
 )
 
 # Inputs
@@ -75,6 +76,7 @@
     """What an operator asks."""
 
     get_document = 'get_document'
+    replace_document = 'replace_document'
     change = 'change'
     history = 'history'
     status = 'status'
@@ -94,7 +96,14 @@
     body: dict[str, object]
 
 
-ControlInput = MessageReceived | Persisted | OrderFinished | OperatorRequest
+@dataclass(frozen=True, slots=True)
+class TargetAnnounced:
+    """A target announced itself to this member."""
+
+    announcement: messages.Announcement
+
+
+ControlInput = MessageReceived | Persisted | OrderFinished | OperatorRequest | TargetAnnounced
 
 
 # Actions
@@ -105,6 +114,9 @@
     """Send an order to a target's administration address.
 
     :param primary: instance to follow, with its addresses, for ``follow``.
+    :param fencing_token: number of the decision, for a promotion by an authority: it grows with
+        each decision, and no two decisions or holders share one.
+    :param holder: name of the member that decided.
     """
 
     order_id: int
@@ -116,6 +128,8 @@
     primary: str | None = None
     primary_address: str | None = None
     primary_admin_address: str | None = None
+    fencing_token: int = 0
+    holder: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bergamotcart/src/bergamotcart/control/_failover.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_failover.py
@@ -1,6 +1,7 @@
 """Replacement of primaries: runs the work of each group's phase."""
 
 from bergamotcart import messages
+from bergamotcart.control._appointment import run_appointment
 from bergamotcart.control._attention import find_due_groups
 from bergamotcart.control._collection import run_frozen
 from bergamotcart.control._group_work import GroupWork
@@ -8,6 +9,7 @@
 from bergamotcart.control._open_group import run_open
 from bergamotcart.control._promotion import run_promoting
 from bergamotcart.control._tick import Tick
+from bergamotcart.documents import Promotion
 
 
 def run_failover(tick: Tick) -> None:
@@ -19,6 +21,9 @@
         work = _find_work(tick, row)
         if tick.local.proposals.is_pending(f'group {name}'):
             continue
+        if tick.document.groups[name].promotion is Promotion.authority:
+            run_appointment(tick, row, work)
+            continue
         match row.phase:
             case messages.GroupPhase.open:
                 run_open(tick, row, work)
--- a/packages/bergamotcart/src/bergamotcart/control/_instances.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_instances.py
@@ -21,7 +21,7 @@
     """Commit the addresses of a group's instances if they are new or have changed."""
     for seen in tick.local.sightings.of_group(group):
         announcement = seen.announcement
-        if not is_fresh(seen, tick.now):
+        if not is_fresh(tick, seen):
             continue
         row = _row_of(announcement)
         if tick.state.instances.get(instance_key(group, row.instance)) != row:
--- a/packages/bergamotcart/src/bergamotcart/control/_local.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -19,6 +19,7 @@
     :param cleaned_at: time at which old rows were last removed.
     :param suspects: groups of which some entry cannot reach an instance, in this tick.
     :param assumed_instances: instances of the replicated state were taken over.
+    :param members_pulled_at: time of the newest pull from the other members.
     :param led_since: time at which this member's leadership began.
     """
 
@@ -34,6 +35,7 @@
     led_since: float = 0
     pushed_index: int = 0
     cleaned_at: float = 0
+    members_pulled_at: float = 0
 
     def restart(self, now: float, assumed_until: float) -> None:
         """Begin a leadership without any memory of a former one.
@@ -52,3 +54,4 @@
         self.led_since = now
         self.pushed_index = 0
         self.cleaned_at = now
+        self.members_pulled_at = 0
--- a/packages/bergamotcart/src/bergamotcart/control/_open_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_open_group.py
@@ -19,7 +19,7 @@
 
 def run_open(tick: Tick, row: messages.GroupRow, work: GroupWork) -> None:
     """Freeze the group if its primary must be replaced, else guide the other instances."""
-    reason = find_suspicion(tick, row, work) or _find_planned(tick, row, work)
+    reason = find_suspicion(tick, row, work) or find_planned(tick, row, work)
     reason = reason or find_newer_term(tick, row)
     if not reason:
         work.waiting_for = ''
@@ -74,7 +74,7 @@
         return
     for seen in tick.local.sightings.of_group(row.name):
         announcement = seen.announcement
-        is_other = announcement.instance != row.primary and is_fresh(seen, tick.now)
+        is_other = announcement.instance != row.primary and is_fresh(tick, seen)
         if is_other and _is_stray(announcement, row):
             _order_follow(tick, row, announcement, primary.announcement)
 
@@ -102,7 +102,8 @@
     return ''
 
 
-def _find_planned(tick: Tick, row: messages.GroupRow, work: GroupWork) -> str:
+def find_planned(tick: Tick, row: messages.GroupRow, work: GroupWork) -> str:
+    """Return the reason to replace a primary that leaves, or an empty string."""
     if not takes_no_work(tick, row.name, row.primary):
         return ''
     reason = 'primary_leaving'
@@ -118,7 +119,7 @@
 def _can_succeed(tick: Tick, row: messages.GroupRow, seen: Seen) -> bool:
     announcement = seen.announcement
     staying = announcement.instance != row.primary and not announcement.leaving
-    return staying and is_fresh(seen, tick.now)
+    return staying and is_fresh(tick, seen)
 
 
 def _is_stray(announcement: messages.Announcement, row: messages.GroupRow) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/control/_operators.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_operators.py
@@ -3,12 +3,13 @@
 import hmac
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Annotated
 
 import msgspec
 
 from bergamotcart import documents
 from bergamotcart.control import _section_changes as section_changes
-from bergamotcart.control._commands import ChangeSection
+from bergamotcart.control._commands import ChangeSection, ReplaceDocument
 from bergamotcart.control._events import OperatorCommand, OperatorRequest
 from bergamotcart.control._member_changes import MemberChanges, MemberRequest
 from bergamotcart.control._replies import (
@@ -16,11 +17,13 @@
     reply,
     reply_bad_request,
     reply_change,
+    reply_document,
     reply_unavailable,
 )
 from bergamotcart.control._state import RecordedChange
 from bergamotcart.control._status_body import document_body, status_body
 from bergamotcart.control._tick import Tick
+from bergamotcart.control._whole_documents import check_document, current_version
 
 
 class _ChangeBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -34,6 +37,14 @@
     dry_run: bool = False
 
 
+class _DocumentBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Body of a request to replace the whole document; see ``ReplaceDocument``."""
+
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    body: str
+    source: str = ''
+
+
 class _HistoryBody(msgspec.Struct, frozen=True, kw_only=True):
     section: str
 
@@ -43,12 +54,14 @@
     """A request whose answer waits for the commit of a record.
 
     :param term: term in which the record was proposed.
-    :param change: the document change, or ``None`` for a change of members.
+    :param change: the change of a section, if it is one.
+    :param is_document: whether it replaces the whole document.
     """
 
     request_id: int
     term: int
-    change: documents.Change | None
+    change: documents.Change | None = None
+    is_document: bool = False
 
 
 class OperatorDesk:
@@ -92,6 +105,9 @@
         if waiting.term != term:
             reply_unavailable(tick, waiting.request_id, OutcomeUnknown.not_started)
             return
+        if waiting.is_document and recorded:
+            reply_document(tick, waiting.request_id, recorded)
+            return
         if waiting.change and recorded:
             reply_change(tick, waiting.request_id, waiting.change, recorded)
             return
@@ -109,6 +125,8 @@
         match request.command:
             case OperatorCommand.get_document:
                 reply(tick, request.request_id, HTTPStatus.OK, document_body(tick.state))
+            case OperatorCommand.replace_document:
+                self._replace_document(tick, request)
             case OperatorCommand.history:
                 _reply_history(tick, request)
             case OperatorCommand.status:
@@ -135,7 +153,7 @@
                 command,
                 tick.now,
             )
-            self._wait_for(tick, request, index, change)
+            self._wait_for(tick, index, request.request_id, change=change)
         else:
             reply_change(tick, request.request_id, change, recorded)
 
@@ -154,19 +172,46 @@
             error: dict[str, object] = {'error': 'another change of members is not complete yet'}
             reply(tick, request.request_id, HTTPStatus.CONFLICT, error)
             return
-        self._wait_for(tick, request, index, None)
+        self._wait_for(tick, index, request.request_id)
+
+    def _replace_document(self, tick: Tick, request: OperatorRequest) -> None:
+        if not _is_administrator(tick, request):
+            body: dict[str, object] = {'error': 'only the administrator replaces the document'}
+            reply(tick, request.request_id, HTTPStatus.FORBIDDEN, body)
+            return
+        query = msgspec.convert(request.body, _DocumentBody)
+        command = ReplaceDocument(version=query.version, body=query.body, source=query.source)
+        problems = check_document(tick.state, command)
+        if problems:
+            recorded = RecordedChange(outcome='invalid', digest='', problems=problems)
+            reply_document(tick, request.request_id, recorded)
+        elif query.version <= current_version(tick.state):
+            # What is in force is committed, so the answer to a repeated request may leave.
+            recorded = RecordedChange(
+                outcome='accepted',
+                digest='',
+                version=current_version(tick.state),
+                revision=tick.state.revision,
+            )
+            reply_document(tick, request.request_id, recorded)
+        else:
+            subject = f'operator request {request.request_id}'
+            index = tick.local.proposals.submit(subject, command, tick.now)
+            self._wait_for(tick, index, request.request_id, is_document=True)
 
     def _wait_for(
         self,
         tick: Tick,
-        request: OperatorRequest,
         index: int | None,
-        change: documents.Change | None,
+        request_id: int,
+        *,
+        change: documents.Change | None = None,
+        is_document: bool = False,
     ) -> None:
         if index is None:
-            reply_unavailable(tick, request.request_id, OutcomeUnknown.not_started)
+            reply_unavailable(tick, request_id, OutcomeUnknown.not_started)
             return
-        self._waiting[index] = _Waiting(request.request_id, tick.authority.term, change)
+        self._waiting[index] = _Waiting(request_id, tick.authority.term, change, is_document)
 
 
 def _read_change(tick: Tick, request: OperatorRequest) -> documents.Change:
--- a/packages/bergamotcart/src/bergamotcart/control/_order_book.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_order_book.py
@@ -78,6 +78,7 @@
         now: float,
         repeat_s: float,
         primary: messages.Announcement | None = None,
+        row: messages.GroupRow | None = None,
     ) -> Order | None:
         """Return the order to send now, or ``None`` if it is not due.
 
@@ -86,6 +87,7 @@
         :param now: seconds.
         :param repeat_s: seconds after an answer until the order is sent again.
         :param primary: instance to follow.
+        :param row: row of the decision to promote, for a promotion by an authority.
         """
         state = self._states.get(key)
         if state is not None and not _is_due(state, now, repeat_s):
@@ -108,6 +110,8 @@
             primary=primary.instance if primary else None,
             primary_address=primary.address if primary else None,
             primary_admin_address=primary.admin_address if primary else None,
+            fencing_token=row.modified_index if row else 0,
+            holder=row.decided_by if row else '',
         )
 
     def finish(self, finished: OrderFinished, now: float) -> OrderKey | None:
--- a/packages/bergamotcart/src/bergamotcart/control/_quotas.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_quotas.py
@@ -50,10 +50,11 @@
     settings = tick.document.group(target[0])
     if seen is None or settings is None:
         return 0
+    entries = len(tick.state.roster())
     return count_lendable(
-        seen.announcement.connection_limit,
-        settings.entries_limit,
-        len(tick.state.roster()),
+        settings.connection_limit or seen.announcement.connection_limit,
+        settings.entries_limit or max(entries, 1),
+        entries,
     )
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_replies.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_replies.py
@@ -87,6 +87,26 @@
     )
 
 
+def reply_document(tick: Tick, request_id: int, recorded: RecordedChange) -> None:
+    """Answer the replacement of the whole document with its outcome."""
+    body: dict[str, object] = {
+        'outcome': recorded.outcome,
+        'version': recorded.version,
+        'revision': recorded.revision,
+        'problems': [{'path': path, 'message': message} for path, message in recorded.problems],
+    }
+    reply(tick, request_id, _STATUSES[recorded.outcome], body)
+    tick.decide(
+        Decision(
+            system='document',
+            action='replace',
+            reason=recorded.outcome,
+            detail='; '.join(f'{path}: {message}' for path, message in recorded.problems)
+            or f'version {recorded.version}',
+        )
+    )
+
+
 def reply_bad_request(tick: Tick, request: OperatorRequest, error: msgspec.ValidationError) -> None:
     """Answer a request whose body is malformed."""
     reply(tick, request.request_id, HTTPStatus.BAD_REQUEST, {'error': str(error)})
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+import msgspec
+
 from bergamotcart import consensus, documents, messages
 from bergamotcart.actions import Decision, MessageReceived
 from bergamotcart.control import _events as events
@@ -17,13 +19,17 @@
 from bergamotcart.control._open_group import report_discarded
 from bergamotcart.control._operators import OperatorDesk
 from bergamotcart.control._proposals import Proposals
+from bergamotcart.control._sightings import pull_from_members
 from bergamotcart.control._state import ReplicatedState, decode_state, encode_state
 from bergamotcart.control._tick import Tick
+from bergamotcart.discovery import TargetTable, answer_pull
 
 # Replaying this many records at a start takes a few milliseconds.
 SNAPSHOT_RECORDS: Final = 300
 # A look at the whole roster in each step would cost more with each entry that sends one.
 CLEANING_S: Final = 1.0
+# Versions of the target table of different starts begin at random places in this range.
+_VERSION_STARTS: Final = 1 << 40
 
 
 class Runtime:
@@ -32,6 +38,7 @@
     __slots__ = (
         '_config',
         '_desk',
+        '_directory',
         '_document',
         '_local',
         '_members',
@@ -60,6 +67,7 @@
         self._local = LocalTables(Proposals(self._node.propose))
         self._members = MemberChanges(self._node)
         self._desk = OperatorDesk(self._members)
+        self._directory = TargetTable(config.target_expiry_s, 1 + config.seed % _VERSION_STARTS)
 
     def step(self, now: float, inbox: tuple[events.ControlInput, ...]) -> ControlOutbox:
         """Handle inputs and run all systems; see ``ControlEngine.step``."""
@@ -113,6 +121,8 @@
                 self._finish_order(tick, item)
             case events.OperatorRequest():
                 self._desk.handle(tick, item)
+            case events.TargetAnnounced(announcement):
+                self._note_target(tick, announcement)
 
     def _finish_order(self, tick: Tick, finished: events.OrderFinished) -> None:
         key = self._local.orders.finish(finished, tick.now)
@@ -127,9 +137,21 @@
                 handle_state_ack(tick, envelope, ack)
             case messages.RelayBatch() as batch:
                 self._local.sightings.add(envelope, batch, tick.now)
+            case messages.RelayPull() as pull:
+                incarnation = self._node.incarnation
+                batch = answer_pull(self._directory, incarnation, tick.now, pull)
+                tick.send(envelope.sender, envelope.sender_address, batch)
+
+    def _note_target(self, tick: Tick, announcement: messages.Announcement) -> None:
+        """Keep an announcement, and tell the leader's tables if they are here."""
+        # The target knows no clock of this member, so its announcement counts from now.
+        announcement = msgspec.structs.replace(announcement, echo=tick.now)
+        if self._directory.receive(tick.now, announcement):
+            self._local.sightings.note(announcement, tick.now)
 
     def _run_systems(self, tick: Tick) -> None:
         assume_instances(tick)
+        pull_from_members(tick)
         self._members.readmit(tick)
         if self._local.pushed_index < self._state.index:
             self._local.pushed_index = self._state.index
@@ -177,6 +199,8 @@
         if change.role == consensus.Role.leader:
             assumed_until = leases.assumed_lease_end(self._config, tick.now)
             self._local.restart(tick.now, assumed_until)
+            for target in self._directory:
+                self._local.sightings.note(target.announcement, target.made_after)
         tick.authority = find_authority(self._node, self._state, tick.now)
         if change.role != consensus.Role.leader:
             self._local.proposals.clear()
--- a/packages/bergamotcart/src/bergamotcart/control/_section_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_section_changes.py
@@ -137,7 +137,7 @@
     state.history[change.section] = rows[-HISTORY_ROWS:]
     state.revision = index
     state.index = index
-    _follow_document(state, index)
+    follow_document(state, index)
 
 
 def note_removal(state: ReplicatedState, table: dict[str, int], name: str, index: int) -> None:
@@ -149,10 +149,11 @@
         state.removal_floor = max(state.removal_floor, table.pop(oldest))
 
 
-def _follow_document(state: ReplicatedState, index: int) -> None:
+def follow_document(state: ReplicatedState, index: int) -> None:
+    """Give each group of the document a row, and set its restrictions."""
     document = documents.Document.from_sections(state.sections.values(), state.revision)
     settings = document.groups
-    limits = [group.entries_limit for group in settings.values()]
+    limits = [group.entries_limit or 1 for group in settings.values()]
     state.entries_limit = max(limits, default=1)
     for name in sorted(settings):
         read_only = document.is_read_only(name)
--- a/packages/bergamotcart/src/bergamotcart/control/_sightings.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_sightings.py
@@ -10,7 +10,6 @@
 
 # Entries renew their leases every 0.25 s, and each second renewal is followed by a pull.
 PULL_PERIOD_S: Final = 0.45
-FRESH_S: Final = 3.0
 # A dead instance keeps its addresses for this long, so that it is told to follow on return.
 FORGET_S: Final = 3600.0
 
@@ -64,6 +63,13 @@
             made_after = batch.echo_sent_at - sighting.age_s
             self._store(Seen(sighting.announcement, made_after))
 
+    def note(self, announcement: messages.Announcement, made_after: float) -> None:
+        """Store what an instance announced to this member itself.
+
+        :param made_after: time after which it was made, in seconds.
+        """
+        self._store(Seen(announcement, made_after))
+
     def assume(self, seen: Seen) -> None:
         """Store an instance that is known from the replicated state only."""
         self._store(seen)
@@ -107,21 +113,39 @@
             self._rows[key] = Seen(known.announcement, seen.made_after)
 
 
-def is_fresh(seen: Seen, now: float) -> bool:
+def is_fresh(tick: Tick, seen: Seen) -> bool:
     """Tell whether an instance announced itself recently."""
-    return now - seen.made_after <= FRESH_S
+    return tick.now - seen.made_after <= tick.config.target_expiry_s
 
 
 def pull_sightings(tick: Tick, contact: EntryContact) -> None:
     """Ask an entry that renews its lease for the targets that announced themselves to it."""
+    if tick.config.targets_announce_here:
+        return
     if tick.now - contact.pulled_at >= PULL_PERIOD_S:
         contact.pulled_at = tick.now
         pull = tick.local.sightings.pull(contact.key.name, tick.now)
         tick.send(contact.key.name, contact.address, pull)
 
 
+def pull_from_members(tick: Tick) -> None:
+    """Ask the other members for the targets that announced themselves to them."""
+    if not tick.config.targets_announce_here:
+        return
+    if tick.now < tick.local.members_pulled_at + PULL_PERIOD_S:
+        return
+    tick.local.members_pulled_at = tick.now
+    tick.wake_at(tick.now + PULL_PERIOD_S)
+    for row in tick.state.members:
+        if row.name != tick.config.name:
+            tick.send(row.name, row.address, tick.local.sightings.pull(row.name, tick.now))
+
+
 def _is_newer(seen: Seen, known: Seen) -> bool:
     """Compare by sequence within one start of the instance, else by time."""
+    starts = (seen.announcement.started_at_ms, known.announcement.started_at_ms)
+    if all(starts) and starts[0] != starts[1]:
+        return starts[0] > starts[1]
     if seen.announcement.incarnation == known.announcement.incarnation:
         order = (seen.announcement.sequence, seen.made_after)
         return order > (known.announcement.sequence, known.made_after)
--- a/packages/bergamotcart/src/bergamotcart/control/_state.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_state.py
@@ -68,6 +68,7 @@
     :param removed_entries: index of the removal by name, newest last.
     :param removal_floor: removals up to this index may have been forgotten.
     :param instances: last known addresses, by ``instance_key``.
+    :param document_source: newest whole document as its operator sent it.
     :param retired: former incarnations, which late messages must not bring back.
     """
 
@@ -89,6 +90,7 @@
     retired: list[str] = msgspec.field(default_factory=list)
     entries_limit: int = 1
     instances: dict[str, InstanceRow] = msgspec.field(default_factory=dict)
+    document_source: str = ''
 
     def roster(self) -> list[messages.EntryRow]:
         """Return all rows of the roster, former incarnations included."""
--- a/packages/bergamotcart/src/bergamotcart/control/_status_body.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_status_body.py
@@ -6,12 +6,18 @@
 from bergamotcart.control._entry_table import EntryContact
 from bergamotcart.control._state import ReplicatedState
 from bergamotcart.control._tick import Tick
+from bergamotcart.control._whole_documents import current_version
 
 
 def document_body(state: ReplicatedState) -> dict[str, object]:
     """Return the sections and the revision."""
     sections = [msgspec.to_builtins(state.sections[name]) for name in sorted(state.sections)]
-    return {'revision': state.revision, 'sections': sections}
+    return {
+        'revision': state.revision,
+        'sections': sections,
+        'version': current_version(state),
+        'source': state.document_source,
+    }
 
 
 def status_body(tick: Tick) -> dict[str, object]:
--- a/packages/bergamotcart/src/bergamotcart/control/_suspicion.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_suspicion.py
@@ -11,8 +11,8 @@
 
 # A new primary may be silent while it is under the load that has waited for it.
 SILENCE_AFTER_CHANGE_S: Final = 5.0
-# Entries send no work to an instance whose announcement is 3 s old; one pull more covers relays.
-UNHEARD_S: Final = 4.0
+# Entries send no work to an instance whose announcement is too old; this covers relays.
+RELAYED_S: Final = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +55,7 @@
 def is_leaving(tick: Tick, group: str, instance: str | None) -> bool:
     """Tell whether an instance has announced that it leaves."""
     seen = tick.local.sightings.find(group, instance) if instance else None
-    return seen is not None and seen.announcement.leaving and is_fresh(seen, tick.now)
+    return seen is not None and seen.announcement.leaving and is_fresh(tick, seen)
 
 
 def takes_no_work(tick: Tick, group: str, instance: str | None) -> bool:
@@ -68,7 +68,7 @@
         return True
     seen = tick.local.sightings.find(group, instance) if instance else None
     heard_at = max(seen.made_after if seen else 0, tick.local.led_since)
-    return seen is not None and tick.now > heard_at + UNHEARD_S
+    return seen is not None and tick.now > heard_at + tick.config.target_expiry_s + RELAYED_S
 
 
 def _find_loss(tick: Tick, group: str, instance: str, opened_at: float | None) -> str:
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/_whole_documents.py
@@ -0,0 +1,74 @@
+"""Replacement of the section of routes by a whole document, of which the highest version wins."""
+
+from typing import Final
+
+from bergamotcart import documents, messages
+from bergamotcart.control._commands import ReplaceDocument
+from bergamotcart.control._section_changes import DOCUMENT_BYTES, follow_document
+from bergamotcart.control._state import RecordedChange, ReplicatedState
+
+# Name of the section that whole documents replace.
+ROUTES_SECTION: Final = 'routes'
+
+
+def current_version(state: ReplicatedState) -> int:
+    """Return the version of the whole document in force, or 0 without one."""
+    row = state.sections.get(ROUTES_SECTION)
+    return row.version if row else 0
+
+
+def check_document(state: ReplicatedState, command: ReplaceDocument) -> tuple[tuple[str, str], ...]:
+    """Return the faults of a document as pairs of path and message.
+
+    :param state: the replicated state, whose other sections the document must fit.
+    :param command: the proposed replacement.
+    """
+    if len(command.body.encode()) + len(command.source.encode()) > 2 * DOCUMENT_BYTES:
+        fault = f'the document would exceed {DOCUMENT_BYTES} bytes'
+        return ((f'sections.{ROUTES_SECTION}', fault),)
+    sections = dict(state.sections)
+    sections[ROUTES_SECTION] = _build_row(command, state.index)
+    try:
+        documents.Document.from_sections(sections.values(), revision=0)
+    except documents.DocumentError as error:
+        return tuple((fault.path, fault.message) for fault in error.problems)
+    return ()
+
+
+def replace_document(
+    state: ReplicatedState,
+    command: ReplaceDocument,
+    index: int,
+) -> RecordedChange:
+    """Apply a committed replacement; one that is not newer changes nothing.
+
+    :param state: modified in place.
+    :param command: the committed replacement.
+    :param index: its log index.
+    :returns: the outcome, with the version in force.
+    """
+    if command.version > current_version(state):
+        problems = check_document(state, command)
+        if problems:
+            return RecordedChange(outcome='invalid', digest='', problems=problems)
+        state.sections[ROUTES_SECTION] = _build_row(command, index)
+        state.document_source = command.source
+        state.revision = index
+        state.index = index
+        follow_document(state, index)
+    return RecordedChange(
+        outcome='accepted',
+        digest='',
+        version=current_version(state),
+        revision=state.revision,
+    )
+
+
+def _build_row(command: ReplaceDocument, index: int) -> messages.SectionRow:
+    return messages.SectionRow(
+        name=ROUTES_SECTION,
+        kind=documents.SectionKind.routes,
+        version=command.version,
+        body=command.body,
+        modified_index=index,
+    )
--- a/packages/bergamotcart/src/bergamotcart/discovery/_heads.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_heads.py
@@ -52,6 +52,22 @@
             self._heads = self._heads[_KEPT:]
             self._sent_at = self._sent_at[_KEPT:]
 
+    def clear(self) -> None:
+        """Forget all heads, since another primary takes over."""
+        self._heads.clear()
+        self._sent_at.clear()
+
+    def first_since(self, when: float) -> Position | None:
+        """Return the lowest head that was asked for at a time or later.
+
+        It covers every write that was acknowledged before that time.
+
+        :param when: time in seconds.
+        :returns: the head, or ``None`` if none was asked for since.
+        """
+        index = bisect.bisect_left(self._sent_at, when)
+        return self._heads[index] if index < len(self._heads) else None
+
     def proved_at(
         self,
         position: Position,
--- a/packages/bergamotcart/src/bergamotcart/discovery/_table.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_table.py
@@ -42,13 +42,17 @@
 
     __slots__ = ('_expiry_s', '_groups', '_targets', '_version', 'complete_since')
 
-    def __init__(self, expiry_s: float) -> None:
-        """Start without any target."""
+    def __init__(self, expiry_s: float, first_version: int = 1) -> None:
+        """Start without any target.
+
+        :param first_version: where versions begin; a random one keeps those of two starts
+            of a process apart, if both have the same incarnation.
+        """
         self._expiry_s = expiry_s
         self._targets: dict[TargetKey, KnownTarget] = {}
         self._groups: dict[str, dict[TargetKey, KnownTarget]] = {}
-        self._version = 1
-        self.complete_since = 1
+        self._version = first_version
+        self.complete_since = first_version
 
     @property
     def version(self) -> int:
@@ -141,6 +145,11 @@
             self._insert(KnownTarget(key, announcement, made_after))
             return True
         if known.announcement.incarnation != announcement.incarnation:
+            if announcement.started_at_ms and known.announcement.started_at_ms:
+                if announcement.started_at_ms < known.announcement.started_at_ms:
+                    return False
+                self._insert(KnownTarget(key, announcement, made_after, known.heard_after))
+                return True
             # Incarnations have no order of their own. What the living one announces is
             # made after every echo that the former one could have received.
             if made_after <= known.made_after:
--- a/packages/bergamotcart/src/bergamotcart/documents/_document.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_document.py
@@ -12,7 +12,9 @@
 from bergamotcart.messages import SectionRow
 
 _DEFAULT_POLICY: Final = schema.Policy()
-_PARSED_SECTIONS: Final = 256
+_PARSED_SECTIONS: Final = 64
+# Routes do not name their callers, so limits per caller do not apply to them.
+_UNLIMITED: Final = 1_000_000
 # The parser of libyaml is several times faster; not every platform has it.
 _LOADER: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
@@ -37,13 +39,21 @@
         self.problems = problems
 
 
+@dataclass(frozen=True, slots=True)
+class ResolvedRoute:
+    """A route with the limits that its requests have."""
+
+    route: schema.Route
+    policy: schema.Policy
+
+
 class Document:
     """The sections in force, resolved for look-ups.
 
     :param revision: log index of the last change.
     """
 
-    __slots__ = ('_groups', '_operations', '_owners', '_policies', 'revision')
+    __slots__ = ('_groups', '_operations', '_owners', '_policies', '_routes', 'revision')
 
     def __init__(self, bodies: dict[str, schema.SectionBody], revision: int) -> None:
         """Index the bodies by what they hold.
@@ -54,6 +64,7 @@
         self._policies: list[schema.Policy] = []
         self._operations: list[schema.OperationsBody] = []
         self._owners: dict[str, str] = {}
+        self._routes: dict[str, ResolvedRoute] = {}
         self.revision = revision
         problems = [problem for name in sorted(bodies) for problem in self._add(name, bodies[name])]
         problems.extend(self._check_references(bodies))
@@ -92,6 +103,10 @@
                 return policy
         return _DEFAULT_POLICY
 
+    def route(self, database: str) -> 'ResolvedRoute | None':
+        """Return how a database name is served, or ``None`` if no route has it."""
+        return self._routes.get(database)
+
     def is_failover_paused(self, group: str) -> bool:
         """Tell whether the on-call team has paused the replacement of a group's primary."""
         return any(group in body.pause_failover for body in self._operations)
@@ -107,11 +122,38 @@
             self._policies.extend(body.policies)
         elif isinstance(body, schema.OperationsBody):
             self._operations.append(body)
+        elif isinstance(body, schema.RoutesBody):
+            return [*self._add_groups(name, body), *self._add_routes(name, body)]
         else:
             self._owners.update(body.sections)
         return []
 
-    def _add_groups(self, name: str, body: schema.GroupsBody) -> list[Problem]:
+    def _add_routes(self, name: str, body: schema.RoutesBody) -> list[Problem]:
+        problems: list[Problem] = []
+        for index, route in enumerate(body.routes):
+            path = f'sections.{name}.routes[{index}]'
+            if route.database in self._routes:
+                problems.append(Problem(f'{path}.database', 'another route has this database'))
+            if route.group not in body.groups:
+                fault = f'no group {route.group!r} is defined'
+                problems.append(Problem(f'{path}.group', fault))
+            policy = schema.Policy(
+                max_age_s=None
+                if route.consistency is schema.Consistency.primary
+                else route.max_age_s,
+                deadline_s=route.statement_timeout_s,
+                idle_in_transaction_s=body.idle_in_transaction_s,
+                max_connections=_UNLIMITED,
+                max_in_flight=_UNLIMITED,
+            )
+            self._routes[route.database] = ResolvedRoute(route, policy)
+        return problems
+
+    def _add_groups(
+        self,
+        name: str,
+        body: schema.GroupsBody | schema.RoutesBody,
+    ) -> list[Problem]:
         problems = [
             Problem(f'sections.{name}.groups.{group}', 'another section defines this group')
             for group in body.groups
@@ -149,6 +191,8 @@
     except ValueError as error:
         raise DocumentError((Problem(prefix, f'unknown kind {kind!r}'),)) from error
     try:
+        if body_type is schema.RoutesBody:
+            return msgspec.json.decode(body, type=body_type)
         return msgspec.convert(yaml.load(body, Loader=_LOADER), body_type)
     except yaml.YAMLError as error:
         raise DocumentError((Problem(prefix, f'malformed YAML: {error}'),)) from error
@@ -156,6 +200,8 @@
         message, _, path = str(error).partition(' - at `$')
         suffix = path.rstrip('`')
         raise DocumentError((Problem(f'{prefix}{suffix}', message),)) from error
+    except msgspec.DecodeError as error:
+        raise DocumentError((Problem(prefix, f'malformed JSON: {error}'),)) from error
 
 
 def _references(body: schema.SectionBody) -> list[tuple[str, str]]:
--- a/packages/bergamotcart/src/bergamotcart/documents/_schema.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_schema.py
@@ -24,14 +24,58 @@
     policies = 'policies'
     operations = 'operations'
     owners = 'owners'
+    routes = 'routes'
 
 
 @enum.unique
 class Acknowledgement(enum.StrEnum):
-    """When a write is acknowledged to its caller."""
+    """When a write is acknowledged to its caller.
+
+    ``target``: as soon as the target answers. It suits targets that refuse writes themselves
+    from the moment at which another instance is promoted.
+    """
 
     primary_and_replica = 'primary_and_replica'
     primary_only = 'primary_only'
+    target = 'target'
+
+
+@enum.unique
+class Promotion(enum.StrEnum):
+    """How a new primary comes into office.
+
+    ``ordered``: each instance is ordered to stop following, to promote or to follow.
+    ``authority``: an outside authority promotes one instance and demotes all others.
+    """
+
+    ordered = 'ordered'
+    authority = 'authority'
+
+
+@enum.unique
+class PositionSource(enum.StrEnum):
+    """Where the log positions of a group's instances come from.
+
+    ``probes``: a question asks for them.
+    ``answers``: each answer carries one, and a read can wait for one.
+    """
+
+    probes = 'probes'
+    answers = 'answers'
+
+
+@enum.unique
+class Consistency(enum.StrEnum):
+    """What the reads of a route must see.
+
+    ``primary``: every acknowledged write.
+    ``bounded_age``: every write acknowledged longer ago than the greatest age.
+    ``session``: the same, and the writes of the own session.
+    """
+
+    primary = 'primary'
+    bounded_age = 'bounded_age'
+    session = 'session'
 
 
 @enum.unique
@@ -67,20 +111,29 @@
     """Settings of one database group.
 
     :param instances: number of instances, which decides what a majority is.
-    :param entries_limit: greatest number of entries in front of the group.
+    :param entries_limit: greatest number of entries in front of the group; ``None`` divides the
+        connections by the entries that there are.
     :param promotion_wait_s: seconds to wait for a majority of instances before
         ``insufficient_instances`` applies.
     :param primary_read_share: share of the primary's concurrency left to reads.
     :param ledger_retention_s: age from which a request identifier is refused.
+    :param promotion: how a new primary comes into office.
+    :param positions: where the log positions of the instances come from.
+    :param connection_limit: connections that each instance accepts, if it does not say so itself.
+    :param synchronous_replicas: replicas that have a write before the target acknowledges it.
     """
 
     instances: Count = 3
-    entries_limit: Count = 9
+    entries_limit: Count | None = 9
     acknowledgement: Acknowledgement = Acknowledgement.primary_and_replica
     insufficient_instances: InsufficientInstances = InsufficientInstances.read_only
     promotion_wait_s: Seconds = 30.0
     primary_read_share: Share = 0.5
     ledger_retention_s: Seconds = 86_400.0
+    promotion: Promotion = Promotion.ordered
+    positions: PositionSource = PositionSource.probes
+    connection_limit: Count | None = None
+    synchronous_replicas: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
 
 
 class Policy(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -144,7 +197,43 @@
     sections: dict[Name, Sha256Hex]
 
 
-SectionBody = GroupsBody | PoliciesBody | OperationsBody | OwnersBody
+class Route(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A database name that callers connect to, and how its statements are served.
+
+    :param database: name that callers select.
+    :param group: database group that serves it.
+    :param max_age_s: greatest age of a read, for routes that tolerate one.
+    :param statement_timeout_s: seconds after which a statement is given up.
+    :param target_latency_s: seconds within which an operation should end.
+    :param priority: 0 is served first.
+    :param max_attempts: times that a statement may be sent to an instance.
+    """
+
+    name: str
+    database: str
+    group: str
+    consistency: Consistency
+    statement_timeout_s: Annotated[float, msgspec.Meta(gt=0, le=31_536_000)]
+    max_age_s: Seconds = 0.0
+    target_latency_s: Seconds = 1.0
+    priority: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
+    max_attempts: Count = 2
+
+
+class RoutesBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Body of a section of kind ``routes``: groups and the databases that they serve.
+
+    Its text is JSON, which parses much faster than YAML; it may hold hundreds of routes.
+
+    :param idle_in_transaction_s: greatest pause inside a transaction.
+    """
+
+    routes: tuple[Route, ...]
+    groups: dict[str, GroupSettings]
+    idle_in_transaction_s: Seconds = 5.0
+
+
+SectionBody = GroupsBody | PoliciesBody | OperationsBody | OwnersBody | RoutesBody
 
 BODY_TYPES: Mapping[SectionKind, type[msgspec.Struct]] = MappingProxyType(
     {
@@ -152,6 +241,7 @@
         SectionKind.policies: PoliciesBody,
         SectionKind.operations: OperationsBody,
         SectionKind.owners: OwnersBody,
+        SectionKind.routes: RoutesBody,
     }
 )
 
--- a/packages/bergamotcart/src/bergamotcart/entry/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/__init__.py
@@ -1,6 +1,7 @@
 """The entry engine: sessions, requests, leases held and transactions."""
 
 from bergamotcart.entry._actions import (
+    CloseSession,
     Drained,
     EntryAction,
     Execute,
@@ -8,6 +9,8 @@
     Probe,
     ReleasePin,
     Reply,
+    SessionAnswer,
+    TransactionState,
 )
 from bergamotcart.entry._config import EntryConfig, EntryHealth, EntryOutbox, EntryStatus
 from bergamotcart.entry._engine import EntryEngine
@@ -16,6 +19,8 @@
     ExecutionStatus,
     LedgerKey,
     LedgerRecord,
+    PreparedShape,
+    SessionState,
     Step,
     StepKind,
 )
@@ -35,6 +40,7 @@
 
 __all__ = (
     'AnnouncementReceived',
+    'CloseSession',
     'ConnectionCount',
     'ConnectionUse',
     'DrainRequested',
@@ -54,13 +60,17 @@
     'LedgerRecord',
     'LimitConnections',
     'PinLost',
+    'PreparedShape',
     'Probe',
     'ProbeFinished',
     'ReleasePin',
     'Reply',
     'RequestArrived',
+    'SessionAnswer',
     'SessionClosed',
     'SessionOpened',
+    'SessionState',
     'Step',
     'StepKind',
+    'TransactionState',
 )
--- a/packages/bergamotcart/src/bergamotcart/entry/_actions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_actions.py
@@ -1,11 +1,12 @@
 """Actions of the entry engine."""
 
+import enum
 from dataclasses import dataclass
 
 from bergamotcart.actions import Decision, Send
 from bergamotcart.discovery import Position, TargetKey
-from bergamotcart.entry._execution import ConnectionUse, LedgerKey, Step
-from bergamotcart.outcomes import Outcome
+from bergamotcart.entry._execution import ConnectionUse, LedgerKey, SessionState, Step
+from bergamotcart.outcomes import NotRun, Outcome
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -18,6 +19,7 @@
     :param timeout_s: seconds until the adapter closes the connection and reports ``lost``.
     :param ledger_retention_s: age in seconds from which a request identifier is refused; the
         adapter prunes rows of twice that age, and none if it is ``None``.
+    :param state: settings and prepared statement that the connection must hold first.
     """
 
     execution_id: int
@@ -30,14 +32,46 @@
     timeout_s: float
     ledger: LedgerKey | None = None
     ledger_retention_s: float | None = None
+    state: SessionState | None = None
+
+
+@enum.unique
+class TransactionState(enum.StrEnum):
+    """Whether a session is inside a transaction."""
+
+    none = 'none'
+    open = 'open'
+    failed = 'failed'
 
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Answer a caller; exactly one per request."""
+    """Answer a caller; exactly one per request.
+
+    :param transaction: state of the session after the answer.
+    """
 
     request_id: int
     outcome: Outcome
+    transaction: TransactionState = TransactionState.none
+
+
+@dataclass(frozen=True, slots=True)
+class SessionAnswer:
+    """Tell a caller whether its session may go on.
+
+    :param refusal: why not, or ``None``.
+    """
+
+    session_id: int
+    refusal: NotRun | None
+
+
+@dataclass(frozen=True, slots=True)
+class CloseSession:
+    """Close the connection of a session that has no statement and no transaction."""
+
+    session_id: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,4 +109,15 @@
     """No request and no transaction is left; the process may exit."""
 
 
-EntryAction = Send | Execute | Reply | Probe | ReleasePin | LimitConnections | Drained | Decision
+EntryAction = (
+    Send
+    | Execute
+    | Reply
+    | SessionAnswer
+    | CloseSession
+    | Probe
+    | ReleasePin
+    | LimitConnections
+    | Drained
+    | Decision
+)
--- a/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
@@ -1,5 +1,7 @@
 """Assembly of the systems of one entry engine."""
 
+from collections.abc import Callable
+
 from bergamotcart.discovery import Position, TargetKey
 from bergamotcart.entry._config import EntryConfig
 from bergamotcart.entry._confirmations import Confirmations
@@ -17,6 +19,8 @@
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Phase, RequestTable
 from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._routed_intake import RoutedIntake
+from bergamotcart.entry._routed_reads import RoutedReads
 from bergamotcart.entry._sessions import Session, SessionTable
 from bergamotcart.entry._systems import Systems
 from bergamotcart.entry._tokens import TokenSystem
@@ -30,6 +34,7 @@
     """The tables and systems of one engine, connected with each other."""
 
     __slots__ = (
+        '_on_update',
         '_replies',
         'control',
         'executions',
@@ -40,14 +45,19 @@
         'relays',
         'requests',
         'retries',
+        'routed',
         'sessions',
         'systems',
         'work',
     )
 
-    def __init__(self, config: EntryConfig) -> None:
-        """Create all parts."""
+    def __init__(self, config: EntryConfig, on_update: Callable[[list[str]], None]) -> None:
+        """Create all parts.
+
+        :param on_update: called with the groups whose rows changed in a new control state.
+        """
         work = Workspace(config)
+        self._on_update = on_update
         self.work = work
         self.sessions = SessionTable()
         self.requests = RequestTable()
@@ -58,6 +68,7 @@
         self.monitor = TargetMonitor(
             work,
             lambda watched, sent_at: self.flow.on_report(watched, sent_at),
+            lambda watched, sent_at, position: self.flow.on_answer(watched, sent_at, position),
             self._on_reachability,
             self._wanted,
         )
@@ -79,9 +90,12 @@
         confirmations = Confirmations(work, monitor, replies, floors)
         self.flow = Flow(work, self.lanes, monitor, gate, confirmations, self.executions)
         self.control = ControlLink(
-            work, monitor, self.lanes, self.flow.on_groups, self.flow.on_lease
+            work, monitor, self.lanes, self._on_update, self.flow.on_lease
         )
         checks = OutcomeChecks(gate, self.executions, confirmations, replies, retries)
+        transactions = TransactionSystem(
+            work, gate, self.executions, confirmations, checks, replies, retries
+        )
         self.systems = Systems(
             reads=ReadSystem(
                 work,
@@ -94,13 +108,29 @@
                 replies,
             ),
             writes=WriteSystem(gate, self.executions, confirmations, replies, retries),
-            transactions=TransactionSystem(
-                work, gate, self.executions, confirmations, checks, replies, retries
-            ),
+            transactions=transactions,
             tokens=TokenSystem(work, floors, replies),
+            routed_reads=RoutedReads(
+                work,
+                self.lanes,
+                monitor,
+                gate,
+                self.executions,
+                transactions,
+                retries,
+                replies,
+            ),
         )
+        self.routed = RoutedIntake(work, self.requests, replies, retries, self.systems)
         self.intake = Intake(
-            work, self.sessions, self.requests, floors, replies, retries, self.systems
+            work,
+            self.sessions,
+            self.requests,
+            floors,
+            replies,
+            retries,
+            self.systems,
+            self.routed,
         )
 
     def _on_reachability(self, watched: Watched) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_config.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_config.py
@@ -15,6 +15,8 @@
     :param silence_timeout_s: seconds until a silent target counts as unreachable.
     :param drift_margin: share by which clocks may run at different speeds.
     :param target_expiry_s: age in seconds from which an announcement counts no more.
+    :param targets_announce_to_control: targets are pulled from the control members, since
+        none announces itself here.
     :param seed: seed of the engine's random numbers.
     """
 
@@ -28,6 +30,7 @@
     drift_margin: float = 0.02
     target_expiry_s: float = 3.0
     statement_timeout_s: float = 30.0
+    targets_announce_to_control: bool = False
     seed: int = 0
 
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_confirmations.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_confirmations.py
@@ -9,6 +9,7 @@
 from bergamotcart.entry._monitor import TargetMonitor, Watched
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Phase, Request
+from bergamotcart.entry._sessions import OwnWrite
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.outcomes import Outcome, Reason
 
@@ -39,6 +40,9 @@
         :param outcome: what the caller gets once the write is confirmed.
         :param position: place of the write, or ``None`` if a probe must supply one.
         """
+        if request.route is not None:
+            self._settle_routed(request, outcome, position)
+            return
         request.phase = Phase.confirming
         request.outcome = outcome
         request.position = position
@@ -84,6 +88,19 @@
             else:
                 self._fail(request)
 
+    def _settle_routed(
+        self,
+        request: Request,
+        outcome: Outcome,
+        position: Position | None,
+    ) -> None:
+        """Acknowledge a write whose target refuses writes once it is replaced."""
+        if position is not None:
+            row = self._work.view.groups.get(request.group)
+            term = row.term if row else 0
+            request.session.own_writes[request.group] = OwnWrite(term, position)
+        self._replies.finish(request, outcome)
+
     def _hold(self, group: GroupWork, request: Request) -> None:
         if request.position is None:
             group.unplaced.add(self._work.now, request)
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
@@ -1,6 +1,7 @@
 """Control state as this entry has applied it."""
 
 from bergamotcart import documents
+from bergamotcart.discovery import TargetKey
 from bergamotcart.messages import (
     ControlMemberRow,
     EntryRow,
@@ -71,6 +72,16 @@
             self._policies[caller, group] = policy
         return policy
 
+    def answers_carry_positions(self, group: str) -> bool:
+        """Tell whether the answers of a group's instances carry their positions."""
+        settings = self.document.group(group)
+        return settings is not None and settings.positions is documents.PositionSource.answers
+
+    def is_primary(self, key: TargetKey) -> bool:
+        """Tell whether an instance is the primary of its group."""
+        row = self.groups.get(key.group)
+        return row is not None and row.primary == key.instance
+
     def is_open(self, group: str, term: int | None = None) -> bool:
         """Tell whether a group has a primary that serves, at a term if one is given."""
         row = self.groups.get(group)
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -18,9 +18,11 @@
     RelayPull,
     StateUpdate,
 )
+from bergamotcart.outcomes import Reason
 
 _SWEEP_S = 0.25
 _PRUNE_S = 60.0
+_CLOSE_IDLE_S = 0.05
 
 
 class EntryEngine:
@@ -33,7 +35,7 @@
 
     def __init__(self, config: EntryConfig) -> None:
         """Assemble the systems; nothing happens before the first step."""
-        self._parts = Assembly(config)
+        self._parts = Assembly(config, self._note_update)
         self._work = self._parts.work
         self._is_started = False
         self._is_drained = False
@@ -134,9 +136,23 @@
     def _relayed(self, envelope: Envelope, batch: RelayBatch) -> None:
         self._note_targets(self._parts.relays.take(envelope, batch))
 
+    def _note_update(self, names: list[str]) -> None:
+        """React to a new state: a group may be new, and its targets known already."""
+        self._parts.flow.on_groups(names)
+        unwatched = [
+            target.key
+            for target in self._work.table
+            if self._parts.monitor.get(target.key) is None
+        ]
+        self._note_targets(unwatched)
+
     def _note_targets(self, keys: list[TargetKey]) -> None:
         for key in keys:
             target = self._work.table.get(key)
+            is_routed = self._work.config.targets_announce_to_control
+            if is_routed and self._work.view.document.group(key.group) is None:
+                # Whoever announces itself as part of an unknown group is not to be called.
+                continue
             if target is not None:
                 self._parts.monitor.watch(target)
                 self._parts.flow.on_target(key)
@@ -149,7 +165,11 @@
         policy = self._work.view.policy(opened.caller, opened.group or '')
         limit = policy.max_connections
         session.refused = not self._work.callers.open_connection(opened.caller, limit)
-        sessions.add(session)
+        session.database = opened.database
+        if opened.database is None or self._parts.routed.open(session):
+            sessions.add(session)
+        else:
+            self._work.callers.close_connection(opened.caller)
 
     def _select_group(self, selected: inputs.GroupSelected) -> None:
         session = self._parts.sessions.get(selected.session_id)
@@ -185,8 +205,29 @@
             self._work.draining = True
             self._work.decide('drain', 'begin', 'requested')
             self._parts.control.report_change()
+            self._work.after(requested.notice_s, self._refuse_new)
+            if requested.limit_s is not None:
+                self._work.after(requested.limit_s, self._roll_back_all)
+
+    def _refuse_new(self) -> None:
+        """Take no further work; sessions without any are closed as they become idle."""
+        self._work.refuses_new = True
+        self._close_idle()
+
+    def _close_idle(self) -> None:
+        for session in self._parts.sessions:
+            self._parts.routed.close_idle(session)
+        self._work.after(_CLOSE_IDLE_S, self._close_idle)
+
+    def _roll_back_all(self) -> None:
+        for session in self._parts.sessions:
+            self._parts.systems.transactions.abort(session, Reason.draining.value)
+
+    def _has_begun(self) -> bool:
+        return any(session.begun is not None for session in self._parts.sessions)
 
     def _check_drained(self) -> None:
-        if not len(self._parts.requests) and not self._parts.systems.transactions.count:
+        is_idle = not len(self._parts.requests) and not self._parts.systems.transactions.count
+        if is_idle and self._work.refuses_new and not self._has_begun():
             self._is_drained = True
             self._work.actions.append(Drained())
--- a/packages/bergamotcart/src/bergamotcart/entry/_execution.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_execution.py
@@ -69,9 +69,44 @@
     duplicate = 'duplicate'
 
 
+@dataclass(frozen=True, slots=True)
+class PreparedShape:
+    """A statement that a session has prepared.
+
+    :param name: name on connections to targets, the same for equal statements of all sessions.
+    :param shape: text of the statement.
+    :param read_only: whether it only reads.
+    """
+
+    name: str
+    shape: str
+    read_only: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SessionState:
+    """What a connection must hold before a statement of a session runs on it.
+
+    :param settings: name and value of each session setting, sorted by name.
+    :param prepared: the prepared statement that runs, if any.
+    """
+
+    settings: tuple[tuple[str, str], ...] = ()
+    prepared: PreparedShape | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
-    """One statement of an execution."""
+    """One statement of an execution.
+
+    :param sql: text of the statement; of a prepared one, its arguments.
+    :param floor: position that the instance must have before it runs the statement.
+    :param statement_id: the caller's identifier of the statement, passed on to the target.
+    :param prepared: prepared statement to execute, if it is one.
+    """
 
     kind: StepKind
     sql: str = ''
+    floor: Position | None = None
+    statement_id: str = ''
+    prepared: PreparedShape | None = None
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -11,6 +11,7 @@
     ConnectionUse,
     ExecutionStatus,
     LedgerKey,
+    SessionState,
     Step,
     StepKind,
 )
@@ -122,6 +123,7 @@
                 timeout_s=timeout,
                 ledger=plan.ledger,
                 ledger_retention_s=self._retention(request) if plan.ledger else None,
+                state=_session_state(request),
             )
         )
 
@@ -137,6 +139,8 @@
             self._monitor.note_refused(running.plan.target)
         elif finished.status is ExecutionStatus.lost:
             self._monitor.probe_soon(running.plan.target)
+        elif finished.position is not None:
+            self._monitor.note_answer(running.plan.target, running.started_at, finished.position)
         running.request.execution_id = None
         running.request.phase = Phase.waiting
         running.on_finished(running, finished)
@@ -154,13 +158,17 @@
         """
         is_silent = watched.reachability is Reachability.silent
         for execution_id, running in tuple(self._at_target.get(watched.key, {}).items()):
-            if running.is_single_read or (is_silent and not running.is_pinning):
+            is_given_up = is_silent and not running.is_pinning and running.request.route is None
+            if running.is_single_read or is_given_up:
                 self.finish(_lost(execution_id))
 
     def abandon_term(self, group: str) -> None:
         """Give up the work for a term that is over: none of it can be acknowledged."""
         for execution_id, running in self._of_group(group):
             is_kept = running.is_single_read or running.is_pinning
+            # A routed target refuses by itself what comes after its replacement, so each of
+            # its answers is true.
+            is_kept = is_kept or running.request.route is not None
             if not is_kept and not self._work.view.is_open(group, running.request.term):
                 self.finish(_lost(execution_id))
 
@@ -181,6 +189,12 @@
         ]
 
 
+def _session_state(request: Request) -> SessionState | None:
+    if request.route is None:
+        return None
+    return SessionState(tuple(sorted(request.session.settings.items())), request.prepared)
+
+
 def _lost(execution_id: int) -> ExecutionFinished:
     return ExecutionFinished(
         execution_id=execution_id,
--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -2,15 +2,16 @@
 
 from typing import Final
 
-from bergamotcart.discovery import TargetKey
+from bergamotcart.discovery import Position, TargetKey
 from bergamotcart.entry._confirmations import Confirmations
 from bergamotcart.entry._executions import Executions
+from bergamotcart.entry._groups import GroupWork
 from bergamotcart.entry._lanes import Lane, Lanes
 from bergamotcart.entry._monitor import TargetMonitor, Watched
 from bergamotcart.entry._primary import PrimaryGate
 from bergamotcart.entry._requests import Request
 from bergamotcart.entry._workspace import Workspace
-from bergamotcart.messages import Reachability, TargetRole
+from bergamotcart.messages import GroupPhase, Reachability, TargetRole
 from bergamotcart.outcomes import Reason
 
 # A target that stopped announcing itself is forgotten after this time.
@@ -67,6 +68,18 @@
         if report.role is TargetRole.replica:
             _resume(group.catch_up.pop_reached(report.position))
 
+    def on_answer(self, watched: Watched, sent_at: float, position: Position) -> None:
+        """Use the position that came with an answer of the primary as its head."""
+        key = watched.key
+        view = self._work.view
+        if not (view.is_primary(key) and view.is_open(key.group) and self._work.lease_valid):
+            return
+        group = self._work.groups.get(key.group)
+        # What was sent before this entry learnt of the primary proves nothing of its term.
+        if sent_at >= group.open_since:
+            group.heads.add(sent_at, position)
+            _resume(group.primary_waits.pop_answered(sent_at))
+
     def on_room(self, lane: Lane) -> None:
         """Send what waits for a place at a target."""
         if len(self._work.groups.get(lane.key.group).writes):
@@ -83,10 +96,24 @@
     def on_group(self, name: str) -> None:
         """Route again whatever waits in a group whose row, lease or targets changed."""
         group = self._work.groups.get(name)
+        self._note_term(group)
         self._executions.abandon_term(name)
         self._confirmations.on_group_change(group)
         self._route_again(name)
 
+    def _note_term(self, group: GroupWork) -> None:
+        """Forget the heads of a former primary of a group whose answers carry positions.
+
+        They may include writes that the new primary does not have.
+        """
+        row = self._work.view.groups.get(group.name)
+        if row is None or not self._work.view.answers_carry_positions(group.name):
+            return
+        if row.phase is GroupPhase.open and group.open_term != row.term:
+            group.open_term = row.term
+            group.open_since = self._work.now
+            group.heads.clear()
+
     def on_groups(self, names: list[str]) -> None:
         """React to changed rows of groups."""
         for name in names:
@@ -158,7 +185,15 @@
         row = self._work.view.groups.get(key.group)
         if row is None or report is None or row.primary != key.instance:
             return False
-        if report.role is not TargetRole.primary or report.term != row.term:
+        if report.role is not TargetRole.primary:
+            return False
+        if self._work.view.answers_carry_positions(key.group):
+            # Terms of the group and of its log are not the same there, but the lease tells
+            # that no other instance was promoted.
+            is_late = watched.report_sent_at < self._work.groups.get(key.group).open_since
+            if is_late:
+                return False
+        elif report.term != row.term:
             return False
         return self._work.lease_valid and self._work.view.is_open(key.group)
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_groups.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_groups.py
@@ -83,6 +83,8 @@
     :param catch_up: reads that wait until a replica reaches their floor.
     :param confirming: writes that wait until enough replicas have them.
     :param unplaced: completed writes whose position a probe of the primary must supply.
+    :param open_term: newest term at which this entry knew the group to be open.
+    :param open_since: time at which it learnt that, in seconds.
     """
 
     __slots__ = (
@@ -91,6 +93,8 @@
         'heads',
         'instance_waits',
         'name',
+        'open_since',
+        'open_term',
         'primary_waits',
         'unplaced',
         'writes',
@@ -106,6 +110,8 @@
         self.unplaced = ReportWaits()
         self.instance_waits: dict[TargetKey, ReportWaits] = {}
         self.heads = HeadHistory()
+        self.open_term: int | None = None
+        self.open_since = float('-inf')
 
     def wait_for_instance(self, key: TargetKey, after: float, request: Request) -> None:
         """Let a read wait for the position of an instance after a time."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
@@ -4,9 +4,10 @@
 
 from bergamotcart import messages
 from bergamotcart.actions import MessageReceived
-from bergamotcart.discovery import PositionReport, TargetKey
+from bergamotcart.discovery import Position, PositionReport, TargetKey
 from bergamotcart.entry._execution import ExecutionStatus, LedgerRecord, StepKind
 from bergamotcart.outcomes import RequestResult, TargetError
+from bergamotcart.statements import Statement
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,11 +19,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionOpened:
-    """A caller connected."""
+    """A caller connected.
+
+    :param group: group that the caller selected, if any.
+    :param database: database name of a route that the caller selected instead; the engine
+        answers with ``SessionAnswer``.
+    """
 
     session_id: int
     caller: str
     group: str | None
+    database: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,12 +55,16 @@
     :param sql: the statement as sent, with its comments.
     :param unix_ms: wall clock of the adapter, in milliseconds, against which the issue
         time of a request identifier is checked; ``None`` leaves that check out.
+    :param statement: the statement as the adapter classified it, for sessions of a route.
+    :param statement_id: the caller's identifier of the statement.
     """
 
     request_id: int
     session_id: int
     sql: str
     unix_ms: int | None = None
+    statement: Statement | None = None
+    statement_id: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,6 +74,7 @@
     :param failed_step: kind of the step that failed, if any.
     :param clean: the connection is known to be in a clean state and not in a transaction.
     :param refused: the connection was refused or reset rather than silent.
+    :param position: position of the instance's log that its last answer carried, if any.
     """
 
     execution_id: int
@@ -74,6 +86,7 @@
     record: LedgerRecord | None = None
     clean: bool = True
     refused: bool = False
+    position: Position | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +119,16 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainRequested:
-    """The process is asked to shut down gracefully."""
+    """The process is asked to shut down gracefully.
+
+    :param notice_s: seconds for which new sessions are still served, because the balancer
+        sends them until it has noticed.
+    :param limit_s: seconds after which transactions that are still open are rolled back;
+        ``None`` leaves them their own limits.
+    """
+
+    notice_s: float = 0.0
+    limit_s: float | None = None
 
 
 EntryInput = (
--- a/packages/bergamotcart/src/bergamotcart/entry/_intake.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_intake.py
@@ -8,8 +8,9 @@
 from bergamotcart.entry._floors import FloorKeeper
 from bergamotcart.entry._inputs import RequestArrived
 from bergamotcart.entry._replies import Replies
-from bergamotcart.entry._requests import Phase, Request, RequestSystem, RequestTable
+from bergamotcart.entry._requests import Request, RequestSystem, RequestTable
 from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._routed_intake import RoutedIntake
 from bergamotcart.entry._sessions import Session, SessionTable
 from bergamotcart.entry._systems import Systems
 from bergamotcart.entry._workspace import Workspace
@@ -43,7 +44,16 @@
 class Intake:
     """Checks arriving requests and hands them to their systems."""
 
-    __slots__ = ('_floors', '_replies', '_requests', '_retries', '_sessions', '_systems', '_work')
+    __slots__ = (
+        '_floors',
+        '_replies',
+        '_requests',
+        '_retries',
+        '_routed',
+        '_sessions',
+        '_systems',
+        '_work',
+    )
 
     def __init__(
         self,
@@ -54,6 +64,7 @@
         replies: Replies,
         retries: Retries,
         systems: Systems,
+        routed: RoutedIntake,
     ) -> None:
         """Keep the tables that the checks read."""
         self._work = work
@@ -63,6 +74,7 @@
         self._replies = replies
         self._retries = retries
         self._systems = systems
+        self._routed = routed
 
     def arrive(self, arrived: RequestArrived) -> None:
         """Take a request of a caller."""
@@ -75,6 +87,9 @@
         if self._requests.of_session(session):
             self._answer(arrived, NotRun(Reason.caller_limit, 'one statement at a time'))
             return
+        if arrived.statement is not None:
+            self._routed.arrive(session, arrived, arrived.statement)
+            return
         try:
             sql, directives = extract_directives(arrived.sql)
         except DirectiveError as error:
@@ -99,13 +114,6 @@
         else:
             self._answer(arrived, NotRun(Reason.caller_limit, 'in flight', retry_after=0.1))
 
-    def end_wait(self, request: Request) -> None:
-        """End a request whose deadline is over, unless its execution ends by itself."""
-        if request.phase is Phase.waiting:
-            self._replies.refuse(request, Reason.deadline)
-        elif request.phase is Phase.confirming:
-            self._replies.may_have_run(request, Reason.not_confirmed, 'deadline')
-
     def _answer(self, arrived: RequestArrived, outcome: Outcome) -> None:
         reason = outcome.reason.value
         action = 'answer' if isinstance(outcome, Ran) else 'refuse'
@@ -189,7 +197,7 @@
         self._retries.note_request(request)
         request.deadline_timer = self._work.timers.schedule(
             request.deadline,
-            lambda: self.end_wait(request),
+            lambda: self._replies.end_wait(request),
         )
         kind = request.statement.kind
         if kind in _ENDS:
--- a/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
@@ -9,7 +9,8 @@
     ConnectionQuota,
     FairQueue,
 )
-from bergamotcart.discovery import TargetKey
+from bergamotcart.discovery import KnownTarget, TargetKey
+from bergamotcart.documents import GroupSettings
 from bergamotcart.entry._actions import LimitConnections
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.messages import QuotaUse
@@ -107,7 +108,7 @@
             lent = {TargetKey(quota.group, quota.instance): quota.lent for quota in quotas}
         for target in self._work.table:
             lane = self.get(target.key)
-            lane.base = self._base_quota(target.key, target.announcement.connection_limit)
+            lane.base = self._base_quota(target)
             lane.quota.change_base(lane.base)
             lane.quota.apply_grant(self._work.now, lent.get(target.key, 0))
             self._tell(lane, target.announcement.address)
@@ -131,10 +132,18 @@
             demand=max(in_flight + waiting - own, 0),
         )
 
-    def _base_quota(self, key: TargetKey, connection_limit: int) -> int:
-        settings = self._work.view.document.group(key.group)
-        entries = settings.entries_limit if settings else self._work.view.entries_limit
-        return max(1, connection_limit // entries)
+    def _base_quota(self, target: KnownTarget) -> int:
+        settings = self._work.view.document.group(target.key.group)
+        entries = self._entries(settings)
+        limit = target.announcement.connection_limit
+        if settings is not None and settings.connection_limit is not None:
+            limit = settings.connection_limit
+        return max(1, limit // entries)
+
+    def _entries(self, settings: GroupSettings | None) -> int:
+        if settings is None:
+            return self._work.view.entries_limit
+        return settings.entries_limit or max(len(self._work.view.entries), 1)
 
     def _tell(self, lane: Lane, address: str) -> None:
         limit = lane.quota.limit
--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -15,6 +15,9 @@
 # At nine idle targets, four probes a second each were most of an idle entry's processor time.
 IDLE_PROBE_INTERVAL_S: Final = 1.0
 IDLE_AFTER_S: Final = 10.0
+# A primary whose answers carry positions is probed only if it has not answered for this long;
+# control must hear within about a second that it does not answer any more.
+ANSWERED_PROBE_S: Final = 0.5
 # A replica that answers a waiting probe without progress is not asked in a tight loop.
 _REPEAT_S: Final = 0.005
 # The adapter reports every probe; this covers a report that is lost all the same.
@@ -33,6 +36,8 @@
     :param ended_sent_at: time at which the last probe that ended was sent, in seconds.
     :param needed_after: an answer to a probe sent after this time is waited for.
     :param catch_up_s: smoothed time that the instance needs to reach a position waited for.
+    :param answered_at: time of its last answer of any kind, in seconds.
+    :param position: newest position that an answer to a statement carried.
     """
 
     key: TargetKey
@@ -48,17 +53,21 @@
     needed_after: float = float('-inf')
     catch_up_s: float = _INITIAL_CATCH_UP_S
     timer: Timer | None = None
+    answered_at: float = float('-inf')
+    position: Position | None = None
 
 
 class TargetMonitor:
     """Probes each known target a few times a second, and at once when that is needed.
 
     :param on_report: called with each accepted answer.
+    :param on_answer: called with the position that an answer to a statement carried.
     :param on_change: called when the reachability of a target changes.
     :param wanted: returns the position that requests of a target's group wait for.
     """
 
     __slots__ = (
+        '_on_answer',
         '_on_change',
         '_on_report',
         '_used_at',
@@ -72,12 +81,14 @@
         self,
         work: Workspace,
         on_report: Callable[[Watched, float], None],
+        on_answer: Callable[[Watched, float, Position], None],
         on_change: Callable[[Watched], None],
         wanted: Callable[[TargetKey], Position | None],
     ) -> None:
         """Start without targets."""
         self._work = work
         self._on_report = on_report
+        self._on_answer = on_answer
         self._on_change = on_change
         self._wanted = wanted
         self._watched: dict[TargetKey, Watched] = {}
@@ -121,6 +132,7 @@
         if watched.incarnation != target.announcement.incarnation:
             watched.incarnation = target.announcement.incarnation
             watched.report = None
+            watched.position = None
             self.probe_soon(target.key)
 
     def forget(self, key: TargetKey) -> None:
@@ -134,7 +146,7 @@
         """Probe the targets of a group often while requests come for it."""
         was_idle = self._is_idle(group)
         self._used_at[group] = self._work.now
-        if was_idle:
+        if was_idle and not self._work.view.answers_carry_positions(group):
             for target in self._work.table.of_group(group):
                 self.probe_soon(target.key)
 
@@ -153,6 +165,20 @@
         if watched is not None and not watched.in_flight:
             self._send(watched)
 
+    def note_answer(self, key: TargetKey, sent_at: float, position: Position) -> None:
+        """Take over the position that an answer to a statement carried.
+
+        :param sent_at: time at which the statement was sent, in seconds.
+        """
+        watched = self._watched.get(key)
+        if watched is None:
+            return
+        watched.answered_at = self._work.now
+        if watched.position is None or position > watched.position:
+            watched.position = position
+        self._set_reachability(watched, Reachability.reachable)
+        self._on_answer(watched, sent_at, position)
+
     def note_refused(self, key: TargetKey) -> None:
         """Take over that a connection to a target was refused."""
         watched = self._watched.get(key)
@@ -182,6 +208,7 @@
         progressed = watched.report is None or report.position > watched.report.position
         watched.report = report
         watched.report_sent_at = sent_at
+        watched.answered_at = self._work.now
         self._update_catch_up(watched, report)
         self._set_reachability(watched, Reachability.reachable)
         self._on_report(watched, sent_at)
@@ -216,7 +243,20 @@
         delay = _REPEAT_S if is_wanted else self._interval(watched)
         if watched.timer is not None:
             watched.timer.cancel()
-        watched.timer = self._work.after(delay, lambda: self._send(watched))
+        watched.timer = self._work.after(delay, lambda: self._probe_if_due(watched))
+
+    def _probe_if_due(self, watched: Watched) -> None:
+        """Probe a target unless its answers to statements make that superfluous."""
+        is_answered = watched.reachability is Reachability.reachable
+        if not (is_answered and self._work.view.answers_carry_positions(watched.key.group)):
+            self._send(watched)
+            return
+        due = watched.answered_at + ANSWERED_PROBE_S
+        if self._work.view.is_primary(watched.key) and due <= self._work.now:
+            self._send(watched)
+            return
+        delay = max(due - self._work.now, ANSWERED_PROBE_S / 2)
+        watched.timer = self._work.after(delay, lambda: self._probe_if_due(watched))
 
     def _interval(self, watched: Watched) -> float:
         # A target that does not answer is probed often, so that its return is noticed.
--- a/packages/bergamotcart/src/bergamotcart/entry/_relays.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_relays.py
@@ -1,10 +1,11 @@
 """Relays: pulls the targets of other availability zones from entries there."""
 
+from dataclasses import dataclass
 from typing import Final
 
 from bergamotcart.discovery import PeerSightings, TargetKey, answer_pull
 from bergamotcart.entry._workspace import Workspace
-from bergamotcart.messages import EntryRow, Envelope, RelayBatch, RelayPull
+from bergamotcart.messages import Envelope, RelayBatch, RelayPull
 
 # An announcement is up to 2 s old when it is replaced; with this pause it reaches the
 # other availability zones well before it expires after 3 s.
@@ -15,6 +16,12 @@
 _PEER_STARTS: Final = 1 << 16
 
 
+@dataclass(frozen=True, slots=True)
+class _Peer:
+    name: str
+    address: str
+
+
 class Relays:
     """Pulls from one entry of each other availability zone and answers the pulls of peers."""
 
@@ -48,12 +55,14 @@
         row = self._work.view.entries.get(envelope.sender)
         if row is not None:
             self._answered.add(row.availability_zone)
+        else:
+            self._answered.add(envelope.sender)
         sightings = self._held.expand(envelope, batch)
         return self._work.table.receive_sightings(self._work.now, batch.echo_sent_at, sightings)
 
     def _pull_all(self) -> None:
         self._answered.clear()
-        self._held.keep(set(self._work.view.entries))
+        self._held.keep({row.name for rows in self._peers().values() for row in rows})
         self._note(self._work.now)
         for zone, rows in self._peers().items():
             self._pull(zone, rows)
@@ -71,7 +80,7 @@
             self._next_peer[zone] = self._peer_number(zone) + 1
             self._pull(zone, rows)
 
-    def _pull(self, zone: str, rows: list[EntryRow]) -> None:
+    def _pull(self, zone: str, rows: list[_Peer]) -> None:
         row = rows[self._peer_number(zone) % len(rows)]
         self._work.send(row.name, row.address, self._held.pull(row.name, self._work.now))
 
@@ -85,9 +94,19 @@
         if len(self._sent) > _REMEMBERED_PULLS:
             self._sent.pop(next(iter(self._sent)))
 
-    def _peers(self) -> dict[str, list[EntryRow]]:
-        zones: dict[str, list[EntryRow]] = {}
+    def _peers(self) -> dict[str, list[_Peer]]:
+        """Return where to pull from: one process of each list."""
+        if self._work.config.targets_announce_to_control:
+            return {member.name: [member] for member in self._members()}
+        zones: dict[str, list[_Peer]] = {}
         for row in self._work.view.entries.values():
             if row.availability_zone != self._work.config.availability_zone:
-                zones.setdefault(row.availability_zone, []).append(row)
+                peer = _Peer(row.name, row.address)
+                zones.setdefault(row.availability_zone, []).append(peer)
         return zones
+
+    def _members(self) -> list[_Peer]:
+        rows = self._work.view.members
+        if rows:
+            return [_Peer(row.name, row.address) for row in rows.values()]
+        return [_Peer(name, address) for name, address in self._work.config.control_members]
--- a/packages/bergamotcart/src/bergamotcart/entry/_replies.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replies.py
@@ -1,7 +1,7 @@
 """Replies to callers; exactly one per request."""
 
 from bergamotcart.entry._actions import Reply
-from bergamotcart.entry._requests import Request, RequestTable
+from bergamotcart.entry._requests import Phase, Request, RequestTable
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.outcomes import MayHaveRun, NotRun, Outcome, Reason, TargetError
 
@@ -30,7 +30,8 @@
         if request.queue is not None:
             request.queue.remove(request.request_id)
             request.queue = None
-        self._work.actions.append(Reply(request.request_id, outcome))
+        state = request.session.transaction_state
+        self._work.actions.append(Reply(request.request_id, outcome, state))
 
     def refuse(
         self,
@@ -46,8 +47,18 @@
         else:
             outcome = NotRun(reason, detail, retry_after, error)
         self.report_refusal(request, reason, detail)
+        if request.session.transaction is None:
+            # Its first statement has failed, so the transaction has not begun.
+            request.session.begun = None
         self.finish(request, outcome)
 
+    def end_wait(self, request: Request) -> None:
+        """End a request whose deadline is over, unless its execution ends by itself."""
+        if request.phase is Phase.waiting:
+            self.refuse(request, Reason.deadline)
+        elif request.phase is Phase.confirming:
+            self.may_have_run(request, Reason.not_confirmed, 'deadline')
+
     def may_have_run(self, request: Request, reason: Reason, detail: str = '') -> None:
         """End a request of which it is unknown whether it ran."""
         request.may_have_run = True
@@ -63,5 +74,6 @@
             session=request.session.session_id,
             caller=request.session.caller,
             group=request.group,
+            statement=request.statement_id or None,
             detail='may_have_run' if request.may_have_run else detail,
         )
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -3,12 +3,12 @@
 import abc
 import enum
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bergamotcart import documents
 from bergamotcart.admission import FairQueue
-from bergamotcart.discovery import Position
-from bergamotcart.entry._execution import LedgerKey
+from bergamotcart.discovery import Position, TargetKey
+from bergamotcart.entry._execution import LedgerKey, PreparedShape, Step, StepKind
 from bergamotcart.entry._sessions import Session
 from bergamotcart.entry._timers import Timer
 from bergamotcart.outcomes import Outcome
@@ -47,6 +47,10 @@
     :param queue: fair queue in which it waits, if any.
     :param ticket: changes whenever the request leaves a queue, so that a queue can tell
         that its entry is out of date.
+    :param route: route of the session, if it uses one.
+    :param statement_id: the caller's identifier of the statement.
+    :param prepared: prepared statement that it executes, if any.
+    :param behind: instances that lacked the position which the read needs.
     """
 
     request_id: int
@@ -75,6 +79,25 @@
     queue: FairQueue | None = None
     deadline_timer: Timer | None = None
     wait_timer: Timer | None = None
+    route: documents.Route | None = None
+    statement_id: str = ''
+    prepared: PreparedShape | None = None
+    behind: set[TargetKey] = field(default_factory=set)
+
+    @property
+    def step(self) -> Step:
+        """The step that runs the statement."""
+        return self.step_from(None)
+
+    def step_from(self, floor: Position | None) -> Step:
+        """Return the step that runs the statement once the instance has a position."""
+        return Step(
+            StepKind.statement,
+            self.sql,
+            floor=floor,
+            statement_id=self.statement_id,
+            prepared=self.prepared,
+        )
 
 
 class RequestTable:
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_intake.py
@@ -0,0 +1,234 @@
+"""Arrival of statements in sessions that use a route."""
+
+import hashlib
+from typing import Final
+
+from bergamotcart.documents import ResolvedRoute
+from bergamotcart.entry._actions import CloseSession, Reply, SessionAnswer
+from bergamotcart.entry._execution import PreparedShape
+from bergamotcart.entry._inputs import RequestArrived
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Request, RequestSystem, RequestTable
+from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._sessions import Begun, Session
+from bergamotcart.entry._systems import Systems
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.outcomes import NotRun, Outcome, Ran, Reason
+from bergamotcart.statements import Directives, Statement, StatementKind
+
+_NAME_BYTES: Final = 8
+_NOT_READY_S: Final = 1.0
+_DRAINING_S: Final = 0.1
+_NO_DIRECTIVES: Final = Directives()
+
+
+class RoutedIntake:
+    """Answers what concerns the session alone, and hands the rest to the systems."""
+
+    __slots__ = ('_replies', '_requests', '_retries', '_systems', '_work')
+
+    def __init__(
+        self,
+        work: Workspace,
+        requests: RequestTable,
+        replies: Replies,
+        retries: Retries,
+        systems: Systems,
+    ) -> None:
+        """Keep the tables that the checks read."""
+        self._work = work
+        self._requests = requests
+        self._replies = replies
+        self._retries = retries
+        self._systems = systems
+
+    def open(self, session: Session) -> bool:
+        """Tell a caller whether its database name is served.
+
+        :returns: whether the session may go on.
+        """
+        refusal = self._find_refusal(session)
+        self._work.decide(
+            'sessions',
+            'refuse' if refusal else 'open',
+            refusal.reason.value if refusal else 'route_found',
+            session=session.session_id,
+            detail=session.database or '',
+        )
+        self._work.actions.append(SessionAnswer(session.session_id, refusal))
+        return refusal is None
+
+    def arrive(self, session: Session, arrived: RequestArrived, statement: Statement) -> None:
+        """Take a statement."""
+        outcome = self._serve_locally(session, statement)
+        if outcome is not None:
+            self._answer(session, arrived, statement, outcome)
+            return
+        resolved = self._resolve(session)
+        if isinstance(resolved, NotRun):
+            session.begun = None
+            self._answer(session, arrived, statement, resolved)
+            return
+        request = self._build(session, arrived, statement, resolved)
+        if request is None:
+            refusal = NotRun(Reason.unknown_statement, f'{statement.name} is not prepared')
+            self._answer(session, arrived, statement, refusal)
+            return
+        self._start(request)
+
+    def close_idle(self, session: Session) -> bool:
+        """Ask for the end of a session's connection if nothing is going on in it."""
+        is_busy = session.transaction is not None or session.begun is not None
+        if session.database is None or is_busy or self._requests.of_session(session):
+            return False
+        self._work.actions.append(CloseSession(session.session_id))
+        return True
+
+    def _find_refusal(self, session: Session) -> NotRun | None:
+        if not self._work.lease.confirmed:
+            return NotRun(Reason.not_configured, retry_after=_NOT_READY_S)
+        if self._work.view.document.route(session.database or '') is None:
+            return NotRun(Reason.unknown_group, session.database or '')
+        return None
+
+    def _serve_locally(self, session: Session, statement: Statement) -> Outcome | None:
+        """Answer what no instance has to see, or return ``None``."""
+        kind = statement.kind
+        if session.rolled_back:
+            session.rolled_back = False
+            if kind is StatementKind.rollback:
+                return Ran()
+            return NotRun(Reason.rolled_back, 'the transaction was rolled back', retry_after=0)
+        if kind is StatementKind.refused:
+            return NotRun(Reason.unsupported_statement, statement.detail)
+        if kind is StatementKind.begin:
+            return self._begin(session, statement)
+        if kind is StatementKind.rollback and session.transaction is None:
+            session.begun = None
+            return Ran()
+        if kind is StatementKind.commit and session.transaction is None and session.begun is None:
+            return NotRun(Reason.unsupported_statement, 'no transaction is open')
+        return _change_state(session, statement)
+
+    def _begin(self, session: Session, statement: Statement) -> Outcome:
+        if session.begun is not None or session.transaction is not None:
+            return NotRun(Reason.unsupported_statement, 'a transaction is open')
+        resolved = self._resolve(session)
+        if isinstance(resolved, NotRun):
+            return resolved
+        # It gets a connection with its first statement, so that none is held for nothing.
+        session.begun = Begun(statement.read_only, self._work.now)
+        return Ran()
+
+    def _resolve(self, session: Session) -> ResolvedRoute | NotRun:
+        if session.transaction is not None:
+            resolved = session.transaction_route
+            if resolved is not None:
+                return resolved
+        if self._work.refuses_new:
+            return NotRun(Reason.draining, retry_after=_DRAINING_S)
+        resolved = self._work.view.document.route(session.database or '')
+        if resolved is None:
+            return NotRun(Reason.unknown_group, session.database or '')
+        session.transaction_route = resolved
+        return resolved
+
+    def _build(
+        self,
+        session: Session,
+        arrived: RequestArrived,
+        statement: Statement,
+        resolved: ResolvedRoute,
+    ) -> Request | None:
+        prepared = None
+        text = arrived.sql
+        if statement.kind is StatementKind.execute:
+            prepared = session.prepared.get(statement.name)
+            if prepared is None:
+                return None
+            kind = StatementKind.read if prepared.read_only else StatementKind.write
+            statement = Statement(kind)
+            text = arrived.statement.text if arrived.statement else ''
+        now = self._work.now
+        return Request(
+            request_id=arrived.request_id,
+            session=session,
+            sql=text,
+            statement=statement,
+            directives=_NO_DIRECTIVES,
+            group=resolved.route.group,
+            policy=resolved.policy,
+            arrived_at=now,
+            deadline=now + resolved.route.statement_timeout_s,
+            max_age_s=resolved.policy.max_age_s,
+            repeatable=False,
+            route=resolved.route,
+            statement_id=arrived.statement_id,
+            prepared=prepared,
+        )
+
+    def _start(self, request: Request) -> None:
+        self._requests.add(request)
+        self._work.callers.start_request(request.session.caller, request.policy.max_in_flight)
+        self._retries.note_request(request)
+        request.deadline_timer = self._work.timers.schedule(
+            request.deadline,
+            lambda: self._replies.end_wait(request),
+        )
+        if request.statement.kind is StatementKind.commit and request.session.transaction:
+            self._systems.transactions.commit(request)
+        elif request.statement.kind is StatementKind.rollback:
+            self._systems.transactions.roll_back(request)
+        else:
+            request.system = self._find_system(request)
+            request.system.resume(request)
+
+    def _find_system(self, request: Request) -> RequestSystem:
+        session = request.session
+        is_read = request.statement.kind is StatementKind.read
+        if session.transaction is not None:
+            return self._systems.transactions
+        if session.begun is not None:
+            reads = self._systems.routed_reads
+            return reads if session.begun.read_only else self._systems.transactions
+        return self._systems.routed_reads if is_read else self._systems.writes
+
+    def _answer(
+        self,
+        session: Session,
+        arrived: RequestArrived,
+        statement: Statement,
+        outcome: Outcome,
+    ) -> None:
+        self._work.decide(
+            'requests',
+            'answer' if isinstance(outcome, Ran) else 'refuse',
+            statement.kind.value if isinstance(outcome, Ran) else outcome.reason.value,
+            request=arrived.request_id,
+            session=arrived.session_id,
+            statement=arrived.statement_id,
+        )
+        state = session.transaction_state
+        self._work.actions.append(Reply(arrived.request_id, outcome, state))
+
+
+def _change_state(session: Session, statement: Statement) -> Outcome | None:
+    """Change a session setting or a prepared statement, if the statement does that."""
+    kind, name = statement.kind, statement.name
+    if kind is StatementKind.set_value:
+        session.settings[name] = statement.text
+    elif kind is StatementKind.prepare:
+        session.prepared[name] = _shape_of(statement)
+    elif kind is StatementKind.deallocate:
+        if session.prepared.pop(name, None) is None:
+            return NotRun(Reason.unknown_statement, f'{name} is not prepared')
+    else:
+        return None
+    return Ran()
+
+
+def _shape_of(statement: Statement) -> PreparedShape:
+    """Return a prepared statement under a name that depends on nothing but its text."""
+    mode = 'r' if statement.read_only else 'w'
+    digest = hashlib.blake2s(statement.text.encode(), digest_size=_NAME_BYTES).hexdigest()
+    return PreparedShape(f'{mode}{digest}', statement.text, statement.read_only)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -0,0 +1,218 @@
+"""Reads of routes: any instance serves them that has the position they need.
+
+The position goes with the read, so the instance itself proves that its data is fresh enough.
+"""
+
+from typing import Final
+
+from bergamotcart.discovery import KnownTarget, Position, TargetKey
+from bergamotcart.documents import Consistency
+from bergamotcart.entry._execution import ExecutionStatus
+from bergamotcart.entry._executions import Executions, Plan, Running
+from bergamotcart.entry._inputs import ExecutionFinished
+from bergamotcart.entry._lanes import Lanes
+from bergamotcart.entry._monitor import TargetMonitor
+from bergamotcart.entry._primary import PrimaryGate, QueuedSystem
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Phase, Request
+from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._transactions import TransactionSystem
+from bergamotcart.entry._workspace import Workspace
+from bergamotcart.entry._writes import NOT_RUN_ERRORS
+from bergamotcart.outcomes import ErrorKind, Ran, Reason
+from bergamotcart.routing import InstanceChoice, choose_instance
+
+# Waits for something other than the answer to a probe; see ``ReportWaits``.
+_ANY_CHANGE: Final = float('inf')
+
+
+class RoutedReads(QueuedSystem):
+    """Serves the reads and the read-only transactions of routes."""
+
+    __slots__ = (
+        '_executions',
+        '_gate',
+        '_lanes',
+        '_monitor',
+        '_replies',
+        '_retries',
+        '_transactions',
+        '_work',
+    )
+
+    def __init__(
+        self,
+        work: Workspace,
+        lanes: Lanes,
+        monitor: TargetMonitor,
+        gate: PrimaryGate,
+        executions: Executions,
+        transactions: TransactionSystem,
+        retries: Retries,
+        replies: Replies,
+    ) -> None:
+        """Keep the tables that routing reads."""
+        self._work = work
+        self._lanes = lanes
+        self._monitor = monitor
+        self._gate = gate
+        self._executions = executions
+        self._transactions = transactions
+        self._retries = retries
+        self._replies = replies
+
+    def resume(self, request: Request) -> None:
+        """Route a read, or let it wait for what it lacks."""
+        if request.done or request.phase is not Phase.waiting or request.route is None:
+            return
+        if request.queue is not None:
+            request.queue.remove(request.request_id)
+            request.queue = None
+        request.ticket += 1
+        if request.route.consistency is Consistency.primary:
+            self._gate.enqueue(request)
+            return
+        floor = self._floor(request)
+        if floor is None:
+            self._wait_for_head(request)
+        else:
+            self._route(request, floor)
+
+    def dispatch(self, request: Request, target: TargetKey) -> None:
+        """Send a read to the primary, which needs no position."""
+        self._send(request, target, None, 'primary_only')
+
+    def _floor(self, request: Request) -> Position | None:
+        """Return the position that the read needs, or ``None`` if no known head proves one.
+
+        The lowest head that is young enough is best, since most replicas have it already.
+        """
+        row = self._work.view.groups.get(request.group)
+        heads = self._work.groups.get(request.group).heads
+        begun = request.session.begun
+        since = request.arrived_at if begun is None else begun.at
+        head = heads.first_since(since - (request.max_age_s or 0))
+        own = request.session.own_writes.get(request.group)
+        if head is None or own is None or row is None:
+            return head
+        if own.term == row.term:
+            return max(head, own.position)
+        # Heads of the present term include whatever the change of primary has kept.
+        return heads.newest
+
+    def _wait_for_head(self, request: Request) -> None:
+        row = self._work.view.groups.get(request.group)
+        if self._gate.is_cut_off:
+            self._replies.refuse(request, Reason.floor_unknown, retry_after=1.0)
+            return
+        oldest = request.arrived_at - (request.max_age_s or 0)
+        self._work.groups.get(request.group).primary_waits.add(oldest, request)
+        if row is not None and row.primary is not None:
+            self._monitor.need_report_after(TargetKey(request.group, row.primary), oldest)
+
+    def _route(self, request: Request, floor: Position) -> None:
+        choices = [
+            choice
+            for target in self._work.table.of_group(request.group)
+            if (choice := self._choice(request, target, floor)) is not None
+        ]
+        chosen = choose_instance(choices)
+        if chosen is None:
+            self._work.groups.get(request.group).primary_waits.add(_ANY_CHANGE, request)
+            return
+        self._send(request, chosen.key, floor, chosen.reason)
+
+    def _choice(
+        self,
+        request: Request,
+        target: KnownTarget,
+        floor: Position,
+    ) -> InstanceChoice | None:
+        key = target.key
+        watched = self._monitor.get(key)
+        if watched is None or not self._monitor.is_reachable(key):
+            return None
+        if not self._work.table.takes_new_work(key, self._work.now):
+            return None
+        is_primary = self._work.view.is_primary(key)
+        # Without a lease this entry may not know of a later primary, but the position that
+        # the read needs protects it there as well.
+        has_floor = watched.position is not None and watched.position >= floor
+        return InstanceChoice(
+            key=key,
+            own_zone=target.announcement.availability_zone == self._work.config.availability_zone,
+            is_primary=is_primary,
+            has_floor=has_floor or is_primary,
+            was_behind=key in request.behind,
+            load=self._lanes.get(key).load,
+        )
+
+    def _send(
+        self,
+        request: Request,
+        key: TargetKey,
+        floor: Position | None,
+        reason: str,
+    ) -> None:
+        lane = self._lanes.get(key)
+        if not lane.has_room:
+            self._gate.queues.put(lane.queue, request)
+            return
+        row = self._work.view.groups.get(request.group)
+        request.term = row.term if row else 0
+        self._work.decide(
+            'routing',
+            'send_read',
+            reason,
+            request=request.request_id,
+            session=request.session.session_id,
+            group=request.group,
+            target=key.instance,
+            term=request.term,
+            statement=request.statement_id,
+            detail='' if floor is None else f'floor {floor.log_term}.{floor.position}',
+        )
+        if request.session.begun is not None:
+            self._transactions.start_at(request, key, floor)
+            return
+        step = request.step_from(floor)
+        is_primary = self._work.view.is_primary(key)
+        self._executions.start(request, Plan(key, (step,), is_read=is_primary), self._finish)
+
+    def _finish(self, running: Running, finished: ExecutionFinished) -> None:
+        request = running.request
+        if request.done:
+            return
+        status, error = finished.status, finished.error
+        if status is ExecutionStatus.completed:
+            self._complete(running, finished)
+        elif status is ExecutionStatus.not_sent:
+            self._retries.retry(request, Reason.target_unreachable, was_sent=False)
+        elif error is not None and error.kind in NOT_RUN_ERRORS:
+            self._retry_elsewhere(running, error.kind)
+        elif error is not None:
+            self._replies.finish(request, Ran(None, Reason.target_error, error))
+        else:
+            self._retries.retry(request, Reason.connection_lost)
+
+    def _complete(self, running: Running, finished: ExecutionFinished) -> None:
+        request = running.request
+        needs_primary = running.plan.steps[0].floor is None
+        if needs_primary and not self._work.view.is_open(request.group, request.term):
+            # The instance may have been replaced before it ran the read.
+            self._retries.retry(request, Reason.group_not_open)
+            return
+        self._replies.finish(request, Ran(finished.result))
+
+    def _retry_elsewhere(self, running: Running, kind: ErrorKind) -> None:
+        request = running.request
+        if kind is ErrorKind.behind:
+            request.behind.add(running.plan.target)
+            if len(request.behind) == 1:
+                # Another instance probably has the position, the primary certainly.
+                request.phase = Phase.waiting
+                self.resume(request)
+                return
+        reason = Reason.replica_behind if kind is ErrorKind.behind else Reason.target_busy
+        self._retries.retry(request, reason, was_sent=False)
+
--- a/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
@@ -1,10 +1,13 @@
 """Sessions of callers, what they have seen, and their open transactions."""
 
 import enum
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from bergamotcart.discovery import Position, TargetKey
-from bergamotcart.entry._execution import LedgerKey
+from bergamotcart.documents import ResolvedRoute
+from bergamotcart.entry._actions import TransactionState
+from bergamotcart.entry._execution import LedgerKey, PreparedShape
 from bergamotcart.entry._timers import Timer
 from bergamotcart.sessions import Floors
 
@@ -37,6 +40,9 @@
 
     :param term: term of the group when it began.
     :param ledger: identifier under which its outcome is recorded, if any.
+    :param is_routed: whether the target itself refuses its statements once it is replaced,
+        so that no lease is needed to go on.
+    :param has_written: whether a write was sent in it.
     """
 
     target: TargetKey
@@ -46,6 +52,30 @@
     phase: TransactionPhase = TransactionPhase.opening
     limit_timer: Timer | None = None
     idle_timer: Timer | None = None
+    is_routed: bool = False
+    has_written: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """A transaction that a caller has begun and that has no connection yet.
+
+    :param at: time at which it began, in seconds.
+    """
+
+    read_only: bool
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class OwnWrite:
+    """Position of the newest write of a session.
+
+    :param term: term of the group at the time.
+    """
+
+    term: int
+    position: Position
 
 
 @dataclass(slots=True)
@@ -57,6 +87,12 @@
     :param refused: set when the caller has too many connections.
     :param rolled_back: set when a transaction was rolled back by the proxy; its remaining
         statements must not run on their own.
+    :param database: name of the route that the caller selected, if it uses one.
+    :param settings: session settings that the caller has set.
+    :param prepared: statements that the caller has prepared, by the caller's names.
+    :param begun: transaction that begins with its first statement.
+    :param transaction_route: route of the newest statement; an open transaction keeps it.
+    :param own_writes: newest write per group, for sessions of a route.
     """
 
     session_id: int
@@ -71,6 +107,20 @@
     floors: Floors = field(default_factory=Floors)
     seeds: dict[str, Position] = field(default_factory=dict)
     last_reads: dict[str, LastRead] = field(default_factory=dict)
+    database: str | None = None
+    settings: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, PreparedShape] = field(default_factory=dict)
+    begun: Begun | None = None
+    transaction_route: ResolvedRoute | None = None
+    own_writes: dict[str, OwnWrite] = field(default_factory=dict)
+
+    @property
+    def transaction_state(self) -> TransactionState:
+        """State of the session's transaction, as the caller is told."""
+        if self.rolled_back:
+            return TransactionState.failed
+        is_open = self.begun is not None or self.transaction is not None
+        return TransactionState.open if is_open else TransactionState.none
 
 
 class SessionTable:
@@ -86,6 +136,10 @@
         """Return the number of open sessions."""
         return len(self._sessions)
 
+    def __iter__(self) -> Iterator[Session]:
+        """Iterate over the open sessions."""
+        return iter(tuple(self._sessions.values()))
+
     def get(self, session_id: int) -> Session | None:
         """Return a session, or ``None`` if it is closed."""
         return self._sessions.get(session_id)
--- a/packages/bergamotcart/src/bergamotcart/entry/_systems.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_systems.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from bergamotcart.entry._reads import ReadSystem
+from bergamotcart.entry._routed_reads import RoutedReads
 from bergamotcart.entry._tokens import TokenSystem
 from bergamotcart.entry._transactions import TransactionSystem
 from bergamotcart.entry._writes import WriteSystem
@@ -16,3 +17,4 @@
     writes: WriteSystem
     transactions: TransactionSystem
     tokens: TokenSystem
+    routed_reads: RoutedReads
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -1,8 +1,9 @@
 """Transactions on pinned connections."""
 
+from dataclasses import replace
 from typing import Final
 
-from bergamotcart.discovery import TargetKey
+from bergamotcart.discovery import Position, TargetKey
 from bergamotcart.entry._actions import ReleasePin
 from bergamotcart.entry._confirmations import Confirmations
 from bergamotcart.entry._execution import ConnectionUse, ExecutionStatus, Step, StepKind
@@ -20,16 +21,26 @@
     COMMIT,
     LEDGER_INSERT,
     LEDGER_RECORD,
+    NOT_RUN_ERRORS,
     POSITION,
-    READ_ONLY_ERRORS,
     ROLLBACK,
     recorded_outcome,
+    reported_position,
+)
+from bergamotcart.outcomes import (
+    ErrorKind,
+    NotRun,
+    Outcome,
+    Ran,
+    Reason,
+    RequestResult,
+    TargetError,
 )
-from bergamotcart.outcomes import NotRun, Ran, Reason, RequestResult
 from bergamotcart.statements import StatementKind
 
-# The target has rolled back the whole transaction after a deadlock.
-_ROLLED_BACK_ERRORS: Final = READ_ONLY_ERRORS | {1213}
+# After these errors, nothing of the transaction is left.
+_ROLLED_BACK_ERRORS: Final = frozenset((ErrorKind.read_only, ErrorKind.rolled_back))
+_BEGIN_READ: Final = Step(StepKind.begin, 'BEGIN READ')
 
 
 class TransactionSystem(QueuedSystem):
@@ -80,14 +91,28 @@
 
     def dispatch(self, request: Request, target: TargetKey) -> None:
         """Pin a connection to the primary and begin a transaction on it."""
+        self.start_at(request, target, None)
+
+    def start_at(self, request: Request, target: TargetKey, floor: Position | None) -> None:
+        """Pin a connection to an instance and begin a transaction on it.
+
+        :param floor: position that the instance must have when the transaction begins.
+        """
         transaction = Transaction(target, request.term, request.group, request.ledger)
+        transaction.is_routed = request.route is not None
+        begun = request.session.begun
         request.session.transaction = transaction
         self._open += 1
         steps: tuple[Step, ...] = (BEGIN,)
+        if begun is not None and begun.read_only:
+            steps = (replace(_BEGIN_READ, floor=floor),)
         if request.ledger is not None:
             steps = (BEGIN, LEDGER_INSERT)
-        if request.statement.kind is not StatementKind.begin:
-            steps = (*steps, Step(StepKind.statement, request.sql))
+        if request.statement.kind is StatementKind.commit:
+            steps = (*steps, replace(COMMIT, statement_id=request.statement_id))
+        elif request.statement.kind is not StatementKind.begin:
+            steps = (*steps, request.step)
+            transaction.has_written = request.statement.kind is StatementKind.write
         plan = Plan(target, steps, ConnectionUse.pin, request.ledger)
         self._executions.start(request, plan, self._finish_begin)
 
@@ -124,6 +149,8 @@
         request.term = transaction.term
         request.ledger = transaction.ledger
         steps = (COMMIT, POSITION)
+        if transaction.is_routed:
+            steps = (replace(COMMIT, statement_id=request.statement_id),)
         if transaction.ledger is not None:
             steps = (LEDGER_RECORD, COMMIT, POSITION)
         plan = Plan(transaction.target, steps, ConnectionUse.unpin, transaction.ledger)
@@ -172,8 +199,9 @@
             return
         if self._may_continue(request, transaction):
             self._report(request, transaction)
-            steps = (Step(StepKind.statement, request.sql),)
-            plan = Plan(transaction.target, steps, ConnectionUse.pinned)
+            is_write = request.statement.kind is StatementKind.write
+            transaction.has_written = transaction.has_written or is_write
+            plan = Plan(transaction.target, (request.step,), ConnectionUse.pinned)
             self._executions.start(request, plan, self._finish_statement)
 
     def _may_continue(self, request: Request, transaction: Transaction) -> bool:
@@ -182,7 +210,7 @@
             self._replies.refuse(request, Reason.rolled_back, 'the transaction is not open')
             return False
         is_open = self._work.view.is_open(transaction.group, transaction.term)
-        if self._work.lease_valid and is_open:
+        if transaction.is_routed or (self._work.lease_valid and is_open):
             if transaction.idle_timer is not None:
                 transaction.idle_timer.cancel()
             return True
@@ -203,7 +231,9 @@
             self._end(session, transaction)
         if request.done:
             return
-        if finished.status is ExecutionStatus.duplicate:
+        if transaction is not None and transaction.is_routed:
+            self._finish_routed_begin(request, finished, transaction)
+        elif finished.status is ExecutionStatus.duplicate:
             self._answer_recorded(request, finished)
         elif finished.status is ExecutionStatus.target_error:
             self._replies.refuse(request, Reason.target_error, error=finished.error)
@@ -213,6 +243,24 @@
             was_sent = finished.status is not ExecutionStatus.not_sent
             self._retries.retry(request, Reason.connection_lost, was_sent=was_sent)
 
+    def _finish_routed_begin(
+        self,
+        request: Request,
+        finished: ExecutionFinished,
+        transaction: Transaction,
+    ) -> None:
+        """Begin again elsewhere after a failure, unless the caller must be told of it."""
+        error = finished.error
+        if finished.failed_step is StepKind.commit:
+            self._finish_unanswered_commit(request, finished, transaction)
+        elif error is not None and error.kind not in NOT_RUN_ERRORS:
+            request.session.begun = None
+            self._replies.finish(request, _failed(error))
+        else:
+            reason = Reason.connection_lost if error is None else Reason.target_busy
+            was_sent = finished.status is not ExecutionStatus.not_sent
+            self._retries.retry(request, reason, was_sent=was_sent)
+
     def _opened(
         self,
         request: Request,
@@ -220,6 +268,11 @@
         transaction: Transaction,
         finished: ExecutionFinished,
     ) -> None:
+        if request.statement.kind is StatementKind.commit:
+            self._end(session, transaction)
+            session.begun = None
+            self._committed(request, finished)
+            return
         transaction.phase = TransactionPhase.open
         transaction.limit_timer = self._work.after(
             request.policy.transaction_limit_s,
@@ -246,6 +299,8 @@
         if request.done:
             return
         if transaction is None:
+            if request.route is not None:
+                session.rolled_back = False
             self._replies.refuse(request, Reason.rolled_back)
         elif finished.status is ExecutionStatus.completed:
             self._note_statement(request, transaction)
@@ -253,21 +308,29 @@
         elif finished.status is ExecutionStatus.target_error:
             self._note_statement(request, transaction)
             self._check_error(session, finished)
+            if transaction.is_routed and finished.error is not None:
+                self.abort(session, Reason.target_error.value)
+                session.rolled_back = False
+                self._replies.finish(request, _failed(finished.error))
+                return
             self._replies.refuse(request, Reason.target_error, error=finished.error)
         else:
             # COMMIT was not sent, so the target rolls back what the statement did.
             self.abort(session, Reason.connection_lost.value)
+            if transaction.is_routed:
+                session.rolled_back = False
             self._replies.refuse(request, Reason.rolled_back, 'connection lost')
 
     def _check_error(self, session: Session, finished: ExecutionFinished) -> None:
-        if finished.error is not None and finished.error.code in _ROLLED_BACK_ERRORS:
+        if finished.error is not None and finished.error.kind in _ROLLED_BACK_ERRORS:
             self.abort(session, 'target_error')
 
     def _finish_commit(self, running: Running, finished: ExecutionFinished) -> None:
         request = running.request
         session = request.session
-        if session.transaction:
-            self._end(session, session.transaction)
+        transaction = session.transaction
+        if transaction:
+            self._end(session, transaction)
         if request.done:
             return
         status, step = finished.status, finished.failed_step
@@ -275,7 +338,9 @@
             self._committed(request, finished)
             return
         self._work.actions.append(ReleasePin(session.session_id))
-        if status is ExecutionStatus.not_sent or step is StepKind.ledger_record:
+        if transaction is not None and transaction.is_routed:
+            self._finish_unanswered_commit(request, finished, transaction)
+        elif status is ExecutionStatus.not_sent or step is StepKind.ledger_record:
             self._replies.refuse(request, Reason.rolled_back, error=finished.error)
         elif request.ledger is None:
             self._replies.may_have_run(request, Reason.connection_lost)
@@ -284,8 +349,24 @@
             request.system = self._checks
             self._retries.retry(request, Reason.connection_lost)
 
+    def _finish_unanswered_commit(
+        self,
+        request: Request,
+        finished: ExecutionFinished,
+        transaction: Transaction,
+    ) -> None:
+        """Tell the caller of a failed COMMIT; only a write can have been kept by it."""
+        request.session.begun = None
+        error = finished.error
+        was_refused = error is not None and error.kind is not ErrorKind.ran
+        was_sent = finished.status is not ExecutionStatus.not_sent
+        if was_sent and not was_refused and transaction.has_written:
+            self._replies.may_have_run(request, Reason.connection_lost)
+        else:
+            self._replies.refuse(request, Reason.rolled_back, error=error)
+
     def _committed(self, request: Request, finished: ExecutionFinished) -> None:
-        position = finished.report.position if finished.report else None
+        position = reported_position(finished)
         if position is not None:
             request.session.last_reads.pop(request.group, None)
         request.system = self._checks
@@ -324,8 +405,17 @@
 
     def _end(self, session: Session, transaction: Transaction) -> None:
         session.transaction = None
+        if transaction.phase is not TransactionPhase.opening:
+            session.begun = None
         self._open -= 1
         for timer in (transaction.limit_timer, transaction.idle_timer):
             if timer is not None:
                 timer.cancel()
         self._executions.release_pin(transaction.target)
+
+
+def _failed(error: TargetError) -> Outcome:
+    """Return what a caller is told of a target's error inside a transaction."""
+    if error.kind is ErrorKind.ran:
+        return Ran(None, Reason.target_error, error)
+    return NotRun(Reason.rolled_back, error.message, error=error)
--- a/packages/bergamotcart/src/bergamotcart/entry/_workspace.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_workspace.py
@@ -27,6 +27,7 @@
         'lease',
         'now',
         'random',
+        'refuses_new',
         'table',
         'timers',
         'view',
@@ -37,6 +38,7 @@
         self.config = config
         self.now = 0.0
         self.draining = False
+        self.refuses_new = False
         self.actions: list[EntryAction] = []
         self.timers = Timers()
         self.random = random.Random(config.seed)
--- a/packages/bergamotcart/src/bergamotcart/entry/_writes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_writes.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
-from bergamotcart.discovery import TargetKey
+from bergamotcart.discovery import Position, TargetKey
 from bergamotcart.entry._execution import ExecutionStatus, LedgerRecord, Step, StepKind
 from bergamotcart.entry._executions import Plan, Running
 from bergamotcart.entry._inputs import ExecutionFinished
 from bergamotcart.entry._primary_system import PrimarySystem
 from bergamotcart.entry._requests import Request
-from bergamotcart.outcomes import NotRun, Outcome, Ran, Reason, RequestResult
+from bergamotcart.outcomes import ErrorKind, NotRun, Outcome, Ran, Reason, RequestResult
 
 BEGIN: Final = Step(StepKind.begin, 'BEGIN')
 COMMIT: Final = Step(StepKind.commit, 'COMMIT')
@@ -17,8 +17,16 @@
 LEDGER_RECORD: Final = Step(StepKind.ledger_record)
 POSITION: Final = Step(StepKind.position)
 
-# An instance that became a replica refuses writes with one of these MySQL error numbers.
-READ_ONLY_ERRORS: Final = frozenset((1290, 1836))
+# After these errors, the statement has certainly not run, and another attempt may succeed.
+NOT_RUN_ERRORS: Final = frozenset(
+    (
+        ErrorKind.read_only,
+        ErrorKind.not_run,
+        ErrorKind.behind,
+        ErrorKind.busy,
+        ErrorKind.wrong_instance,
+    )
+)
 # From these steps on, the transaction may have been committed.
 _COMMIT_SENT: Final = frozenset((StepKind.commit, StepKind.position))
 # When one of these fails, the transaction holds its ledger row, so no other has run.
@@ -32,8 +40,9 @@
 
     def dispatch(self, request: Request, target: TargetKey) -> None:
         """Send a write to the primary."""
-        statement = Step(StepKind.statement, request.sql)
-        steps: tuple[Step, ...] = (statement, POSITION)
+        statement = request.step
+        # Answers to the statements of a route carry the position.
+        steps: tuple[Step, ...] = (statement, POSITION) if request.route is None else (statement,)
         if request.ledger is not None:
             steps = (BEGIN, LEDGER_INSERT, statement, LEDGER_RECORD, COMMIT, POSITION)
         plan = Plan(target, steps, ledger=request.ledger)
@@ -58,8 +67,7 @@
         outcome = Ran(finished.result)
         if finished.result is None:
             outcome = Ran(None, Reason.answer_lost)
-        position = finished.report.position if finished.report else None
-        self._confirmations.begin(request, outcome, position)
+        self._confirmations.begin(request, outcome, reported_position(finished))
 
     def _answer_recorded(self, request: Request, finished: ExecutionFinished) -> None:
         outcome = recorded_outcome(request, finished.record)
@@ -81,8 +89,10 @@
             # The row of an earlier attempt would have been found, so none has run.
             request.may_have_run = False
         error = finished.error
-        if error is not None and error.code in READ_ONLY_ERRORS:
-            self._retries.retry(request, Reason.group_not_open)
+        if error is not None and error.kind in NOT_RUN_ERRORS:
+            self._retries.retry(request, Reason.group_not_open, was_sent=request.route is None)
+        elif error is not None and error.kind is ErrorKind.ran:
+            self._replies.finish(request, Ran(None, Reason.target_error, error))
         else:
             self._replies.refuse(request, Reason.target_error, error=error)
 
@@ -96,6 +106,13 @@
             self._replies.refuse(request, Reason.connection_lost)
 
 
+def reported_position(finished: ExecutionFinished) -> Position | None:
+    """Return the position after an execution, if the target has told it."""
+    if finished.report is not None:
+        return finished.report.position
+    return finished.position
+
+
 def recorded_outcome(request: Request, record: LedgerRecord | None) -> Outcome:
     """Return the outcome that the ledger holds for an identifier.
 
--- a/packages/bergamotcart/src/bergamotcart/messages/_control.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_control.py
@@ -29,6 +29,8 @@
     :param primary: instance that takes writes; ``None`` before the first placement.
     :param branch_points: (log term, highest position kept of that term) for each ended term.
     :param modified_index: log index of the last change of this row.
+    :param decided_by: control member that decided on the primary, if an authority promotes it.
+    :param decided_in: control term in which it decided.
     """
 
     name: str
@@ -38,6 +40,8 @@
     branch_points: tuple[tuple[int, int], ...] = ()
     read_only: bool = False
     modified_index: int = 0
+    decided_by: str = ''
+    decided_in: int = 0
 
 
 class SectionRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/bergamotcart/src/bergamotcart/messages/_discovery.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_discovery.py
@@ -24,6 +24,8 @@
     :param slots: statements that it executes at the same time.
     :param connection_limit: open client connections that it accepts.
     :param echo: clock value that the receiving entry answered last, or ``None``.
+    :param started_at_ms: time of this start, in Unix milliseconds on the instance's clock; 0 if
+        it does not say. The later one of two starts of an instance counts.
     """
 
     group: str
@@ -42,6 +44,7 @@
     leaving: bool = False
     following: str | None = None
     echo: float | None = None
+    started_at_ms: int = 0
 
 
 class Sighting(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/bergamotcart/src/bergamotcart/outcomes/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/outcomes/__init__.py
@@ -1,6 +1,7 @@
 """Outcomes of requests, tagged with a verdict on whether the request may have run."""
 
 from bergamotcart.outcomes._verdicts import (
+    ErrorKind,
     MayHaveRun,
     NotRun,
     Outcome,
@@ -11,6 +12,7 @@
 )
 
 __all__ = (
+    'ErrorKind',
     'MayHaveRun',
     'NotRun',
     'Outcome',
--- a/packages/bergamotcart/src/bergamotcart/routing/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/routing/__init__.py
@@ -4,10 +4,12 @@
     CATCH_UP,
     PRIMARY_BUSY,
     Candidate,
+    InstanceChoice,
     PrimaryState,
     ReadNeed,
     Route,
     RouteAction,
+    choose_instance,
     choose_route,
 )
 
@@ -15,9 +17,11 @@
     'CATCH_UP',
     'PRIMARY_BUSY',
     'Candidate',
+    'InstanceChoice',
     'PrimaryState',
     'ReadNeed',
     'Route',
     'RouteAction',
+    'choose_instance',
     'choose_route',
 )
--- a/packages/bergamotcart/src/bergamotcart/routing/_choice.py
+++ b/packages/bergamotcart/src/bergamotcart/routing/_choice.py
@@ -11,6 +11,13 @@
 # only when that one has this many more statements per allowed connection.
 _OTHER_ZONE_LOAD: Final = 1.0
 
+# Writes have nowhere else to go, so a read takes the primary only if replicas have this many
+# more statements per allowed connection.
+_PRIMARY_LOAD: Final = 0.5
+# A refused read costs a round trip, which is about as much as the way to another zone.
+_UNPROVED_LOAD: Final = 0.75
+_BEHIND_LOAD: Final = 10.0
+
 # Reasons for a wait: a replica will catch up soon; the reads' share of the primary is used up.
 CATCH_UP: Final = 'catch_up'
 PRIMARY_BUSY: Final = 'primary_protected'
@@ -134,3 +141,46 @@
     if expected < need.wait_left_s:
         return Route(RouteAction.wait, CATCH_UP, wait_s=need.wait_left_s)
     return Route(RouteAction.primary, 'replicas_behind')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceChoice:
+    """An instance that may serve a read together with the position that it must have.
+
+    :param has_floor: whether it is known to have that position.
+    :param was_behind: whether it has refused this read because it lacked the position.
+    :param load: statements running and queued per allowed connection.
+    """
+
+    key: TargetKey
+    own_zone: bool
+    is_primary: bool
+    has_floor: bool
+    was_behind: bool
+    load: float
+
+    @property
+    def reason(self) -> str:
+        """Why it is a good choice, for the log."""
+        if self.is_primary:
+            return 'primary'
+        return 'own_zone' if self.own_zone else 'other_zone'
+
+    @property
+    def cost(self) -> float:
+        """What speaks against it; the lowest cost is chosen."""
+        cost = self.load if self.own_zone else self.load + _OTHER_ZONE_LOAD
+        if self.is_primary:
+            cost += _PRIMARY_LOAD
+        if not self.has_floor:
+            cost += _UNPROVED_LOAD
+        return cost + _BEHIND_LOAD * self.was_behind
+
+
+def choose_instance(choices: Sequence[InstanceChoice]) -> InstanceChoice | None:
+    """Choose the instance for a read that carries the position it needs.
+
+    :param choices: instances that take new work.
+    :returns: the choice, or ``None`` if there is none.
+    """
+    return min(choices, key=lambda choice: (choice.cost, choice.key), default=None)
--- a/packages/bergamotcart/src/bergamotcart/statements/_classify.py
+++ b/packages/bergamotcart/src/bergamotcart/statements/_classify.py
@@ -93,6 +93,10 @@
     session_command = 'session_command'
     show_session = 'show_session'
     use = 'use'
+    set_value = 'set_value'
+    prepare = 'prepare'
+    execute = 'execute'
+    deallocate = 'deallocate'
     empty = 'empty'
     refused = 'refused'
 
@@ -103,11 +107,18 @@
 
     :param transactional: whether it may run inside a transaction without ending it.
     :param detail: name of the group for ``use``, cause for ``refused``.
+    :param name: name of the session value or of the prepared statement.
+    :param text: value of the session value, shape of a statement to prepare, or arguments of
+        one to execute.
+    :param read_only: whether a transaction, or a statement to prepare, only reads.
     """
 
     kind: StatementKind
     transactional: bool = True
     detail: str = ''
+    name: str = ''
+    text: str = ''
+    read_only: bool = False
 
 
 @functools.lru_cache(maxsize=_CACHED_STATEMENTS)
