--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -25,8 +25,8 @@
 from bergamotcart_daemon.callers._connection import CallerConnection
 from bergamotcart_daemon.callers._reader import CallerReader
 from bergamotcart_daemon.callers._session import AnyCaller, CallerSession, StatementHandler
+from bergamotcart_daemon.entry import CallerFrontend
 from bergamotcart_daemon.metrics import Metrics
-from bergamotcart_daemon.runtime import CallerFrontend
 
 # Callers of a whole VM may reconnect at once when another proxy leaves.
 _BACKLOG: Final = 1024
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/__init__.py
@@ -0,0 +1,6 @@
+"""The process of the role control."""
+
+from bergamotcart_daemon.control._adapters import ControlAdapters
+from bergamotcart_daemon.control._daemon import ControlDaemon
+
+__all__ = ('ControlAdapters', 'ControlDaemon')
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_adapters.py
@@ -0,0 +1,41 @@
+"""The outside protocols of a control member, which an embedder may replace."""
+
+import abc
+from collections.abc import Callable
+
+from aiohttp import web
+from mode import Service
+
+from bergamotcart.control import ControlInput
+from bergamotcart_daemon.operators import OperatorGateway
+from bergamotcart_daemon.orders import TargetAdmin
+
+
+class ControlAdapters(abc.ABC):
+    """Builds the outside protocols of a control member."""
+
+    @abc.abstractmethod
+    def build_admin(self) -> TargetAdmin:
+        """Build what sends orders to targets."""
+
+    @abc.abstractmethod
+    def build_operators(
+        self,
+        gateway: OperatorGateway,
+        read_leader: Callable[[], str | None],
+    ) -> tuple[tuple[Service, ...], tuple[web.RouteDef, ...]]:
+        """Build the operators' interface.
+
+        :param gateway: passes requests to the engine.
+        :param read_leader: returns the name of the leader, if it is known.
+        :returns: services to start after the engine, and routes of the HTTP server.
+        """
+
+    def build_services(
+        self,
+        gateway: OperatorGateway,
+        read_leader: Callable[[], str | None],
+        submit: Callable[[ControlInput], None],
+    ) -> tuple[Service, ...]:
+        """Build further services, which start after the engine."""
+        return ()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_control.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
@@ -12,15 +12,15 @@
 from bergamotcart.control._engine import ControlEngine
 from bergamotcart_daemon import storage
 from bergamotcart_daemon.addresses import AddressTranslation
-from bergamotcart_daemon.http import Health, HttpServer, OperatorGateway
+from bergamotcart_daemon.control._adapters import ControlAdapters
+from bergamotcart_daemon.control._writer import BatchWriter
+from bergamotcart_daemon.http import Health, HttpServer
 from bergamotcart_daemon.logs import DecisionLog
 from bergamotcart_daemon.metrics import Metrics
-from bergamotcart_daemon.runtime._adapters import ControlAdapters
-from bergamotcart_daemon.runtime._daemon import Daemon, read_clock
-from bergamotcart_daemon.runtime._loop import EngineLoop
-from bergamotcart_daemon.runtime._writer import BatchWriter
+from bergamotcart_daemon.operators import OperatorGateway
+from bergamotcart_daemon.orders import OrderRunner
+from bergamotcart_daemon.runtime import Daemon, EngineLoop, read_clock, read_process_start
 from bergamotcart_daemon.settings import AnnouncementPlace, ControlSettings
-from bergamotcart_daemon.targets import OrderRunner
 from bergamotcart_daemon.transport import Identity, Transport
 
 _SEED_BITS = 63
@@ -72,6 +72,13 @@
         adapters = (self._writer, self._transport, self._orders)
         return (*adapters, self._engine_loop, *self._further, self._http)
 
+    def change_contacts(self, members: dict[str, str]) -> None:
+        """Take over that the settings name other control members.
+
+        :param members: inter-process addresses by name.
+        """
+        self._engine_loop.submit(events.ContactsChanged(tuple(members.items())))
+
     def begin_shutdown(self) -> None:
         """Leave at once: the other members carry on, and all accepted state is synced."""
         self.finish()
@@ -133,12 +140,13 @@
             (name, address, settings.control_zone[name])
             for name, address in settings.control_member.items()
         ),
-        admin_token=settings.admin_token.get_secret_value(),
+        admin_token=settings.admin_token,
         lease_duration_s=settings.lease_duration,
         lease_renewal_s=settings.lease_renewal,
         silence_timeout_s=settings.silence_timeout,
         target_expiry_s=settings.target_expiry,
         may_found=settings.found_domain,
+        started_at=read_process_start(),
         tolerated_losses=settings.tolerated_losses,
         targets_announce_here=settings.announce_to is AnnouncementPlace.control,
         leader_heartbeat_s=settings.leader_heartbeat,
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/__init__.py
@@ -0,0 +1,6 @@
+"""The process of the role entry."""
+
+from bergamotcart_daemon.entry._adapters import CallerFrontend, EntryAdapters
+from bergamotcart_daemon.entry._daemon import EntryDaemon
+
+__all__ = ('CallerFrontend', 'EntryAdapters', 'EntryDaemon')
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_adapters.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_adapters.py
@@ -1,4 +1,4 @@
-"""The outside protocols of a process, which an embedder may replace."""
+"""The outside protocols of an entry, which an embedder may replace."""
 
 import abc
 from collections.abc import Callable
@@ -7,10 +7,9 @@
 from mode import Service
 
 from bergamotcart import entry
-from bergamotcart.control import ControlInput
-from bergamotcart_daemon.http import Health, OperatorGateway
+from bergamotcart_daemon.http import Health
 from bergamotcart_daemon.metrics import Metrics
-from bergamotcart_daemon.targets import TargetAdmin, TargetDriver
+from bergamotcart_daemon.targets import TargetDriver
 
 
 class CallerFrontend(Service):
@@ -55,33 +54,3 @@
     def build_services(self, read_health: Callable[[], Health]) -> tuple[Service, ...]:
         """Build further services, which start after the engine."""
         return ()
-
-
-class ControlAdapters(abc.ABC):
-    """Builds the outside protocols of a control member."""
-
-    @abc.abstractmethod
-    def build_admin(self) -> TargetAdmin:
-        """Build what sends orders to targets."""
-
-    @abc.abstractmethod
-    def build_operators(
-        self,
-        gateway: OperatorGateway,
-        read_leader: Callable[[], str | None],
-    ) -> tuple[tuple[Service, ...], tuple[web.RouteDef, ...]]:
-        """Build the operators' interface.
-
-        :param gateway: passes requests to the engine.
-        :param read_leader: returns the name of the leader, if it is known.
-        :returns: services to start after the engine, and routes of the HTTP server.
-        """
-
-    def build_services(
-        self,
-        gateway: OperatorGateway,
-        read_leader: Callable[[], str | None],
-        submit: Callable[[ControlInput], None],
-    ) -> tuple[Service, ...]:
-        """Build further services, which start after the engine."""
-        return ()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_entry.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -10,12 +10,11 @@
 from bergamotcart import entry
 from bergamotcart.actions import Decision, Send
 from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.entry._adapters import EntryAdapters
 from bergamotcart_daemon.http import Health, HttpServer
 from bergamotcart_daemon.logs import DecisionLog
 from bergamotcart_daemon.metrics import Metrics
-from bergamotcart_daemon.runtime._adapters import EntryAdapters
-from bergamotcart_daemon.runtime._daemon import Daemon, read_clock
-from bergamotcart_daemon.runtime._loop import EngineLoop
+from bergamotcart_daemon.runtime import Daemon, EngineLoop, read_clock
 from bergamotcart_daemon.settings import AnnouncementPlace, EntrySettings
 from bergamotcart_daemon.targets import Targets, TargetSettings
 from bergamotcart_daemon.transport import Identity, Transport
@@ -68,6 +67,13 @@
         inner = (self._transport, self._targets, self._engine_loop, self._http)
         return (*inner, *self._further, self._callers)
 
+    def change_contacts(self, members: dict[str, str]) -> None:
+        """Take over that the settings name other control members.
+
+        :param members: inter-process addresses by name.
+        """
+        self._engine_loop.submit(entry.ContactsChanged(tuple(members.items())))
+
     def begin_shutdown(self) -> None:
         """Ask the engine to drain; it answers with ``Drained``."""
         limit = self._settings.drain_limit
@@ -127,7 +133,7 @@
         availability_zone=settings.availability_zone,
         address=settings.advertised_address,
         control_members=tuple(settings.control_member.items()),
-        session_key=settings.session_key.get_secret_value().encode(),
+        session_key=settings.session_key,
         target_expiry_s=settings.target_expiry,
         targets_announce_to_control=settings.announce_to is AnnouncementPlace.control,
         silence_timeout_s=settings.silence_timeout,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_load.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_load.py
@@ -7,16 +7,12 @@
 from pydantic_core import ErrorDetails
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
-from bergamotcart_daemon.settings._models import (
-    CommonSettings,
-    ControlSettings,
-    MysqlEntrySettings,
-    Role,
-)
-from bergamotcart_daemon.settings._options import ENVIRONMENT_PREFIX, FLAGS
+from bergamotcart_daemon.flags._models import CommonModel, ControlModel, EntryModel
+from bergamotcart_daemon.flags._options import ENVIRONMENT_PREFIX, FLAGS
+from bergamotcart_daemon.settings import ControlSettings, MysqlEntrySettings, Role
 
-_MODELS: Mapping[Role, type[CommonSettings]] = MappingProxyType(
-    {Role.entry: MysqlEntrySettings, Role.control: ControlSettings},
+_MODELS: Mapping[Role, type[CommonModel]] = MappingProxyType(
+    {Role.entry: EntryModel, Role.control: ControlModel},
 )
 _VARIABLES: Mapping[str, str] = MappingProxyType({flag.field: flag.variable for flag in FLAGS})
 
@@ -45,7 +41,7 @@
     """
     role = _read_role(flags)
     try:
-        return _MODELS.get(role, CommonSettings)(**flags)
+        return _MODELS.get(role, CommonModel)(**flags).build()
     except ValidationError as error:
         details = error.errors(include_url=False)
     raise SettingsError(tuple(_describe(detail, role) for detail in details))
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_models.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
@@ -1,6 +1,5 @@
-"""Typed settings of both roles."""
+"""Checked models of the settings of both roles."""
 
-import enum
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -8,28 +7,13 @@
 from pydantic_core.core_schema import ValidationInfo
 from pydantic_settings import BaseSettings, NoDecode, SettingsConfigDict
 
+from bergamotcart_daemon import settings
 from bergamotcart_daemon.addresses import Address
-from bergamotcart_daemon.settings._options import ENVIRONMENT_PREFIX
+from bergamotcart_daemon.flags._options import ENVIRONMENT_PREFIX
 
 _MIN_SESSION_KEY_BYTES = 16
 
 
-@enum.unique
-class Role(enum.StrEnum):
-    """Role of a process."""
-
-    entry = 'entry'
-    control = 'control'
-
-
-@enum.unique
-class AnnouncementPlace(enum.StrEnum):
-    """Processes to which targets announce themselves."""
-
-    entry = 'entry'
-    control = 'control'
-
-
 def _check_address(text: str) -> str:
     return str(Address.parse(text))
 
@@ -67,8 +51,8 @@
 ]
 
 
-class CommonSettings(BaseSettings):
-    """Settings of both roles; times are in seconds."""
+class CommonModel(BaseSettings):
+    """Checks the settings of both roles; times are in seconds."""
 
     model_config = SettingsConfigDict(
         env_prefix=ENVIRONMENT_PREFIX,
@@ -77,7 +61,7 @@
         hide_input_in_errors=True,
     )
 
-    role: Role
+    role: settings.Role
     name: Name
     availability_zone: Name
     control_domain: Name = 'default'
@@ -88,23 +72,15 @@
     operator_address: AddressMap = Field(default_factory=dict)
     address_translation: TranslationMap = Field(default_factory=dict)
     silence_timeout: Seconds = 0.8
-    announce_to: AnnouncementPlace = AnnouncementPlace.entry
+    announce_to: settings.AnnouncementPlace = settings.AnnouncementPlace.entry
     target_expiry: Seconds = 3.0
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
 
-    @property
-    def advertised_address(self) -> str:
-        """Address at which peers reach this process."""
-        return self.peer_advertise or self.peer_listen
-
 
-class EntrySettings(CommonSettings):
-    """Settings of the role entry, whatever protocol its callers speak.
-
-    :param drain_notice: seconds for which a draining entry still takes new sessions.
-    :param drain_limit: seconds after which a draining entry rolls back open transactions.
-    """
+class EntryModel(CommonModel):
+    """Checks the settings of an entry."""
 
+    mysql_listen: AddressText
     session_key: SecretStr
     connect_timeout: Seconds = 0.5
     statement_timeout: Seconds = 30.0
@@ -119,15 +95,15 @@
             raise ValueError(f'must have at least {_MIN_SESSION_KEY_BYTES} bytes')
         return key
 
-
-class MysqlEntrySettings(EntrySettings):
-    """Settings of an entry whose callers speak the MySQL protocol."""
-
-    mysql_listen: AddressText
+    def build(self) -> settings.MysqlEntrySettings:
+        """Return the checked settings."""
+        given = self.model_dump(exclude={'role', 'session_key'})
+        key = self.session_key.get_secret_value().encode()
+        return settings.MysqlEntrySettings(session_key=key, **given)
 
 
-class ControlSettings(CommonSettings):
-    """Settings of the role control."""
+class ControlModel(CommonModel):
+    """Checks the settings of a control member."""
 
     control_zone: Annotated[NameMap, Field(validate_default=True)] = Field(default_factory=dict)
     data_folder: Path
@@ -174,3 +150,11 @@
         if greatest <= info.data.get('election_timeout_min', 0):
             raise ValueError('must be longer than --election-timeout-min')
         return greatest
+
+    def build(self) -> settings.ControlSettings:
+        """Return the checked settings."""
+        given = self.model_dump(exclude={'role', 'admin_token'})
+        return settings.ControlSettings(
+            admin_token=self.admin_token.get_secret_value(),
+            **given,
+        )
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/tests/test_settings.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/tests/test_flags.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from bergamotcart_daemon.settings import (
+from bergamotcart_daemon.flags import (
     FLAGS,
-    ControlSettings,
-    EntrySettings,
+    ControlModel,
+    EntryModel,
     SettingsError,
     load_settings,
 )
@@ -53,7 +53,7 @@
 
 def test_every_flag_is_a_setting_and_every_setting_a_flag():
     """A setting without a flag could not be given on the command line."""
-    fields = EntrySettings.model_fields | ControlSettings.model_fields
+    fields = EntryModel.model_fields | ControlModel.model_fields
     assert {flag.field for flag in FLAGS} == set(fields)
 
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
@@ -10,14 +10,9 @@
 
 from bergamotcart import messages
 from bergamotcart.control._events import OperatorReply, OperatorRequest
-from bergamotcart_daemon.http import (
-    AnnouncementApi,
-    Health,
-    HttpServer,
-    OperatorApi,
-    OperatorGateway,
-)
+from bergamotcart_daemon.http import AnnouncementApi, Health, HttpServer
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.operators import OperatorApi, OperatorGateway
 
 _SERVING = Health(serving=True, details={'state': 'serving'})
 _ANNOUNCEMENT = messages.Announcement(
@@ -65,7 +60,7 @@
             status=200 if self.leads else 421,
             body={'by': self.name},
         )
-        asyncio.get_running_loop().call_soon(self.api.reply, reply)
+        asyncio.get_running_loop().call_soon(self.gateway.reply, reply)
 
 
 @pytest.mark.parametrize(
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/main.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/main.py
@@ -8,9 +8,10 @@
 from cleo.exceptions import CleoError
 from cleo.helpers import option
 
+from bergamotcart_daemon.flags import FLAGS, SettingsError, load_settings
 from bergamotcart_daemon.logs import configure_logging
-from bergamotcart_daemon.runtime import build_daemon, run_daemon
-from bergamotcart_daemon.settings import FLAGS, SettingsError, load_settings
+from bergamotcart_daemon.protocols import build_daemon
+from bergamotcart_daemon.runtime import run_daemon
 
 _VERSION: Final = '0.1.0'
 _USAGE: Final = 2
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_control.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/operators/_api.py
@@ -8,8 +8,8 @@
 from mode import Service
 
 from bergamotcart.control import OperatorCommand
-from bergamotcart_daemon.http._gateway import OperatorGateway
-from bergamotcart_daemon.http._server import respond_json
+from bergamotcart_daemon.http import respond_json
+from bergamotcart_daemon.operators._gateway import OperatorGateway
 
 _FORWARD_TIMEOUT_S: Final = 6.0
 _FORWARDED: Final = 'X-Bergamotcart-Forwarded'
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_orders.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/orders/_runner.py
@@ -5,8 +5,8 @@
 
 from mode import Service
 
-from bergamotcart.control._events import Order, OrderFinished
-from bergamotcart_daemon.targets._admin import TargetAdmin
+from bergamotcart.control import Order, OrderFinished
+from bergamotcart_daemon.orders._admin import TargetAdmin
 
 
 class OrderRunner(Service):
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_mysql.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/protocols.py
@@ -8,14 +8,16 @@
 from bergamotcart import entry
 from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.callers import CallerServer
-from bergamotcart_daemon.http import AnnouncementApi, OperatorApi, OperatorGateway
+from bergamotcart_daemon.control import ControlAdapters, ControlDaemon
+from bergamotcart_daemon.entry import CallerFrontend, EntryAdapters, EntryDaemon
+from bergamotcart_daemon.http import AnnouncementApi
 from bergamotcart_daemon.metrics import Metrics
-from bergamotcart_daemon.runtime._adapters import CallerFrontend, ControlAdapters, EntryAdapters
-from bergamotcart_daemon.runtime._daemon import read_clock
+from bergamotcart_daemon.operators import OperatorApi, OperatorGateway
+from bergamotcart_daemon.orders import HttpTargetAdmin, TargetAdmin
+from bergamotcart_daemon.runtime import Daemon, read_clock
 from bergamotcart_daemon.settings import ControlSettings, MysqlEntrySettings
-from bergamotcart_daemon.targets import TargetAdmin, TargetDriver
+from bergamotcart_daemon.targets import TargetDriver
 from bergamotcart_daemon.targets._dialect import ReplicationPositionDialect
-from bergamotcart_daemon.targets._http_admin import HttpTargetAdmin
 from bergamotcart_daemon.targets._mysql import MysqlDriver
 
 
@@ -66,3 +68,13 @@
         """Build the operators' endpoints."""
         api = OperatorApi(self._settings.operator_address, read_leader, gateway)
         return (api,), api.build_routes()
+
+
+def build_daemon(settings: MysqlEntrySettings | ControlSettings) -> Daemon:
+    """Build the daemon of a role with the product's own protocols.
+
+    :param settings: checked settings of the role.
+    """
+    if isinstance(settings, ControlSettings):
+        return ControlDaemon(settings, HttpControlAdapters(settings))
+    return EntryDaemon(settings, MysqlEntryAdapters(settings))
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_daemon.py
@@ -4,10 +4,12 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 from mode import Service
 
 _logger = logging.getLogger(__name__)
+_PROCESS_START = time.clock_gettime(time.CLOCK_BOOTTIME) - time.process_time()
 
 
 class Daemon(Service):
@@ -17,6 +19,7 @@
         """Start in the running state."""
         super().__init__()
         self._finished = asyncio.Event()
+        self._reloads: list[Callable[[], None]] = []
         self._stop_requested = False
 
     @property
@@ -33,6 +36,16 @@
         _logger.info('shutdown requested')
         self.begin_shutdown()
 
+    def on_reload(self, read_again: Callable[[], None]) -> None:
+        """Call a function whenever a signal says that the settings have changed."""
+        self._reloads.append(read_again)
+
+    def request_reload(self) -> None:
+        """Read again what may change while the process runs."""
+        _logger.info('settings may have changed; readers: %d', len(self._reloads))
+        for read_again in self._reloads:
+            read_again()
+
     @abc.abstractmethod
     def begin_shutdown(self) -> None:
         """Finish the work that is under way, then call ``finish``."""
@@ -54,6 +67,15 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def read_process_start() -> float:
+    """Return a time on the engine's clock at which this process had just started.
+
+    The modules of a process load before its daemon is built, which takes a good part of a
+    second on a small VM.
+    """
+    return _PROCESS_START
+
+
 class BoottimeEventLoop(asyncio.SelectorEventLoop):
     """An event loop whose time is the clock of the engine."""
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_process.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/runtime/_process.py
@@ -7,10 +7,7 @@
 
 from pynng import NNGException
 
-from bergamotcart_daemon.runtime._control import ControlDaemon
 from bergamotcart_daemon.runtime._daemon import BoottimeEventLoop, Daemon
-from bergamotcart_daemon.runtime._entry import EntryDaemon
-from bergamotcart_daemon.settings import ControlSettings, EntrySettings
 from bergamotcart_daemon.storage import StorageError
 
 _logger = logging.getLogger(__name__)
@@ -35,6 +32,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, daemon.request_reload)
     try:
         await daemon.start()
     except Exception as error:
@@ -56,16 +54,3 @@
     is_expected = isinstance(error, (OSError, StorageError, NNGException))
     _logger.error('start failed: %s', error, exc_info=None if is_expected else error)
     return _FAILED
-
-
-def build_daemon(settings: EntrySettings | ControlSettings) -> Daemon:
-    """Build the daemon of a role with the product's own protocols.
-
-    :param settings: checked settings of the role.
-    """
-    # Each process loads only the protocols that it speaks.
-    from bergamotcart_daemon.runtime import _mysql as protocols
-
-    if isinstance(settings, ControlSettings):
-        return ControlDaemon(settings, protocols.HttpControlAdapters(settings))
-    return EntryDaemon(settings, protocols.MysqlEntryAdapters(settings))
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/__init__.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/__init__.py
@@ -1,7 +1,6 @@
-"""Settings of the daemon, from flags and environment variables."""
+"""Typed settings of the daemon."""
 
-from bergamotcart_daemon.settings._load import SettingsError, load_settings
-from bergamotcart_daemon.settings._models import (
+from bergamotcart_daemon.settings._settings import (
     AnnouncementPlace,
     CommonSettings,
     ControlSettings,
@@ -9,17 +8,12 @@
     MysqlEntrySettings,
     Role,
 )
-from bergamotcart_daemon.settings._options import FLAGS, Flag
 
 __all__ = (
-    'FLAGS',
     'AnnouncementPlace',
     'CommonSettings',
     'ControlSettings',
     'EntrySettings',
-    'Flag',
     'MysqlEntrySettings',
     'Role',
-    'SettingsError',
-    'load_settings',
 )
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
@@ -0,0 +1,100 @@
+"""Typed settings of both roles, however they were given."""
+
+import enum
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import ClassVar
+
+
+@enum.unique
+class Role(enum.StrEnum):
+    """Role of a process."""
+
+    entry = 'entry'
+    control = 'control'
+
+
+@enum.unique
+class AnnouncementPlace(enum.StrEnum):
+    """Processes to which targets announce themselves."""
+
+    entry = 'entry'
+    control = 'control'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CommonSettings:
+    """Settings of both roles; times are in seconds.
+
+    :param control_member: inter-process addresses of known control members by name.
+    :param operator_address: HTTP addresses of control members by name.
+    :param address_translation: addresses to connect to, by advertised address.
+    :param silence_timeout: until a silent target counts as unreachable.
+    :param target_expiry: age from which an announcement counts no more.
+    """
+
+    name: str
+    availability_zone: str
+    peer_listen: str
+    http_listen: str
+    control_member: dict[str, str]
+    control_domain: str = 'default'
+    peer_advertise: str | None = None
+    operator_address: dict[str, str] = field(default_factory=dict)
+    address_translation: dict[str, str] = field(default_factory=dict)
+    silence_timeout: float = 0.8
+    announce_to: AnnouncementPlace = AnnouncementPlace.entry
+    target_expiry: float = 3.0
+    log_level: str = 'info'
+
+    @property
+    def advertised_address(self) -> str:
+        """Address at which peers reach this process."""
+        return self.peer_advertise or self.peer_listen
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings(CommonSettings):
+    """Settings of the role entry, whatever protocol its callers speak.
+
+    :param session_key: secret that authenticates session tokens.
+    :param drain_notice: for which a draining entry still takes new sessions.
+    :param drain_limit: after which a draining entry rolls back open transactions.
+    """
+
+    role: ClassVar[Role] = Role.entry
+    session_key: bytes = field(repr=False)
+    connect_timeout: float = 0.5
+    statement_timeout: float = 30.0
+    drain_notice: float = 0.0
+    drain_limit: float | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MysqlEntrySettings(EntrySettings):
+    """Settings of an entry whose callers speak the MySQL protocol."""
+
+    mysql_listen: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ControlSettings(CommonSettings):
+    """Settings of the role control.
+
+    :param control_zone: availability zones of the initial control members by name.
+    :param found_domain: whether the control members may form a new control domain.
+    :param tolerated_losses: members that may be lost at once; ``None`` leaves all changes of
+        members to the operator.
+    """
+
+    role: ClassVar[Role] = Role.control
+    data_folder: Path
+    admin_token: str = field(repr=False)
+    control_zone: dict[str, str] = field(default_factory=dict)
+    found_domain: bool = True
+    tolerated_losses: int | None = None
+    lease_duration: float = 1.0
+    lease_renewal: float = 0.25
+    leader_heartbeat: float = 0.1
+    election_timeout_min: float = 0.4
+    election_timeout_max: float = 0.8
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/__init__.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/__init__.py
@@ -1,6 +1,5 @@
-"""Connections to targets: executions, probes and orders."""
+"""Connections to targets: executions and probes."""
 
-from bergamotcart_daemon.targets._admin import TargetAdmin
 from bergamotcart_daemon.targets._driver import (
     ConnectError,
     ExecutionRun,
@@ -8,15 +7,12 @@
     TargetDriver,
     TargetLink,
 )
-from bergamotcart_daemon.targets._orders import OrderRunner
 from bergamotcart_daemon.targets._service import Targets, TargetSettings
 
 __all__ = (
     'ConnectError',
     'ExecutionRun',
-    'OrderRunner',
     'ReportedError',
-    'TargetAdmin',
     'TargetDriver',
     'TargetLink',
     'TargetSettings',
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
@@ -111,4 +111,3 @@
                 timeout_s=self._connect_timeout_s,
             ),
         )
-
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_identity.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_identity.py
@@ -18,8 +18,12 @@
     incarnation: str
     address: str
 
-    def wrap(self, send: Send) -> messages.Envelope:
-        """Put a message into an envelope of this process."""
+    def wrap(self, send: Send, number: int = 0, acknowledged: int = 0) -> messages.Envelope:
+        """Put a message into an envelope of this process.
+
+        :param number: number of the message.
+        :param acknowledged: number of the recipient's newest message that has arrived here.
+        """
         return messages.Envelope(
             version=messages.FORMAT_VERSION,
             domain=self.domain,
@@ -28,4 +32,6 @@
             sender_address=self.address,
             recipient=send.recipient,
             body=send.body,
+            number=number,
+            acknowledged=acknowledged,
         )
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peers.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peers.py
@@ -51,6 +51,12 @@
         for address in idle:
             self._peers.pop(address).socket.close()
 
+    def close_one(self, address: str) -> None:
+        """Close the socket to a peer; the next message opens another one."""
+        peer = self._peers.pop(address, None)
+        if peer is not None:
+            peer.socket.close()
+
     def close(self) -> None:
         """Close all sockets."""
         while self._peers:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
@@ -15,6 +15,7 @@
 from bergamotcart_daemon.transport._compression import compress, expand
 from bergamotcart_daemon.transport._identity import Identity
 from bergamotcart_daemon.transport._peers import PeerSockets
+from bergamotcart_daemon.transport._traffic import PeerTraffic
 
 # Longer messages end the connection before they take memory; those in between are counted.
 _RECEIVE_LIMIT_BYTES: Final = 2 * messages.MAX_MESSAGE_BYTES
@@ -51,6 +52,7 @@
         self._metrics = metrics
         self._submit = submit
         self._peers = PeerSockets()
+        self._traffic = PeerTraffic()
         self._pull: pynng.Pull0 | None = None
         self._next_log = 0.0
 
@@ -77,13 +79,19 @@
 
     def send(self, action: Send) -> None:
         """Send a message, or drop it if it cannot be sent at once."""
+        now = asyncio.get_running_loop().time()
+        numbers = self._traffic.number(action.address, now)
         try:
-            encoded = compress(messages.encode(self._identity.wrap(action)))
+            encoded = compress(messages.encode(self._identity.wrap(action, *numbers)))
             address = str(self._translation.translate(action.address))
         except ValueError as error:
             self._report('message_not_sent', f'{action.recipient}: {error}')
             return
-        if not self._peers.send(address, encoded, asyncio.get_running_loop().time()):
+        if self._traffic.is_silent(action.address, now):
+            self._metrics.count_event('connection_dialled_anew')
+            _logger.info('messages to %s are not acknowledged; dialling anew', action.recipient)
+            self._peers.close_one(address)
+        if not self._peers.send(address, encoded, now):
             self._metrics.count_event('message_dropped')
 
     def _read_messages(self) -> None:
@@ -110,6 +118,7 @@
         if envelope.recipient != self._identity.name:
             self._report('message_misdirected', f'addressed to {envelope.recipient!r}')
             return
+        self._traffic.note(envelope, asyncio.get_running_loop().time())
         self._submit(MessageReceived(envelope))
 
     def _report(self, event: str, detail: str) -> None:
--- a/packages/bergamotcart/src/bergamotcart/consensus/_config.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_config.py
@@ -31,6 +31,10 @@
     """What a consensus node is told at start; times are in seconds.
 
     :param initial_members: the same on every initial member; may include this one.
+    :param started_at: time at which the process started, in seconds; a promise of a former start
+        to a leader was made before. ``None`` counts the first tick as the start.
+    :param tolerated_losses: members that may be lost at once, for which the leader keeps enough
+        voters by itself; ``None`` leaves that to the operator.
     :param may_found: whether they may form a group, if every data folder is empty; otherwise
         they are only asked for admission.
     :param election_timeout_s: least and greatest election timeout. A member that heard
@@ -53,6 +57,8 @@
     drift_margin: float = 0.02
     seed: int = 0
     may_found: bool = True
+    tolerated_losses: int | None = None
+    started_at: float | None = None
     trailing_records: int = 256
     part_bytes: int = 256 * 1024
 
--- a/packages/bergamotcart/src/bergamotcart/consensus/_core.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_core.py
@@ -26,6 +26,7 @@
         '_reported_term',
         'commit_index',
         'config',
+        'contacts',
         'election_at',
         'hard',
         'heard_at',
@@ -62,9 +63,10 @@
         self.role_changes: list[RoleChange] = []
         self._random = random.Random(f'{config.seed}/{config.name}/{durable.hard.incarnation}')
         self._addresses: dict[str, str] = {}
+        self.contacts = {member.name: member.address for member in config.initial_members}
         # A restart forgets when the leader was last heard, so it counts as hearing it.
-        self.heard_at = now
-        self.restart_election_timer()
+        self.heard_at = now if config.started_at is None else min(config.started_at, now)
+        self._plan_first_election()
 
     @property
     def my_id(self) -> str:
@@ -111,6 +113,12 @@
         least, greatest = self.config.election_timeout_s
         self.election_at = self.now + self._random.uniform(least, greatest)
 
+    def _plan_first_election(self) -> None:
+        """Stand soon after a start that took long, since all members may have started anew."""
+        least, greatest = self.config.election_timeout_s
+        earliest = max(self.now, self.heard_at + least)
+        self.election_at = earliest + self._random.uniform(0, greatest - least)
+
     def learn_address(self, envelope: messages.Envelope) -> None:
         """Remember where a member sends from; it may have moved since its membership record."""
         sender = identity(envelope.sender, envelope.incarnation)
@@ -191,8 +199,7 @@
         address = self._addresses.get(recipient)
         if address is None:
             known = find_member(self.members, recipient)
-            known = known or find_member(self.config.initial_members, recipient)
-            address = known.address if known else None
+            address = known.address if known else self.contacts.get(recipient)
         if address is None:
             return None
         return Send(recipient, address, body)
--- a/packages/bergamotcart/src/bergamotcart/consensus/_joining.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_joining.py
@@ -47,7 +47,7 @@
         self.announce_at = core.now + core.config.election_timeout_s[1]
         if core.heard_recently and core.my_id in {member_id(member) for member in core.members}:
             return
-        names = {member.name for member in core.members}.union(core.initial_names)
+        names = {member.name for member in core.members}.union(core.contacts)
         names.discard(core.config.name)
         for name in sorted(names):
             core.send(name, self._make_request())
--- a/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
@@ -101,6 +101,13 @@
         since = self._core.now - self._core.config.election_timeout_s[1]
         return peer is not None and peer.answered_sent_at >= since
 
+    def silent_for(self, member: messages.LogMember) -> float:
+        """Seconds since a member answered; 0 for this member itself."""
+        peer = self._peers.get(member_id(member))
+        if peer is None:
+            return 0
+        return self._core.now - max(peer.answered_sent_at, self._started_at)
+
     def send_heartbeats(self) -> None:
         """Send an append to every other member."""
         self._heartbeat_at = self._core.now + self._core.config.heartbeat_s
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -9,6 +9,7 @@
 from bergamotcart.consensus._joining import Joining
 from bergamotcart.consensus._leadership import Leadership
 from bergamotcart.consensus._membership import Members
+from bergamotcart.consensus._succession import Succession
 
 # A record must fit into one message (1 MiB) together with its envelope.
 MAX_COMMAND_BYTES = 768 * 1024
@@ -17,7 +18,15 @@
 class ConsensusNode:
     """One member of the replicated log; call ``take_outputs`` after driving it."""
 
-    __slots__ = ('_core', '_election', '_following', '_handlers', '_joining', '_leadership')
+    __slots__ = (
+        '_core',
+        '_election',
+        '_following',
+        '_handlers',
+        '_joining',
+        '_leadership',
+        '_succession',
+    )
 
     def __init__(self, now: float, config: ConsensusConfig, durable: DurableState) -> None:
         """Resume from the durable state; its snapshot, if any, is the first output.
@@ -31,6 +40,9 @@
         self._following = Following(self._core)
         self._joining = Joining(self._core)
         self._leadership: Leadership | None = None
+        self._succession: Succession | None = None
+        if config.tolerated_losses is not None:
+            self._succession = Succession(self._core, self._joining, config.tolerated_losses)
         self._handlers = {
             messages.PreVoteRequest: self._election.on_pre_vote_request,
             messages.PreVoteResponse: self._election.on_pre_vote_response,
@@ -168,7 +180,8 @@
         """Next membership that gives a member its vote back, to be proposed by the caller.
 
         A newcomer first replaces the silent member of its name as a non-voter. A non-voter
-        that has caught up becomes a voter.
+        that has caught up becomes a voter. With ``tolerated_losses``, newcomers of other names
+        take part as well, and replace voters that are gone.
 
         :param now: current time in seconds.
         :returns: argument for ``propose_members``, or ``None``.
@@ -176,8 +189,17 @@
         self._core.now = now
         if self._leadership is None:
             return None
+        if self._succession is not None:
+            return self._succession.find_step(self._leadership)
         return self._joining.propose_readmission(self._leadership)
 
+    def change_contacts(self, contacts: dict[str, str]) -> None:
+        """Ask other members for admission from now on.
+
+        :param contacts: inter-process addresses by name.
+        """
+        self._core.contacts = dict(contacts)
+
     def resign(self, now: float) -> None:
         """Stop leading, and let the others elect a leader first.
 
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_succession.py
@@ -0,0 +1,109 @@
+"""Guards the changes of members that a leader makes by itself."""
+
+from bergamotcart.consensus._membership import voter_ids
+from bergamotcart.consensus._succession import REPLACE_AFTER_S
+from bergamotcart.consensus.tests._cluster import Cluster, Server
+
+_SETTLE_S = 3.0
+
+
+def _started(tolerated_losses: int = 1) -> Cluster:
+    cluster = Cluster(tolerated_losses=tolerated_losses)
+    cluster.start_all()
+    cluster.elect()
+    cluster.propose(b'one')
+    cluster.run(1)
+    return cluster
+
+
+def _run(cluster: Cluster, seconds: float) -> None:
+    """Let time pass while the leader proposes what is due, as its systems do."""
+    end = cluster.now + seconds
+    while cluster.now < end:
+        cluster.propose_readmission()
+        cluster.run(0.05)
+
+
+def _voters(cluster: Cluster) -> set[str]:
+    members = cluster.elect().node.members
+    return {member.name for member in members if member.voter}
+
+
+def _add(cluster: Cluster, name: str) -> Server:
+    cluster.add_server(name)
+    server = cluster.servers[name]
+    server.start()
+    return server
+
+
+def test_a_newcomer_takes_the_place_of_a_voter_that_is_gone_for_good():
+    """The replacement of a VM at another address must not wait for an operator."""
+    cluster = _started()
+    gone = next(name for name in 'abc' if name != cluster.find_leader().name)
+    cluster.servers[gone].stop()
+    _add(cluster, 'd')
+    _run(cluster, REPLACE_AFTER_S + _SETTLE_S)
+    assert _voters(cluster) == set('abcd') - {gone}
+    other = next(name for name in _voters(cluster) if name != cluster.find_leader().name)
+    cluster.servers[other].stop()
+    cluster.propose(b'two')
+    cluster.run(1)
+    assert cluster.oracle.committed[-1].command == b'two'
+
+
+def test_a_newcomer_gets_no_vote_while_all_voters_answer():
+    """More voters than the tolerated losses need would only slow every commit."""
+    cluster = _started()
+    _add(cluster, 'd')
+    _run(cluster, REPLACE_AFTER_S + _SETTLE_S)
+    assert _voters(cluster) == set('abc')
+    assert 'd' in {member.name for member in cluster.find_leader().node.members}
+
+
+def test_a_voter_that_is_away_for_a_moment_keeps_its_vote():
+    """A restart must not cost a copy of the state that is still on its disk."""
+    cluster = _started()
+    _add(cluster, 'd')
+    _run(cluster, _SETTLE_S)
+    away = next(name for name in 'abc' if name != cluster.find_leader().name)
+    cluster.servers[away].stop()
+    _run(cluster, REPLACE_AFTER_S / 2)
+    cluster.servers[away].start()
+    _run(cluster, REPLACE_AFTER_S + _SETTLE_S)
+    assert _voters(cluster) == set('abc')
+
+
+def test_members_join_until_the_tolerated_losses_are_covered():
+    """With two tolerated losses, three voters are too few."""
+    cluster = _started(tolerated_losses=2)
+    for name in 'def':
+        _add(cluster, name)
+    _run(cluster, 2 * _SETTLE_S)
+    assert len(_voters(cluster)) == 5
+    for name in sorted(_voters(cluster) - {cluster.find_leader().name})[:2]:
+        cluster.servers[name].stop()
+    cluster.propose(b'two')
+    cluster.run(1)
+    assert cluster.oracle.committed[-1].command == b'two'
+
+
+def test_an_emptied_member_comes_back_before_a_spare_one_is_needed():
+    """Each member may lose its disk in turn, also while a newcomer waits."""
+    cluster = _started()
+    for name in 'abc':
+        server = cluster.servers[name]
+        server.stop()
+        server.empty_disk()
+        server.start()
+        _run(cluster, _SETTLE_S)
+        assert len(voter_ids(cluster.elect().node.members)) == 3
+    assert [entry.command for entry in cluster.oracle.committed if entry.command] == [b'one']
+
+
+def test_a_member_that_may_not_found_a_group_waits_for_admission():
+    """A member with an empty folder must not form a second group from its seeds."""
+    cluster = Cluster(may_found=False)
+    cluster.start_all()
+    cluster.run(5)
+    assert cluster.find_leader() is None
+    assert not cluster.oracle.committed
--- a/packages/bergamotcart/src/bergamotcart/control/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/control/__init__.py
@@ -3,6 +3,7 @@
 from bergamotcart.control._config import ControlConfig, ControlOutbox, ControlStatus
 from bergamotcart.control._engine import ControlEngine
 from bergamotcart.control._events import (
+    ContactsChanged,
     ControlAction,
     ControlInput,
     DurableState,
@@ -21,6 +22,7 @@
 )
 
 __all__ = (
+    'ContactsChanged',
     'ControlAction',
     'ControlConfig',
     'ControlEngine',
--- a/packages/bergamotcart/src/bergamotcart/control/_authority.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_authority.py
@@ -22,6 +22,8 @@
         drift_margin=config.drift_margin,
         seed=config.seed,
         may_found=config.may_found,
+        tolerated_losses=config.tolerated_losses,
+        started_at=config.started_at,
     )
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_config.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_config.py
@@ -13,6 +13,7 @@
         members that form the replicated log when every data folder is empty.
     :param admin_token: bearer token of the administrator.
     :param election_timeout_s: least and greatest election timeout, in seconds.
+    :param started_at: time at which the process started, in seconds.
     :param may_found: whether the initial members may form the replicated log.
     :param tolerated_losses: members that may be lost at once; newcomers take part until there
         are enough voters for that, and replace members that are gone. ``None`` leaves all
@@ -39,6 +40,7 @@
     target_expiry_s: float = 3.0
     targets_announce_here: bool = False
     may_found: bool = True
+    started_at: float | None = None
     tolerated_losses: int | None = None
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_events.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_events.py
@@ -9,6 +9,7 @@
 
 # The durable types belong to the consensus subpackage, which must not import this one.
 __all__ = (
+    'ContactsChanged',
     'ControlAction',
     'ControlInput',
     'DurableState',
@@ -103,7 +104,24 @@
     announcement: messages.Announcement
 
 
-ControlInput = MessageReceived | Persisted | OrderFinished | OperatorRequest | TargetAnnounced
+@dataclass(frozen=True, slots=True)
+class ContactsChanged:
+    """The settings name other control members to ask for admission.
+
+    :param members: name and inter-process address of each.
+    """
+
+    members: tuple[tuple[str, str], ...]
+
+
+ControlInput = (
+    MessageReceived
+    | Persisted
+    | OrderFinished
+    | OperatorRequest
+    | TargetAnnounced
+    | ContactsChanged
+)
 
 
 # Actions
--- a/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
@@ -81,8 +81,11 @@
             return
         for member in members:
             if (member.name, member.incarnation, member.voter) not in before:
-                reason = 'caught_up' if member.voter else 'new_incarnation'
-                _decide(tick, 'readmit_member', reason, member.name)
+                reason = 'caught_up' if member.voter else 'no_vote'
+                _decide(tick, 'change_member', reason, member.name)
+        kept = {member.name for member in members}
+        for name in {name for name, _, _ in before} - kept:
+            _decide(tick, 'change_member', 'forgotten', name)
 
     def _find_newcomer(self, name: str) -> messages.LogMember | None:
         for member in self._node.newcomers:
--- a/packages/bergamotcart/src/bergamotcart/control/_quotas.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_quotas.py
@@ -52,7 +52,7 @@
         return 0
     entries = len(tick.state.roster())
     return count_lendable(
-        settings.connection_limit or seen.announcement.connection_limit,
+        settings.usable_connections(seen.announcement.connection_limit),
         settings.entries_limit or max(entries, 1),
         entries,
     )
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -121,6 +121,16 @@
                 self._finish_order(tick, item)
             case events.OperatorRequest():
                 self._desk.handle(tick, item)
+            case events.ContactsChanged(members):
+                self._node.change_contacts(dict(members))
+                names = ', '.join(name for name, _ in members)
+                change = Decision(
+                    system='members',
+                    action='change_contacts',
+                    reason='settings',
+                    detail=names,
+                )
+                tick.decide(change)
             case events.TargetAnnounced(announcement):
                 self._note_target(tick, announcement)
 
--- a/packages/bergamotcart/src/bergamotcart/documents/_schema.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_schema.py
@@ -120,6 +120,7 @@
     :param promotion: how a new primary comes into office.
     :param positions: where the log positions of the instances come from.
     :param connection_limit: connections that each instance accepts, if it does not say so itself.
+    :param reserved_connections: connections of each instance that are left to control.
     :param synchronous_replicas: replicas that have a write before the target acknowledges it.
     """
 
@@ -133,8 +134,16 @@
     promotion: Promotion = Promotion.ordered
     positions: PositionSource = PositionSource.probes
     connection_limit: Count | None = None
+    reserved_connections: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 0
     synchronous_replicas: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
 
+    def usable_connections(self, announced: int) -> int:
+        """Return the connections of an instance that entries may divide among them.
+
+        :param announced: limit that the instance itself states.
+        """
+        return max(1, (self.connection_limit or announced) - self.reserved_connections)
+
 
 class Policy(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """What some callers may do with some groups; the first policy that matches applies.
--- a/packages/bergamotcart/src/bergamotcart/entry/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/__init__.py
@@ -27,6 +27,7 @@
 from bergamotcart.entry._inputs import (
     AnnouncementReceived,
     ConnectionCount,
+    ContactsChanged,
     DrainRequested,
     EntryInput,
     ExecutionFinished,
@@ -43,6 +44,7 @@
     'CloseSession',
     'ConnectionCount',
     'ConnectionUse',
+    'ContactsChanged',
     'DrainRequested',
     'Drained',
     'EntryAction',
--- a/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
@@ -81,6 +81,10 @@
             if request.phase is Phase.waiting:
                 self._replies.refuse(request, Reason.connection_lost, 'the session was closed')
 
+    def _release_sessions(self) -> None:
+        for session in self.sessions:
+            self.routed.release(session)
+
     def _connect(self) -> None:
         work, monitor, replies = self.work, self.monitor, self._replies
         floors = FloorKeeper(work, monitor)
@@ -88,10 +92,16 @@
         retries = Retries(work, replies)
         self.retries = retries
         confirmations = Confirmations(work, monitor, replies, floors)
-        self.flow = Flow(work, self.lanes, monitor, gate, confirmations, self.executions)
-        self.control = ControlLink(
-            work, monitor, self.lanes, self._on_update, self.flow.on_lease
+        self.flow = Flow(
+            work,
+            self.lanes,
+            monitor,
+            gate,
+            confirmations,
+            self.executions,
+            self._release_sessions,
         )
+        self.control = ControlLink(work, monitor, self.lanes, self._on_update, self.flow.on_lease)
         checks = OutcomeChecks(gate, self.executions, confirmations, replies, retries)
         transactions = TransactionSystem(
             work, gate, self.executions, confirmations, checks, replies, retries
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -14,6 +14,8 @@
 # A request that is not answered after this share of the renewal time goes to all members.
 _ANSWER_SHARE: Final = 0.6
 _MIN_REPORT_INTERVAL_S: Final = 0.02
+# A target that flaps must not flood control: its leader would answer too late for any lease.
+_REPORTS_PER_S: Final = 10.0
 
 
 class ControlLink:
@@ -32,6 +34,7 @@
         '_on_update',
         '_renew_after_s',
         '_reported',
+        '_reported_at',
         '_sent_at',
         '_timer',
         '_work',
@@ -56,6 +59,7 @@
         self._sent_at = float('-inf')
         self._answered = False
         self._reported: tuple[str, int] | None = None
+        self._reported_at = float('-inf')
         self._timer: Timer | None = None
 
     def ask(self) -> None:
@@ -76,9 +80,11 @@
 
     def report_change(self) -> None:
         """Tell control at once that the reachability of a target changed."""
-        if self._work.now - self._sent_at < _MIN_REPORT_INTERVAL_S:
-            self._schedule(_MIN_REPORT_INTERVAL_S)
+        earliest = self._reported_at + 1 / _REPORTS_PER_S
+        if self._work.now - self._sent_at < _MIN_REPORT_INTERVAL_S or self._work.now < earliest:
+            self._schedule(max(_MIN_REPORT_INTERVAL_S, earliest - self._work.now))
             return
+        self._reported_at = self._work.now
         # A request under way does not make the leader unknown.
         self._answered = True
         self.ask()
@@ -152,10 +158,10 @@
         )
 
     def _members(self) -> tuple[tuple[str, str], ...]:
-        rows = self._work.view.members
-        if rows:
-            return tuple((row.name, row.address) for row in rows.values())
-        return self._work.config.control_members
+        # All members that this entry knows may be gone, so those of the settings count as well.
+        known = dict(self._work.contacts)
+        known.update((row.name, row.address) for row in self._work.view.members.values())
+        return tuple(known.items())
 
     def _recipients(self) -> tuple[tuple[str, str], ...]:
         if self._leader is not None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
@@ -77,6 +77,14 @@
         settings = self.document.group(group)
         return settings is not None and settings.positions is documents.PositionSource.answers
 
+    def refuses_by_itself(self, group: str) -> bool:
+        """Tell whether a replaced primary knows of it at once and refuses what needs one.
+
+        An entry may then work with it without a lease.
+        """
+        settings = self.document.group(group)
+        return settings is not None and settings.promotion is documents.Promotion.authority
+
     def is_primary(self, key: TargetKey) -> bool:
         """Tell whether an instance is the primary of its group."""
         row = self.groups.get(key.group)
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -51,6 +51,7 @@
             inputs.ConnectionCount: self._count_connections,
             inputs.PinLost: self._lose_pin,
             inputs.DrainRequested: self._drain,
+            inputs.ContactsChanged: self._change_contacts,
         }
         self._message_handlers = {
             LeaseGrant: self._parts.control.take_grant,
@@ -140,9 +141,7 @@
         """React to a new state: a group may be new, and its targets known already."""
         self._parts.flow.on_groups(names)
         unwatched = [
-            target.key
-            for target in self._work.table
-            if self._parts.monitor.get(target.key) is None
+            target.key for target in self._work.table if self._parts.monitor.get(target.key) is None
         ]
         self._note_targets(unwatched)
 
@@ -209,6 +208,11 @@
             if requested.limit_s is not None:
                 self._work.after(requested.limit_s, self._roll_back_all)
 
+    def _change_contacts(self, changed: inputs.ContactsChanged) -> None:
+        self._work.contacts = changed.members
+        names = ', '.join(name for name, _ in changed.members)
+        self._work.decide('state', 'change_contacts', 'settings', detail=names)
+
     def _refuse_new(self) -> None:
         """Take no further work; sessions without any are closed as they become idle."""
         self._work.refuses_new = True
--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -1,5 +1,6 @@
 """Reactions of requests to changes of targets, groups and the lease."""
 
+from collections.abc import Callable
 from typing import Final
 
 from bergamotcart.discovery import Position, TargetKey
@@ -28,7 +29,9 @@
         '_had_lease',
         '_lanes',
         '_monitor',
+        '_on_confirmed',
         '_usable',
+        '_was_confirmed',
         '_work',
     )
 
@@ -40,8 +43,12 @@
         gate: PrimaryGate,
         confirmations: Confirmations,
         executions: Executions,
+        on_confirmed: Callable[[], None],
     ) -> None:
-        """Keep the tables that requests wait in."""
+        """Keep the tables that requests wait in.
+
+        :param on_confirmed: called once control has confirmed the first state.
+        """
         self._work = work
         self._lanes = lanes
         self._monitor = monitor
@@ -50,6 +57,8 @@
         self._executions = executions
         self._usable: set[TargetKey] = set()
         self._had_lease = False
+        self._was_confirmed = False
+        self._on_confirmed = on_confirmed
 
     def on_report(self, watched: Watched, sent_at: float) -> None:
         """Use a position: as proof, as confirmation, and for waiting reads."""
@@ -59,6 +68,8 @@
         group = self._work.groups.get(watched.key.group)
         if self._is_proof(watched):
             group.heads.add(sent_at, report.position)
+            if not self._work.lease_valid:
+                self._gate.pump(group.name)
             self._confirmations.on_head(group, sent_at, report.position)
             _resume(group.primary_waits.pop_answered(sent_at))
         waits = group.instance_waits.get(watched.key)
@@ -134,6 +145,9 @@
 
     def on_lease(self) -> None:
         """Use a lease that became valid; refuse what waits once control is out of reach."""
+        if self._work.lease.confirmed and not self._was_confirmed:
+            self._was_confirmed = True
+            self._on_confirmed()
         was_valid = self._had_lease
         self._had_lease = self._work.lease_valid
         if was_valid and not self._had_lease:
@@ -142,10 +156,14 @@
             for group in self._work.groups:
                 self.on_group(group.name)
             self._lanes.update_limits()
+        elif was_valid and not self._had_lease:
+            for group in self._work.groups:
+                self._gate.find_primary(group.name)
         elif self._gate.is_cut_off:
             for group in self._work.groups:
-                self._gate.refuse_queued(group.name, Reason.no_lease)
-                _resume(group.pop_reads())
+                if self._gate.refuses_at_once(group.name):
+                    self._gate.refuse_queued(group.name, Reason.no_lease)
+                    _resume(group.pop_reads())
 
     def on_reachability(self, watched: Watched) -> None:
         """Route again what waits for a target that became reachable or unreachable."""
@@ -183,17 +201,12 @@
         """Tell whether a position is that of the primary of the open term."""
         key, report = watched.key, watched.report
         row = self._work.view.groups.get(key.group)
-        if row is None or report is None or row.primary != key.instance:
-            return False
-        if report.role is not TargetRole.primary:
+        if report is None or report.role is not TargetRole.primary:
             return False
-        if self._work.view.answers_carry_positions(key.group):
-            # Terms of the group and of its log are not the same there, but the lease tells
-            # that no other instance was promoted.
-            is_late = watched.report_sent_at < self._work.groups.get(key.group).open_since
-            if is_late:
-                return False
-        elif report.term != row.term:
+        if self._work.view.refuses_by_itself(key.group):
+            # An instance that was replaced does not say any more that it is the primary.
+            return True
+        if row is None or row.primary != key.instance or report.term != row.term:
             return False
         return self._work.lease_valid and self._work.view.is_open(key.group)
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
@@ -131,6 +131,16 @@
     limit_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ContactsChanged:
+    """The settings name other control members to ask.
+
+    :param members: name and inter-process address of each.
+    """
+
+    members: tuple[tuple[str, str], ...]
+
+
 EntryInput = (
     MessageReceived
     | AnnouncementReceived
@@ -143,4 +153,5 @@
     | ConnectionCount
     | PinLost
     | DrainRequested
+    | ContactsChanged
 )
--- a/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
@@ -136,8 +136,8 @@
         settings = self._work.view.document.group(target.key.group)
         entries = self._entries(settings)
         limit = target.announcement.connection_limit
-        if settings is not None and settings.connection_limit is not None:
-            limit = settings.connection_limit
+        if settings is not None:
+            limit = settings.usable_connections(limit)
         return max(1, limit // entries)
 
     def _entries(self, settings: GroupSettings | None) -> int:
--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -252,7 +252,8 @@
             self._send(watched)
             return
         due = watched.answered_at + ANSWERED_PROBE_S
-        if self._work.view.is_primary(watched.key) and due <= self._work.now:
+        is_primary = self._work.view.is_primary(watched.key) or not self._work.lease_valid
+        if is_primary and due <= self._work.now:
             self._send(watched)
             return
         delay = max(due - self._work.now, ANSWERED_PROBE_S / 2)
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary.py
@@ -9,6 +9,7 @@
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Phase, Request, RequestSystem, RequestTable
 from bergamotcart.entry._workspace import Workspace
+from bergamotcart.messages import TargetRole
 from bergamotcart.outcomes import Reason
 
 
@@ -52,6 +53,8 @@
         not leaving, and announced itself recently.
         """
         view = self._work.view
+        if not self._work.lease_valid and view.refuses_by_itself(group):
+            return self._claimed_primary(group)
         if not self._work.lease_valid or not view.is_open(group):
             return None
         key = TargetKey(group, view.groups[group].primary or '')
@@ -59,6 +62,29 @@
             return None
         return key if self._monitor.is_reachable(key) else None
 
+    def refuses_at_once(self, group: str) -> bool:
+        """Whether a request that needs a lease cannot be served soon."""
+        return self.is_cut_off and not self._work.view.refuses_by_itself(group)
+
+    def find_primary(self, group: str) -> None:
+        """Ask the instances of a group which one is the primary, if control cannot tell."""
+        if self._work.lease_valid or not self._work.view.refuses_by_itself(group):
+            return
+        if self._claimed_primary(group) is None:
+            for target in self._work.table.of_group(group):
+                self._monitor.probe_soon(target.key)
+
+    def _claimed_primary(self, group: str) -> TargetKey | None:
+        """Return the instance that says itself that it is the primary."""
+        for target in self._work.table.of_group(group):
+            watched = self._monitor.get(target.key)
+            if watched is None or watched.report is None:
+                continue
+            claims = watched.report.role is TargetRole.primary
+            if claims and self._monitor.is_reachable(target.key):
+                return target.key
+        return None
+
     def is_read_only(self, group: str) -> bool:
         """Tell whether the operator or the failover has stopped writes to a group."""
         row = self._work.view.groups.get(group)
@@ -68,11 +94,12 @@
         """Queue a request for the primary, and send it if that is possible now."""
         if self.is_read_only(request.group):
             self._replies.refuse(request, Reason.group_not_open, 'the group is read-only')
-        elif self.is_cut_off:
+        elif self.refuses_at_once(request.group):
             self._replies.refuse(request, Reason.no_lease, retry_after=1.0)
         else:
             request.phase = Phase.waiting
             self.queues.put(self._work.groups.get(request.group).writes, request)
+            self.find_primary(request.group)
             self.pump(request.group)
 
     def pump(self, group: str) -> None:
@@ -93,7 +120,8 @@
             self._replies.refuse(request, reason, retry_after=1.0)
 
     def _send(self, request: Request, key: TargetKey) -> None:
-        request.term = self._work.view.groups[request.group].term
+        row = self._work.view.groups.get(request.group)
+        request.term = row.term if row else 0
         if request.attempts == 0:
             self._work.decide(
                 'routing',
--- a/packages/bergamotcart/src/bergamotcart/entry/_relays.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_relays.py
@@ -109,4 +109,4 @@
         rows = self._work.view.members
         if rows:
             return [_Peer(row.name, row.address) for row in rows.values()]
-        return [_Peer(name, address) for name, address in self._work.config.control_members]
+        return [_Peer(name, address) for name, address in self._work.contacts]
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_intake.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_intake.py
@@ -19,13 +19,15 @@
 _NAME_BYTES: Final = 8
 _NOT_READY_S: Final = 1.0
 _DRAINING_S: Final = 0.1
+# Callers give a new connection up after 2 s; control is found within half a second of a start.
+_CONFIGURATION_WAIT_S: Final = 1.2
 _NO_DIRECTIVES: Final = Directives()
 
 
 class RoutedIntake:
     """Answers what concerns the session alone, and hands the rest to the systems."""
 
-    __slots__ = ('_replies', '_requests', '_retries', '_systems', '_work')
+    __slots__ = ('_replies', '_requests', '_retries', '_systems', '_waiting', '_work')
 
     def __init__(
         self,
@@ -41,12 +43,17 @@
         self._replies = replies
         self._retries = retries
         self._systems = systems
+        self._waiting: set[int] = set()
 
     def open(self, session: Session) -> bool:
         """Tell a caller whether its database name is served.
 
         :returns: whether the session may go on.
         """
+        if not self._work.lease.confirmed and session.session_id not in self._waiting:
+            self._hold(session)
+            return True
+        self._waiting.discard(session.session_id)
         refusal = self._find_refusal(session)
         self._work.decide(
             'sessions',
@@ -58,6 +65,21 @@
         self._work.actions.append(SessionAnswer(session.session_id, refusal))
         return refusal is None
 
+    def _hold(self, session: Session) -> None:
+        """Let a session wait for the first state of control, which a start takes a moment for."""
+        self._waiting.add(session.session_id)
+        self._work.after(_CONFIGURATION_WAIT_S, lambda: self._end_hold(session))
+
+    def _end_hold(self, session: Session) -> None:
+        if session.session_id in self._waiting and not session.closed:
+            self.open(session)
+        self._waiting.discard(session.session_id)
+
+    def release(self, session: Session) -> None:
+        """Answer a session that waits, now that this entry knows the configuration."""
+        if session.session_id in self._waiting:
+            self.open(session)
+
     def arrive(self, session: Session, arrived: RequestArrived, statement: Statement) -> None:
         """Take a statement."""
         outcome = self._serve_locally(session, statement)
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -7,7 +7,7 @@
 
 from bergamotcart.discovery import KnownTarget, Position, TargetKey
 from bergamotcart.documents import Consistency
-from bergamotcart.entry._execution import ExecutionStatus
+from bergamotcart.entry._execution import ExecutionStatus, Step
 from bergamotcart.entry._executions import Executions, Plan, Running
 from bergamotcart.entry._inputs import ExecutionFinished
 from bergamotcart.entry._lanes import Lanes
@@ -18,7 +18,7 @@
 from bergamotcart.entry._retries import Retries
 from bergamotcart.entry._transactions import TransactionSystem
 from bergamotcart.entry._workspace import Workspace
-from bergamotcart.entry._writes import NOT_RUN_ERRORS
+from bergamotcart.entry._writes import BEGIN, NOT_RUN_ERRORS, ROLLBACK
 from bergamotcart.outcomes import ErrorKind, Ran, Reason
 from bergamotcart.routing import InstanceChoice, choose_instance
 
@@ -102,13 +102,14 @@
 
     def _wait_for_head(self, request: Request) -> None:
         row = self._work.view.groups.get(request.group)
-        if self._gate.is_cut_off:
-            self._replies.refuse(request, Reason.floor_unknown, retry_after=1.0)
-            return
         oldest = request.arrived_at - (request.max_age_s or 0)
         self._work.groups.get(request.group).primary_waits.add(oldest, request)
-        if row is not None and row.primary is not None:
+        primary = self._gate.primary(request.group)
+        if primary is not None:
+            self._monitor.need_report_after(primary, oldest)
+        elif row is not None and row.primary is not None:
             self._monitor.need_report_after(TargetKey(request.group, row.primary), oldest)
+            self._gate.find_primary(request.group)
 
     def _route(self, request: Request, floor: Position) -> None:
         choices = [
@@ -175,9 +176,12 @@
         if request.session.begun is not None:
             self._transactions.start_at(request, key, floor)
             return
-        step = request.step_from(floor)
+        steps: tuple[Step, ...] = (request.step_from(floor),)
+        if floor is None and not self._work.lease_valid:
+            # A replaced primary refuses the statements of such a transaction.
+            steps = (BEGIN, *steps, ROLLBACK)
         is_primary = self._work.view.is_primary(key)
-        self._executions.start(request, Plan(key, (step,), is_read=is_primary), self._finish)
+        self._executions.start(request, Plan(key, steps, is_read=is_primary), self._finish)
 
     def _finish(self, running: Running, finished: ExecutionFinished) -> None:
         request = running.request
@@ -197,8 +201,8 @@
 
     def _complete(self, running: Running, finished: ExecutionFinished) -> None:
         request = running.request
-        needs_primary = running.plan.steps[0].floor is None
-        if needs_primary and not self._work.view.is_open(request.group, request.term):
+        is_bare = len(running.plan.steps) == 1 and running.plan.steps[0].floor is None
+        if is_bare and not self._work.view.is_open(request.group, request.term):
             # The instance may have been replaced before it ran the read.
             self._retries.retry(request, Reason.group_not_open)
             return
@@ -215,4 +219,3 @@
                 return
         reason = Reason.replica_behind if kind is ErrorKind.behind else Reason.target_busy
         self._retries.retry(request, reason, was_sent=False)
-
--- a/packages/bergamotcart/src/bergamotcart/entry/_workspace.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_workspace.py
@@ -22,6 +22,7 @@
         'actions',
         'callers',
         'config',
+        'contacts',
         'draining',
         'groups',
         'lease',
@@ -37,6 +38,7 @@
         """Start with empty tables."""
         self.config = config
         self.now = 0.0
+        self.contacts = config.control_members
         self.draining = False
         self.refuses_new = False
         self.actions: list[EntryAction] = []
--- a/packages/bergamotcart/src/bergamotcart/messages/_envelope.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_envelope.py
@@ -35,6 +35,8 @@
     :param incarnation: identity of the sender's start, or of its data folder.
     :param sender_address: where the sender listens, so that a process can answer a
         peer that is not in its settings.
+    :param number: number of this message among those to the same recipient, or 0.
+    :param acknowledged: newest number that the sender has received from the recipient, or 0.
     """
 
     version: int
@@ -44,3 +46,5 @@
     sender_address: str
     recipient: str
     body: Body
+    number: int = 0
+    acknowledged: int = 0
