--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 VENV ?= .venv
 PYTHON ?= python3
 PACKAGES := bergamotcart bergamotcart-daemon bergamotcart-ctl bergamotcart-testkit
-SOURCES := $(PACKAGES:%=packages/%/src)
-STAMP := $(VENV)/.installed-$(firstword $(shell cat constraints.txt packages/*/pyproject.toml | cksum))
+PLATFORM := platform
+SOURCES := $(PACKAGES:%=packages/%/src) $(PLATFORM)/src
+CHECKED := packages integration $(PLATFORM)
+STAMP := $(VENV)/.installed-$(firstword $(shell cat constraints.txt packages/*/pyproject.toml platform/pyproject.toml | cksum))
 empty :=
 space := $(empty) $(empty)
 # The sources of this checkout come before an installed copy of another checkout.
@@ -16,22 +18,22 @@
 	$(VENV)/bin/pip install --quiet -c constraints.txt setuptools wheel
 	$(VENV)/bin/pip install --quiet -c constraints.txt pytest hypothesis ruff wemake-python-styleguide
 	$(VENV)/bin/pip install --quiet --no-build-isolation -c constraints.txt \
-		$(foreach package,$(PACKAGES),-e packages/$(package))
+		$(foreach package,$(PACKAGES),-e packages/$(package)) -e $(PLATFORM)
 	touch $@
 
 install: $(STAMP)
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest packages integration
+	$(VENV)/bin/python -m pytest $(CHECKED)
 
 lint: $(STAMP)
-	$(VENV)/bin/ruff format --check packages integration
-	$(VENV)/bin/ruff check packages integration
-	$(VENV)/bin/flake8 packages integration
+	$(VENV)/bin/ruff format --check $(CHECKED)
+	$(VENV)/bin/ruff check $(CHECKED)
+	$(VENV)/bin/flake8 $(CHECKED)
 
 format: $(STAMP)
-	$(VENV)/bin/ruff check --select I --fix packages integration
-	$(VENV)/bin/ruff format packages integration
+	$(VENV)/bin/ruff check --select I --fix $(CHECKED)
+	$(VENV)/bin/ruff format $(CHECKED)
 
 demo: $(STAMP)
 	$(VENV)/bin/python -m bergamotcart_testkit.demo
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_entry.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/announcements/_api.py
@@ -9,7 +9,7 @@
 from bergamotcart import messages
 from bergamotcart.entry import AnnouncementReceived
 from bergamotcart_daemon.addresses import Address
-from bergamotcart_daemon.http._server import respond_json
+from bergamotcart_daemon.http import respond_json
 from bergamotcart_daemon.metrics import Metrics
 
 _BAD_REQUEST: Final = 400
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
@@ -8,6 +8,7 @@
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from bergamotcart.actions import Decision
+from bergamotcart_daemon.logs._handler import BoundedHandler
 
 _FIELDS: Final = ('levelname', 'name', 'message')
 _OPTIONAL_FIELDS: Final = (
@@ -46,12 +47,14 @@
         rename_fields={'levelname': 'level', 'name': 'logger'},
         static_fields={'role': role, 'node': process},
     )
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = BoundedHandler((stream or sys.stderr).fileno())
     handler.setFormatter(formatter)
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     # The library logs each refused statement and each connection; decisions cover both.
     logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
     Service.mundane_level = 'debug'
+    # A VM that was suspended explains late timers, and the lease tells of it.
+    logging.getLogger('mode.timers').setLevel(logging.ERROR)
 
 
 class DecisionLog:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/protocols.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/protocols.py
@@ -7,10 +7,10 @@
 
 from bergamotcart import entry
 from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.announcements import AnnouncementApi
 from bergamotcart_daemon.callers import CallerServer
 from bergamotcart_daemon.control import ControlAdapters, ControlDaemon
 from bergamotcart_daemon.entry import CallerFrontend, EntryAdapters, EntryDaemon
-from bergamotcart_daemon.http import AnnouncementApi
 from bergamotcart_daemon.metrics import Metrics
 from bergamotcart_daemon.operators import OperatorApi, OperatorGateway
 from bergamotcart_daemon.orders import HttpTargetAdmin, TargetAdmin
--- a/packages/bergamotcart/src/bergamotcart/control/_instances.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_instances.py
@@ -10,11 +10,13 @@
 from bergamotcart import messages
 from bergamotcart.control._commands import ForgetInstance, NoteInstance
 from bergamotcart.control._sightings import Seen, is_fresh
-from bergamotcart.control._state import InstanceRow, instance_key
+from bergamotcart.control._state import InstanceRow, ReplicatedState, instance_key
 from bergamotcart.control._tick import Tick
 
 # Older than any instance that counts as live, younger than one that is forgotten.
 ASSUMED_AGE_S: Final = 60.0
+# An instance that has announced its end ends within some seconds.
+LEFT_S: Final = 30.0
 
 
 def note_instances(tick: Tick, group: str) -> None:
@@ -30,7 +32,7 @@
 
 def forget_instances(tick: Tick) -> None:
     """Forget instances that nobody has seen for long."""
-    for seen in tick.local.sightings.forget_old(tick.now):
+    for seen in tick.local.sightings.forget_old(tick.now, LEFT_S):
         group, instance = seen.announcement.group, seen.announcement.instance
         if instance_key(group, instance) in tick.state.instances:
             _propose(tick, group, instance, ForgetInstance(group=group, instance=instance))
@@ -45,8 +47,14 @@
     if tick.local.assumed_instances:
         return
     tick.local.assumed_instances = True
-    for row in tick.state.instances.values():
-        announcement = messages.Announcement(
+    for announcement in assumed_announcements(tick.state):
+        tick.local.sightings.assume(Seen(announcement, tick.now - ASSUMED_AGE_S))
+
+
+def assumed_announcements(state: ReplicatedState) -> list[messages.Announcement]:
+    """Return what the instances of the replicated state would announce, as far as it is known."""
+    return [
+        messages.Announcement(
             group=row.group,
             instance=row.instance,
             availability_zone=row.availability_zone,
@@ -61,7 +69,8 @@
             incarnation='',
             sequence=0,
         )
-        tick.local.sightings.assume(Seen(announcement, tick.now - ASSUMED_AGE_S))
+        for row in state.instances.values()
+    ]
 
 
 def _propose(
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -13,7 +13,11 @@
 from bergamotcart.control._config import ControlConfig, ControlOutbox, ControlStatus
 from bergamotcart.control._distribution import handle_state_ack, push_changes
 from bergamotcart.control._failover import run_failover
-from bergamotcart.control._instances import assume_instances, forget_instances
+from bergamotcart.control._instances import (
+    assume_instances,
+    assumed_announcements,
+    forget_instances,
+)
 from bergamotcart.control._local import LocalTables
 from bergamotcart.control._member_changes import MemberChanges
 from bergamotcart.control._open_group import report_discarded
@@ -22,7 +26,7 @@
 from bergamotcart.control._sightings import pull_from_members
 from bergamotcart.control._state import ReplicatedState, decode_state, encode_state
 from bergamotcart.control._tick import Tick
-from bergamotcart.discovery import TargetTable, answer_pull
+from bergamotcart.discovery import TargetKey, TargetTable, answer_pull
 
 # Replaying this many records at a start takes a few milliseconds.
 SNAPSHOT_RECORDS: Final = 300
@@ -159,7 +163,22 @@
         if self._directory.receive(tick.now, announcement):
             self._local.sightings.note(announcement, tick.now)
 
+    def _assume_targets(self, tick: Tick) -> None:
+        """Tell entries of the instances in the replicated state before these announce themselves.
+
+        Whoever connects names the instance that it expects, so a wrong address does no harm.
+        """
+        if not self._config.targets_announce_here or self._local.assumed_instances:
+            return
+        made_after = tick.now - self._config.target_expiry_s / 2
+        for announcement in assumed_announcements(self._state):
+            key = TargetKey(announcement.group, announcement.instance)
+            if self._directory.get(key) is None:
+                assumed = msgspec.structs.replace(announcement, echo=made_after)
+                self._directory.receive(tick.now, assumed)
+
     def _run_systems(self, tick: Tick) -> None:
+        self._assume_targets(tick)
         assume_instances(tick)
         pull_from_members(tick)
         self._members.readmit(tick)
--- a/packages/bergamotcart/src/bergamotcart/control/_sightings.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_sightings.py
@@ -80,9 +80,16 @@
         self._changed = set()
         return changed
 
-    def forget_old(self, now: float) -> list[Seen]:
-        """Drop and return the instances that nobody has seen for long."""
-        old = [seen for seen in self._rows.values() if now - seen.made_after >= FORGET_S]
+    def forget_old(self, now: float, left_s: float) -> list[Seen]:
+        """Drop and return the instances that nobody has seen for long.
+
+        :param left_s: seconds after which one counts as ended that has announced its end.
+        """
+        old = [
+            seen
+            for seen in self._rows.values()
+            if now - seen.made_after >= (left_s if seen.announcement.leaving else FORGET_S)
+        ]
         for seen in old:
             self._rows.pop(_key(seen))
             self._groups[seen.announcement.group].discard(_key(seen))
--- a/packages/bergamotcart/src/bergamotcart/documents/_document.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_document.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 import msgspec
-import yaml
 
 from bergamotcart.documents import _schema as schema
 from bergamotcart.messages import SectionRow
@@ -15,8 +14,6 @@
 _PARSED_SECTIONS: Final = 64
 # Routes do not name their callers, so limits per caller do not apply to them.
 _UNLIMITED: Final = 1_000_000
-# The parser of libyaml is several times faster; not every platform has it.
-_LOADER: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,9 +190,7 @@
     try:
         if body_type is schema.RoutesBody:
             return msgspec.json.decode(body, type=body_type)
-        return msgspec.convert(yaml.load(body, Loader=_LOADER), body_type)
-    except yaml.YAMLError as error:
-        raise DocumentError((Problem(prefix, f'malformed YAML: {error}'),)) from error
+        return msgspec.convert(_load_yaml(prefix, body), body_type)
     except msgspec.ValidationError as error:
         message, _, path = str(error).partition(' - at `$')
         suffix = path.rstrip('`')
@@ -204,6 +199,18 @@
         raise DocumentError((Problem(prefix, f'malformed JSON: {error}'),)) from error
 
 
+def _load_yaml(prefix: str, body: str) -> object:
+    # Loading the parser takes a noticeable part of a start, and routes do without it.
+    import yaml
+
+    # The parser of libyaml is several times faster; not every platform has it.
+    loader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+    try:
+        return yaml.load(body, Loader=loader)
+    except yaml.YAMLError as error:
+        raise DocumentError((Problem(prefix, f'malformed YAML: {error}'),)) from error
+
+
 def _references(body: schema.SectionBody) -> list[tuple[str, str]]:
     if isinstance(body, schema.PoliciesBody):
         return [
