--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_handler.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_handler.py
@@ -81,17 +81,19 @@
 
     def _flush_rest(self) -> bool:
         """Finish a line of which the reader has taken only a part."""
-        if self._rest:
-            rest, self._rest = self._rest, b''
-            self._write(rest)
+        self._rest = self._rest[self._send(self._rest) :]
         return not self._rest
 
     def _write(self, line: bytes) -> None:
-        try:
-            written = os.write(self._descriptor, line)
-        except BlockingIOError:
-            written = 0
+        written = 0 if self._rest else self._send(line)
         if written == 0:
             self._left_out += 1
-        elif written < len(line):
+        else:
             self._rest = line[written:]
+
+    def _send(self, line: bytes) -> int:
+        """Hand over as much as the reader takes now, and return how many bytes that were."""
+        try:
+            return os.write(self._descriptor, line) if line else 0
+        except BlockingIOError:
+            return 0
