--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_handler.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_handler.py
@@ -46,11 +46,10 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record as one line, or count it."""
         try:
-            if not self._may_write(record) or not self._flush_rest():
+            is_ready = self._may_write(record) and self._flush_rest()
+            line = f'{self.format(record)}\n'.encode('utf-8', 'replace')
+            if not (is_ready and self._report_left_out(record) and self._write(line)):
                 self._left_out += 1
-                return
-            self._report_left_out(record)
-            self._write(f'{self.format(record)}\n'.encode('utf-8', 'replace'))
         except Exception:
             self.handleError(record)
 
@@ -64,32 +63,35 @@
         self._allowance = max(self._allowance - 1, 0)
         return True
 
-    def _report_left_out(self, record: logging.LogRecord) -> None:
+    def _report_left_out(self, record: logging.LogRecord) -> bool:
+        """Write how many lines were left out; false if that line does not fit either."""
         if not self._left_out:
-            return
-        count, self._left_out = self._left_out, 0
+            return True
         report = logging.LogRecord(
             record.name,
             logging.WARNING,
             record.pathname,
             record.lineno,
             '%d log lines left out',
-            (count,),
+            (self._left_out,),
             None,
         )
-        self._write(f'{self.format(report)}\n'.encode())
+        if not self._write(f'{self.format(report)}\n'.encode()):
+            return False
+        self._left_out = 0
+        return True
 
     def _flush_rest(self) -> bool:
         """Finish a line of which the reader has taken only a part."""
         self._rest = self._rest[self._send(self._rest) :]
         return not self._rest
 
-    def _write(self, line: bytes) -> None:
+    def _write(self, line: bytes) -> bool:
+        """Write a line, at least in part; the rest of it comes first next time."""
         written = 0 if self._rest else self._send(line)
-        if written == 0:
-            self._left_out += 1
-        else:
+        if written:
             self._rest = line[written:]
+        return bool(written)
 
     def _send(self, line: bytes) -> int:
         """Hand over as much as the reader takes now, and return how many bytes that were."""
