Keep strict reads off a replaced primary that does not know control, and test routes

A bare read also needs the lease at its answer, not only when it is sent. Ruled out: bare reads without a lease, which already ran inside a plain transaction.

--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -202,7 +202,8 @@
     def _complete(self, running: Running, finished: ExecutionFinished) -> None:
         request = running.request
         is_bare = len(running.plan.steps) == 1 and running.plan.steps[0].floor is None
-        if is_bare and not self._work.view.is_open(request.group, request.term):
+        is_open = self._work.view.is_open(request.group, request.term)
+        if is_bare and not (is_open and self._work.lease_valid):
             # The instance may have been replaced before it ran the read.
             self._retries.retry(request, Reason.group_not_open)
             return
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -100,11 +100,12 @@
         """
         transaction = Transaction(target, request.term, request.group, request.ledger)
         transaction.is_routed = request.route is not None
-        begun = request.session.begun
         request.session.transaction = transaction
         self._open += 1
         steps: tuple[Step, ...] = (BEGIN,)
-        if begun is not None and begun.read_only:
+        if floor is not None:
+            # Without a floor, only the primary will do: it refuses the statements of a plain
+            # transaction once it is replaced, but not those of a read-only one.
             steps = (replace(_BEGIN_READ, floor=floor),)
         if request.ledger is not None:
             steps = (BEGIN, LEDGER_INSERT)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_world.py
@@ -0,0 +1,290 @@
+"""One engine with routes, whose executions and probes a test answers by hand."""
+
+import msgspec
+
+from bergamotcart import documents, entry, messages
+from bergamotcart.actions import MessageReceived
+from bergamotcart.discovery import Position, PositionReport, TargetKey
+from bergamotcart.messages import GroupPhase, Reachability, TargetRole
+from bergamotcart.outcomes import RequestResult, TargetError
+from bergamotcart.statements import Statement, StatementKind
+
+GROUP = 'ledger'
+DATABASES = ('strict', 'aged', 'own')
+MAX_AGE_S = 2.0
+TIMEOUT_S = 1.0
+READ = Statement(StatementKind.read)
+WRITE = Statement(StatementKind.write)
+BEGIN = Statement(StatementKind.begin)
+BEGIN_READ = Statement(StatementKind.begin, read_only=True)
+COMMIT = Statement(StatementKind.commit)
+ROLLBACK = Statement(StatementKind.rollback)
+
+_CONSISTENCIES = {
+    'strict': documents.Consistency.primary,
+    'aged': documents.Consistency.bounded_age,
+    'own': documents.Consistency.session,
+}
+
+
+def make_routes(*names: str, version: int = 1) -> messages.SectionRow:
+    """Return the section with a route for each database name."""
+    body = documents.RoutesBody(
+        routes=tuple(
+            documents.Route(
+                name=name,
+                database=name,
+                group=GROUP,
+                consistency=_CONSISTENCIES[name],
+                statement_timeout_s=TIMEOUT_S,
+                max_age_s=MAX_AGE_S,
+            )
+            for name in names
+        ),
+        groups={
+            GROUP: documents.GroupSettings(
+                entries_limit=None,
+                acknowledgement=documents.Acknowledgement.target,
+                promotion=documents.Promotion.authority,
+                positions=documents.PositionSource.answers,
+                connection_limit=20,
+            ),
+        },
+    )
+    encoded = msgspec.json.encode(body).decode()
+    return messages.SectionRow(name='routes', kind='routes', version=version, body=encoded)
+
+
+class RoutedWorld:
+    """An engine, control's messages to it, and what it wants to be done.
+
+    :ivar executions: executions that have no answer yet.
+    :ivar probes: probes without an answer, with their time.
+    """
+
+    def __init__(self, *, configured: bool = True) -> None:
+        """Start the engine; instance ``a`` is the primary, ``b`` is in the own zone."""
+        self.now = 100.0
+        self.index = 1
+        self.row = messages.GroupRow(
+            name=GROUP, term=1, phase=GroupPhase.open, primary='a', modified_index=1
+        )
+        self.section = make_routes(*DATABASES)
+        self.executions: list[entry.Execute] = []
+        self.probes: list[tuple[float, entry.Probe]] = []
+        self.replies: dict[int, entry.Reply] = {}
+        self.answers: dict[int, entry.SessionAnswer] = {}
+        self.closed: list[int] = []
+        self.released: list[int] = []
+        self.drained = False
+        self.requests = 0
+        self.sessions = 0
+        self._asked_at: list[float] = []
+        self._pulled_at: list[float] = []
+        self.engine = entry.EntryEngine(
+            entry.EntryConfig(
+                name='e1',
+                incarnation='1',
+                availability_zone='zb',
+                address='e1',
+                control_members=(('control', 'control'),),
+                session_key=b'k' * 16,
+                target_expiry_s=60.0,
+                targets_announce_to_control=True,
+            )
+        )
+        self.step()
+        if configured:
+            self.configure()
+
+    def configure(self) -> None:
+        """Let the engine learn of the routes, the targets and a lease."""
+        self.update()
+        self.announce()
+        self.answer_probes()
+        self.grant()
+        self.pass_time(0.05)
+        self.answer_probes()
+
+    def step(self, *inputs: entry.EntryInput) -> None:
+        """Run the engine and keep its actions."""
+        for action in self.engine.step(self.now, inputs).actions:
+            self._keep(action)
+
+    def pass_time(self, seconds: float) -> None:
+        """Move the clock."""
+        self.now += seconds
+        self.step()
+
+    def receive(self, body: messages.Body) -> None:
+        """Deliver a message of control."""
+        envelope = messages.Envelope(
+            version=messages.FORMAT_VERSION,
+            domain='default',
+            sender='control',
+            incarnation='1',
+            sender_address='control',
+            recipient='e1',
+            body=body,
+        )
+        self.step(MessageReceived(envelope))
+
+    def update(self, **changed: object) -> None:
+        """Send the whole state, with changed fields of the group's row."""
+        self.index += 1
+        self.row = msgspec.structs.replace(self.row, modified_index=self.index, **changed)
+        self.receive(
+            messages.StateUpdate(
+                control_term=1,
+                from_index=0,
+                to_index=self.index,
+                revision=self.index,
+                entries_limit=1,
+                groups=(self.row,),
+                sections=(self.section,),
+            )
+        )
+
+    def grant(self, duration_s: float = 1.0) -> None:
+        """Grant a lease for the newest request."""
+        self.pass_time(0.3)
+        self.receive(
+            messages.LeaseGrant(
+                echo_sent_at=self._asked_at[-1],
+                duration_s=duration_s,
+                renew_after_s=0.25,
+                control_term=1,
+                current_index=self.index,
+            )
+        )
+
+    def announce(self) -> None:
+        """Answer the newest pull with all three instances."""
+        sightings = tuple(
+            messages.Sighting(announcement=_announcement(name), age_s=0) for name in 'abc'
+        )
+        batch = messages.RelayBatch(
+            echo_sent_at=self._pulled_at[-1], sightings=sightings, version=1
+        )
+        self.receive(batch)
+
+    def answer_probes(self, primary: str = 'a', head: int = 10, silent: str = '') -> None:
+        """Answer all probes that are under way.
+
+        :param primary: name of the instance that says that it is the primary.
+        :param head: position that all of them report.
+        :param silent: names of instances that do not answer.
+        """
+        probes, self.probes = self.probes, []
+        for sent_at, probe in probes:
+            name = probe.target.instance
+            if name in silent:
+                self.step(entry.ProbeFinished(probe.target, sent_at, None, Reachability.silent))
+                continue
+            role = TargetRole.primary if name == primary else TargetRole.replica
+            report = PositionReport(role, 1, Position(1, head))
+            self.step(entry.ProbeFinished(probe.target, sent_at, report))
+
+    def open(self, database: str) -> int:
+        """Open a session."""
+        self.sessions += 1
+        self.step(entry.SessionOpened(self.sessions, 'client', None, database))
+        return self.sessions
+
+    def ask(self, session: int, statement: Statement, text: str = 'READ x') -> int:
+        """Send a statement."""
+        self.requests += 1
+        self.step(
+            entry.RequestArrived(
+                self.requests,
+                session,
+                text,
+                statement=statement,
+                statement_id=f'q{self.requests}',
+            )
+        )
+        return self.requests
+
+    def take(self) -> entry.Execute:
+        """Return the oldest execution without an answer."""
+        assert self.executions, 'nothing was sent'
+        return self.executions.pop(0)
+
+    def finish(self, action: entry.Execute, position: int = 10, **changed: object) -> None:
+        """Answer an execution; it completes unless fields say otherwise."""
+        fields: dict[str, object] = {
+            'status': entry.ExecutionStatus.completed,
+            'result': RequestResult(rows=(('row',),), proof='proof'),
+            'position': Position(1, position),
+        }
+        self.step(entry.ExecutionFinished(execution_id=action.execution_id, **(fields | changed)))
+
+    def fail(
+        self, action: entry.Execute, error: TargetError, step: entry.StepKind | None = None
+    ) -> None:
+        """Answer an execution with an error of the instance."""
+        self.finish(
+            action,
+            status=entry.ExecutionStatus.target_error,
+            result=None,
+            error=error,
+            failed_step=step or action.steps[-1].kind,
+        )
+
+    def lose(self, action: entry.Execute, step: entry.StepKind | None = None) -> None:
+        """Let the connection of an execution break."""
+        self.finish(
+            action,
+            status=entry.ExecutionStatus.lost,
+            result=None,
+            position=None,
+            failed_step=step or action.steps[-1].kind,
+            clean=False,
+        )
+
+    def _keep(self, action: entry.EntryAction) -> None:
+        if isinstance(action, entry.Execute):
+            self.executions.append(action)
+        elif isinstance(action, entry.Probe):
+            self.probes.append((self.now, action))
+        elif isinstance(action, entry.Reply):
+            assert action.request_id not in self.replies, 'two replies to one request'
+            self.replies[action.request_id] = action
+        elif isinstance(action, entry.SessionAnswer):
+            self.answers[action.session_id] = action
+        elif isinstance(action, entry.CloseSession):
+            self.closed.append(action.session_id)
+        elif isinstance(action, entry.ReleasePin):
+            self.released.append(action.session_id)
+        elif isinstance(action, entry.Drained):
+            self.drained = True
+        else:
+            body = getattr(action, 'body', None)
+            if isinstance(body, messages.LeaseRequest):
+                self._asked_at.append(body.sent_at)
+            elif isinstance(body, messages.RelayPull):
+                self._pulled_at.append(body.sent_at)
+
+
+def key(name: str) -> TargetKey:
+    """Return the key of an instance."""
+    return TargetKey(GROUP, name)
+
+
+def _announcement(name: str) -> messages.Announcement:
+    return messages.Announcement(
+        group=GROUP,
+        instance=name,
+        availability_zone=f'z{name}',
+        address=name,
+        admin_address=name,
+        role=TargetRole.replica,
+        term=0,
+        log_term=0,
+        position=0,
+        slots=5,
+        connection_limit=5,
+        incarnation='1',
+        sequence=1,
+        started_at_ms=1,
+    )
