Hear a restarted peer's sightings again, and use a leaving primary for a moment only

Cause found in the code: a control member keeps its incarnation over a restart while its versions begin elsewhere, so a puller that held a higher version dropped each complete answer for ever; the new test fails without the change. Ruled out: the order of heartbeats, the age rules of the target table.

--- a/packages/bergamotcart/src/bergamotcart/discovery/_exchange.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_exchange.py
@@ -109,7 +109,9 @@
         if held is None or held.incarnation != envelope.incarnation:
             held = _Held(envelope.incarnation)
             self._peers[envelope.sender] = held
-        if not batch.base_version <= held.version <= batch.version:
+        # A complete answer counts whatever its version: the peer may have started anew.
+        is_complete = batch.base_version == 0
+        if not (is_complete or batch.base_version <= held.version <= batch.version):
             return ()
         if batch.base_version == 0:
             held.targets.clear()
--- a/packages/bergamotcart/src/bergamotcart/discovery/_table.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_table.py
@@ -10,6 +10,8 @@
 from bergamotcart.messages import Announcement, Sighting
 
 _NEVER: Final = float('-inf')
+# A target that leaves gets no new work after 3 s; its replacement takes a second at most.
+LEAVING_GRACE_S: Final = 2.5
 
 
 @dataclass(slots=True)
@@ -20,6 +22,7 @@
     :param heard_after: time on the own clock, in seconds, after which the target certainly
         announced itself directly; minus infinity if it never did.
     :param version: version of the table at which the content last changed.
+    :param leaving_since: time on the own clock, in seconds, at which it was first known to leave.
     """
 
     key: TargetKey
@@ -27,6 +30,7 @@
     made_after: float
     heard_after: float = float('-inf')
     version: int = 0
+    leaving_since: float | None = None
 
     @property
     def position(self) -> Position:
@@ -83,6 +87,17 @@
             return False
         return now - target.made_after < self._expiry_s
 
+    def takes_primary_work(self, key: TargetKey, now: float) -> bool:
+        """Tell whether a target may go on as primary, also for a moment after it said it leaves.
+
+        Work for the primary has nowhere else to go until it is replaced.
+        """
+        target = self._targets.get(key)
+        if target is None or now - target.made_after >= self._expiry_s:
+            return False
+        left_at = target.leaving_since
+        return left_at is None or now < left_at + LEAVING_GRACE_S
+
     def receive(self, now: float, announcement: Announcement) -> bool:
         """Take an announcement that the target itself sent.
 
@@ -95,6 +110,7 @@
         echo = announcement.echo
         made_after = _NEVER if echo is None or echo > now else echo
         is_newer = self._take(announcement, made_after)
+        self._note_leaving(_key_of(announcement), now)
         target = self._targets[_key_of(announcement)]
         if target.announcement.incarnation == announcement.incarnation:
             if now - target.heard_after >= self._expiry_s:
@@ -123,6 +139,7 @@
             made_after = echo_sent_at - max(sighting.age_s, 0)
             if self._take(sighting.announcement, made_after):
                 changed.append(_key_of(sighting.announcement))
+                self._note_leaving(changed[-1], now)
         return changed
 
     def remove(self, key: TargetKey) -> None:
@@ -138,6 +155,13 @@
         target = self._targets.get(key)
         return target is None or now - target.made_after >= self._expiry_s
 
+    def _note_leaving(self, key: TargetKey, now: float) -> None:
+        target = self._targets[key]
+        if not target.announcement.leaving:
+            target.leaving_since = None
+        elif target.leaving_since is None:
+            target.leaving_since = now
+
     def _take(self, announcement: Announcement, made_after: float) -> bool:
         key = _key_of(announcement)
         known = self._targets.get(key)
--- a/packages/bergamotcart/src/bergamotcart/discovery/tests/test_exchange.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/tests/test_exchange.py
@@ -126,3 +126,15 @@
     pair.hear(2, sequence=3, leaving=True)
     pair.pull(2)
     assert not pair.puller.takes_new_work(_KEY, 2)
+
+
+def test_a_peer_that_starts_anew_under_its_old_incarnation_is_heard_again():
+    """A control member keeps its incarnation over a restart, but counts versions from elsewhere."""
+    pair = _Pair()
+    pair.peer = discovery.TargetTable(_EXPIRY_S, first_version=1000)
+    pair.hear(0, sequence=1)
+    pair.pull(0)
+    pair.peer = discovery.TargetTable(_EXPIRY_S, first_version=10)
+    pair.hear(1, sequence=2, leaving=True)
+    pair.pull(1)
+    assert not pair.puller.takes_new_work(_KEY, 1)
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary.py
@@ -58,7 +58,7 @@
         if not self._work.lease_valid or not view.is_open(group):
             return None
         key = TargetKey(group, view.groups[group].primary or '')
-        if not self._work.table.takes_new_work(key, self._work.now):
+        if not self._takes_work(key):
             return None
         return key if self._monitor.is_reachable(key) else None
 
@@ -81,10 +81,16 @@
             if watched is None or watched.report is None:
                 continue
             claims = watched.report.role is TargetRole.primary
-            if claims and self._monitor.is_reachable(target.key):
+            is_usable = self._monitor.is_reachable(target.key) and self._takes_work(target.key)
+            if claims and is_usable:
                 return target.key
         return None
 
+    def _takes_work(self, key: TargetKey) -> bool:
+        if self._work.view.refuses_by_itself(key.group):
+            return self._work.table.takes_primary_work(key, self._work.now)
+        return self._work.table.takes_new_work(key, self._work.now)
+
     def is_read_only(self, group: str) -> bool:
         """Tell whether the operator or the failover has stopped writes to a group."""
         row = self._work.view.groups.get(group)
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_world.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_world.py
@@ -81,6 +81,7 @@
         self.sessions = 0
         self._asked_at: list[float] = []
         self._pulled_at: list[float] = []
+        self._announced = 0
         self.engine = entry.EntryEngine(
             entry.EntryConfig(
                 name='e1',
@@ -158,13 +159,23 @@
             )
         )
 
-    def announce(self) -> None:
-        """Answer the newest pull with all three instances."""
+    def announce(self, leaving: str = '') -> None:
+        """Answer the newest pull with all three instances.
+
+        :param leaving: names of those that leave.
+        """
+        self._announced += 1
         sightings = tuple(
-            messages.Sighting(announcement=_announcement(name), age_s=0) for name in 'abc'
+            messages.Sighting(
+                announcement=_announcement(name, self._announced, leaving=name in leaving),
+                age_s=0,
+            )
+            for name in 'abc'
         )
         batch = messages.RelayBatch(
-            echo_sent_at=self._pulled_at[-1], sightings=sightings, version=1
+            echo_sent_at=self._pulled_at[-1],
+            sightings=sightings,
+            version=self._announced,
         )
         self.receive(batch)
 
@@ -271,7 +282,7 @@
     return TargetKey(GROUP, name)
 
 
-def _announcement(name: str) -> messages.Announcement:
+def _announcement(name: str, sequence: int, *, leaving: bool) -> messages.Announcement:
     return messages.Announcement(
         group=GROUP,
         instance=name,
@@ -285,6 +296,7 @@
         slots=5,
         connection_limit=5,
         incarnation='1',
-        sequence=1,
+        sequence=sequence,
+        leaving=leaving,
         started_at_ms=1,
     )
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_routes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_routes.py
@@ -336,3 +336,23 @@
     assert session in world.released
     world.pass_time(0.1)
     assert world.drained
+
+
+def test_a_leaving_primary_is_used_until_it_is_replaced_but_not_for_long():
+    """Its writes have nowhere else to go, yet a leaving target gets no new work after 3 s."""
+    for lease in (True, False):
+        world = RoutedWorld()
+        world.announce(leaving='a')
+        if not lease:
+            world.pass_time(_LEASE_ENDS_S)
+            world.answer_probes()
+        session = world.open('strict')
+        first = world.ask(session, routed.WRITE, 'WRITE x 1')
+        world.answer_probes()
+        world.finish(world.take())
+        assert isinstance(world.replies[first].outcome, Ran)
+        world.pass_time(2.6)
+        world.answer_probes()
+        world.ask(session, routed.WRITE, 'WRITE x 2')
+        world.answer_probes()
+        assert not world.executions
