--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/operators/_api.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/operators/_api.py
@@ -49,14 +49,15 @@
 
     def build_routes(self) -> tuple[web.RouteDef, ...]:
         """Return the routes."""
-        return (
+        routes = [
             web.get('/v1/document', self._handle_document),
             web.put('/v1/document', self._handle_replacement),
             web.get('/v1/status', self._handle_status),
             web.get('/v1/changes/{section}', self._handle_history),
             web.post('/v1/changes', self._handle_change),
             web.post('/v1/members', self._handle_members),
-        )
+        ]
+        return tuple(routes)
 
     async def _handle_document(self, request: web.Request) -> web.Response:
         return await self._handle(request, OperatorCommand.get_document, {})
--- a/packages/bergamotcart/src/bergamotcart/consensus/_core.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_core.py
@@ -113,12 +113,6 @@
         least, greatest = self.config.election_timeout_s
         self.election_at = self.now + self._random.uniform(least, greatest)
 
-    def _plan_first_election(self) -> None:
-        """Stand soon after a start that took long, since all members may have started anew."""
-        least, greatest = self.config.election_timeout_s
-        earliest = max(self.now, self.heard_at + least)
-        self.election_at = earliest + self._random.uniform(0, greatest - least)
-
     def learn_address(self, envelope: messages.Envelope) -> None:
         """Remember where a member sends from; it may have moved since its membership record."""
         sender = identity(envelope.sender, envelope.incarnation)
@@ -195,6 +189,12 @@
         self.taken_index = last
         return records
 
+    def _plan_first_election(self) -> None:
+        """Stand soon after a start that took long, since all members may have started anew."""
+        least, greatest = self.config.election_timeout_s
+        earliest = max(self.now, self.heard_at + least)
+        self.election_at = earliest + self._random.uniform(0, greatest - least)
+
     def _address(self, recipient: str, body: messages.Body) -> Send | None:
         address = self._addresses.get(recipient)
         if address is None:
--- a/packages/bergamotcart/src/bergamotcart/control/_appointment.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_appointment.py
@@ -11,15 +11,14 @@
 from bergamotcart.control._collection import is_freeze_complete, primaries_by_zone
 from bergamotcart.control._commands import OpenGroup, PromoteGroup
 from bergamotcart.control._events import InstanceStatus, OrderKind
-from bergamotcart.control._group_work import GroupWork, Note
-from bergamotcart.control._open_group import decide, find_planned, freeze
+from bergamotcart.control._group_work import GroupWork
+from bergamotcart.control._open_group import decide, find_planned, freeze, freeze_unless_paused
 from bergamotcart.control._order_book import OrderKey
 from bergamotcart.control._placement import Candidate, choose_primary
 from bergamotcart.control._planned import poll_statuses, wait_for_catch_up
 from bergamotcart.control._sightings import Seen, is_fresh
 from bergamotcart.control._suspicion import find_suspicion, is_unreachable
 from bergamotcart.control._tick import Tick
-from bergamotcart.messages import GroupPhase, TargetRole
 
 POLL_S: Final = 0.05
 # Instances in other regions answer within a few milliseconds; a silent one is not waited for.
@@ -32,11 +31,11 @@
 def run_appointment(tick: Tick, row: messages.GroupRow, work: GroupWork) -> None:
     """Advance a group whose primary an authority appoints by one step of its phase."""
     match row.phase:
-        case GroupPhase.open:
+        case messages.GroupPhase.open:
             _run_open(tick, row, work)
-        case GroupPhase.frozen:
+        case messages.GroupPhase.frozen:
             _run_frozen(tick, row, work)
-        case GroupPhase.promoting:
+        case messages.GroupPhase.promoting:
             _run_promoting(tick, row, work)
 
 
@@ -45,21 +44,17 @@
     if reason == 'primary_demoted':
         reason = _confirm_demotion(tick, row)
     reason = reason or find_planned(tick, row, work)
-    if not reason:
-        work.waiting_for = ''
-    elif tick.document.is_failover_paused(row.name):
-        work.waiting_for = 'failover is paused by the document'
-        if work.note_once(Note.paused):
-            decide(tick, row, 'keep_primary', 'failover_paused', reason)
+    if reason:
+        freeze_unless_paused(tick, row, work, reason)
     else:
-        freeze(tick, row, reason)
+        work.waiting_for = ''
 
 
 def _confirm_demotion(tick: Tick, row: messages.GroupRow) -> str:
     """Ask an instance that announced itself as a replica, since announcements may be late."""
     tick.wake_at(tick.now + POLL_S)
     status = poll_statuses(tick, row, tick.local.led_since).get(row.primary or '')
-    is_demoted = status is not None and status.role is not TargetRole.primary
+    is_demoted = status is not None and status.role is not messages.TargetRole.primary
     return 'primary_demoted' if is_demoted else ''
 
 
@@ -214,4 +209,4 @@
 
 
 def _is_primary(status: InstanceStatus) -> bool:
-    return status.role is TargetRole.primary
+    return status.role is messages.TargetRole.primary
--- a/packages/bergamotcart/src/bergamotcart/control/_failover.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_failover.py
@@ -21,16 +21,20 @@
         work = _find_work(tick, row)
         if tick.local.proposals.is_pending(f'group {name}'):
             continue
-        if tick.document.groups[name].promotion is Promotion.authority:
-            run_appointment(tick, row, work)
-            continue
-        match row.phase:
-            case messages.GroupPhase.open:
-                run_open(tick, row, work)
-            case messages.GroupPhase.frozen:
-                run_frozen(tick, row, work)
-            case messages.GroupPhase.promoting:
-                run_promoting(tick, row, work)
+        _advance(tick, row, work)
+
+
+def _advance(tick: Tick, row: messages.GroupRow, work: GroupWork) -> None:
+    if tick.document.groups[row.name].promotion is Promotion.authority:
+        run_appointment(tick, row, work)
+        return
+    match row.phase:
+        case messages.GroupPhase.open:
+            run_open(tick, row, work)
+        case messages.GroupPhase.frozen:
+            run_frozen(tick, row, work)
+        case messages.GroupPhase.promoting:
+            run_promoting(tick, row, work)
 
 
 def _find_work(tick: Tick, row: messages.GroupRow) -> GroupWork:
--- a/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
@@ -79,13 +79,11 @@
         before = {(member.name, member.incarnation, member.voter) for member in self._node.members}
         if self._node.propose_members(tick.now, members) is None:
             return
-        for member in members:
-            if (member.name, member.incarnation, member.voter) not in before:
-                reason = 'caught_up' if member.voter else 'no_vote'
-                _decide(tick, 'change_member', reason, member.name)
-        kept = {member.name for member in members}
-        for name in {name for name, _, _ in before} - kept:
-            _decide(tick, 'change_member', 'forgotten', name)
+        after = {(member.name, member.incarnation, member.voter) for member in members}
+        for name, _, is_voter in after - before:
+            _decide(tick, 'change_member', 'caught_up' if is_voter else 'no_vote', name)
+        for gone in {member[0] for member in before} - {member[0] for member in after}:
+            _decide(tick, 'change_member', 'forgotten', gone)
 
     def _find_newcomer(self, name: str) -> messages.LogMember | None:
         for member in self._node.newcomers:
--- a/packages/bergamotcart/src/bergamotcart/control/_open_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_open_group.py
@@ -25,12 +25,22 @@
         work.waiting_for = ''
         order_strays(tick, row)
         return
-    if tick.document.is_failover_paused(row.name):
-        work.waiting_for = 'failover is paused by the document'
-        if work.note_once(Note.paused):
-            decide(tick, row, 'keep_primary', 'failover_paused', reason)
+    freeze_unless_paused(tick, row, work, reason)
+
+
+def freeze_unless_paused(
+    tick: Tick,
+    row: messages.GroupRow,
+    work: GroupWork,
+    reason: str,
+) -> None:
+    """Freeze a group, or say why not if the document has paused the replacement of its primary."""
+    if not tick.document.is_failover_paused(row.name):
+        freeze(tick, row, reason)
         return
-    freeze(tick, row, reason)
+    work.waiting_for = 'failover is paused by the document'
+    if work.note_once(Note.paused):
+        decide(tick, row, 'keep_primary', 'failover_paused', reason)
 
 
 def freeze(tick: Tick, row: messages.GroupRow, reason: str) -> None:
--- a/packages/bergamotcart/src/bergamotcart/control/_sightings.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_sightings.py
@@ -85,10 +85,11 @@
 
         :param left_s: seconds after which one counts as ended that has announced its end.
         """
+        limits = {True: now - left_s, False: now - FORGET_S}
         old = [
             seen
             for seen in self._rows.values()
-            if now - seen.made_after >= (left_s if seen.announcement.leaving else FORGET_S)
+            if seen.made_after <= limits[seen.announcement.leaving]
         ]
         for seen in old:
             self._rows.pop(_key(seen))
--- a/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
@@ -12,21 +12,15 @@
 from bergamotcart.entry._intake import Intake
 from bergamotcart.entry._lanes import Lanes
 from bergamotcart.entry._monitor import TargetMonitor, Watched
-from bergamotcart.entry._outcome_checks import OutcomeChecks
 from bergamotcart.entry._primary import PrimaryGate
-from bergamotcart.entry._reads import ReadSystem
 from bergamotcart.entry._relays import Relays
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Phase, RequestTable
 from bergamotcart.entry._retries import Retries
 from bergamotcart.entry._routed_intake import RoutedIntake
-from bergamotcart.entry._routed_reads import RoutedReads
 from bergamotcart.entry._sessions import Session, SessionTable
-from bergamotcart.entry._systems import Systems
-from bergamotcart.entry._tokens import TokenSystem
-from bergamotcart.entry._transactions import TransactionSystem
+from bergamotcart.entry._system_builder import Parts, build_systems
 from bergamotcart.entry._workspace import Workspace
-from bergamotcart.entry._writes import WriteSystem
 from bergamotcart.outcomes import Reason
 
 
@@ -102,34 +96,18 @@
             self._release_sessions,
         )
         self.control = ControlLink(work, monitor, self.lanes, self._on_update, self.flow.on_lease)
-        checks = OutcomeChecks(gate, self.executions, confirmations, replies, retries)
-        transactions = TransactionSystem(
-            work, gate, self.executions, confirmations, checks, replies, retries
-        )
-        self.systems = Systems(
-            reads=ReadSystem(
-                work,
-                self.lanes,
-                monitor,
-                gate,
-                self.executions,
-                floors,
-                retries,
-                replies,
-            ),
-            writes=WriteSystem(gate, self.executions, confirmations, replies, retries),
-            transactions=transactions,
-            tokens=TokenSystem(work, floors, replies),
-            routed_reads=RoutedReads(
-                work,
-                self.lanes,
-                monitor,
-                gate,
-                self.executions,
-                transactions,
-                retries,
-                replies,
-            ),
+        self.systems = build_systems(
+            Parts(
+                work=work,
+                lanes=self.lanes,
+                monitor=monitor,
+                gate=gate,
+                executions=self.executions,
+                floors=floors,
+                confirmations=confirmations,
+                retries=retries,
+                replies=replies,
+            )
         )
         self.routed = RoutedIntake(work, self.requests, replies, retries, self.systems)
         self.intake = Intake(
--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -112,19 +112,6 @@
         self._confirmations.on_group_change(group)
         self._route_again(name)
 
-    def _note_term(self, group: GroupWork) -> None:
-        """Forget the heads of a former primary of a group whose answers carry positions.
-
-        They may include writes that the new primary does not have.
-        """
-        row = self._work.view.groups.get(group.name)
-        if row is None or not self._work.view.answers_carry_positions(group.name):
-            return
-        if row.phase is GroupPhase.open and group.open_term != row.term:
-            group.open_term = row.term
-            group.open_since = self._work.now
-            group.heads.clear()
-
     def on_groups(self, names: list[str]) -> None:
         """React to changed rows of groups."""
         for name in names:
@@ -150,20 +137,12 @@
             self._on_confirmed()
         was_valid = self._had_lease
         self._had_lease = self._work.lease_valid
-        if was_valid and not self._had_lease:
-            self._work.decide('leases', 'lose', 'expired')
         if self._had_lease and not was_valid:
-            for group in self._work.groups:
-                self.on_group(group.name)
-            self._lanes.update_limits()
+            self._gain_lease()
         elif was_valid and not self._had_lease:
-            for group in self._work.groups:
-                self._gate.find_primary(group.name)
+            self._lose_lease()
         elif self._gate.is_cut_off:
-            for group in self._work.groups:
-                if self._gate.refuses_at_once(group.name):
-                    self._gate.refuse_queued(group.name, Reason.no_lease)
-                    _resume(group.pop_reads())
+            self._refuse_what_needs_a_lease()
 
     def on_reachability(self, watched: Watched) -> None:
         """Route again what waits for a target that became reachable or unreachable."""
@@ -186,6 +165,35 @@
                 self._monitor.forget(target.key)
                 self._lanes.forget(target.key)
 
+    def _note_term(self, group: GroupWork) -> None:
+        """Forget the heads of a former primary of a group whose answers carry positions.
+
+        They may include writes that the new primary does not have.
+        """
+        row = self._work.view.groups.get(group.name)
+        if row is None or not self._work.view.answers_carry_positions(group.name):
+            return
+        if row.phase is GroupPhase.open and group.open_term != row.term:
+            group.open_term = row.term
+            group.open_since = self._work.now
+            group.heads.clear()
+
+    def _gain_lease(self) -> None:
+        for group in self._work.groups:
+            self.on_group(group.name)
+        self._lanes.update_limits()
+
+    def _lose_lease(self) -> None:
+        self._work.decide('leases', 'lose', 'expired')
+        for group in self._work.groups:
+            self._gate.find_primary(group.name)
+
+    def _refuse_what_needs_a_lease(self) -> None:
+        for group in self._work.groups:
+            if self._gate.refuses_at_once(group.name):
+                self._gate.refuse_queued(group.name, Reason.no_lease)
+                _resume(group.pop_reads())
+
     def _route_again(self, name: str) -> None:
         self._gate.pump(name)
         _resume(self._work.groups.get(name).pop_reads())
--- a/packages/bergamotcart/src/bergamotcart/entry/_intake.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_intake.py
@@ -81,11 +81,11 @@
         session = self._sessions.get(arrived.session_id)
         if self._requests.get(arrived.request_id) is not None:
             return
-        if session is None:
-            self._answer(arrived, NotRun(Reason.connection_lost, 'the session is closed'))
-            return
-        if self._requests.of_session(session):
-            self._answer(arrived, NotRun(Reason.caller_limit, 'one statement at a time'))
+        if session is None or self._requests.of_session(session):
+            refusal = NotRun(Reason.caller_limit, 'one statement at a time')
+            if session is None:
+                refusal = NotRun(Reason.connection_lost, 'the session is closed')
+            self._answer(arrived, refusal)
             return
         if arrived.statement is not None:
             self._routed.arrive(session, arrived, arrived.statement)
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary.py
@@ -74,23 +74,6 @@
             for target in self._work.table.of_group(group):
                 self._monitor.probe_soon(target.key)
 
-    def _claimed_primary(self, group: str) -> TargetKey | None:
-        """Return the instance that says itself that it is the primary."""
-        for target in self._work.table.of_group(group):
-            watched = self._monitor.get(target.key)
-            if watched is None or watched.report is None:
-                continue
-            claims = watched.report.role is TargetRole.primary
-            is_usable = self._monitor.is_reachable(target.key) and self._takes_work(target.key)
-            if claims and is_usable:
-                return target.key
-        return None
-
-    def _takes_work(self, key: TargetKey) -> bool:
-        if self._work.view.refuses_by_itself(key.group):
-            return self._work.table.takes_primary_work(key, self._work.now)
-        return self._work.table.takes_new_work(key, self._work.now)
-
     def is_read_only(self, group: str) -> bool:
         """Tell whether the operator or the failover has stopped writes to a group."""
         row = self._work.view.groups.get(group)
@@ -125,6 +108,23 @@
         for request in self.queues.take_all(self._work.groups.get(group).writes):
             self._replies.refuse(request, reason, retry_after=1.0)
 
+    def _claimed_primary(self, group: str) -> TargetKey | None:
+        """Return the instance that says itself that it is the primary."""
+        for target in self._work.table.of_group(group):
+            watched = self._monitor.get(target.key)
+            if watched is None or watched.report is None:
+                continue
+            claims = watched.report.role is TargetRole.primary
+            is_usable = self._monitor.is_reachable(target.key) and self._takes_work(target.key)
+            if claims and is_usable:
+                return target.key
+        return None
+
+    def _takes_work(self, key: TargetKey) -> bool:
+        if self._work.view.refuses_by_itself(key.group):
+            return self._work.table.takes_primary_work(key, self._work.now)
+        return self._work.table.takes_new_work(key, self._work.now)
+
     def _send(self, request: Request, key: TargetKey) -> None:
         row = self._work.view.groups.get(request.group)
         request.term = row.term if row else 0
--- a/packages/bergamotcart/src/bergamotcart/entry/_relays.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_relays.py
@@ -53,10 +53,7 @@
         if batch.echo_sent_at not in self._sent:
             return []
         row = self._work.view.entries.get(envelope.sender)
-        if row is not None:
-            self._answered.add(row.availability_zone)
-        else:
-            self._answered.add(envelope.sender)
+        self._answered.add(row.availability_zone if row else envelope.sender)
         sightings = self._held.expand(envelope, batch)
         return self._work.table.receive_sightings(self._work.now, batch.echo_sent_at, sightings)
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_intake.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_intake.py
@@ -65,16 +65,6 @@
         self._work.actions.append(SessionAnswer(session.session_id, refusal))
         return refusal is None
 
-    def _hold(self, session: Session) -> None:
-        """Let a session wait for the first state of control, which a start takes a moment for."""
-        self._waiting.add(session.session_id)
-        self._work.after(_CONFIGURATION_WAIT_S, lambda: self._end_hold(session))
-
-    def _end_hold(self, session: Session) -> None:
-        if session.session_id in self._waiting and not session.closed:
-            self.open(session)
-        self._waiting.discard(session.session_id)
-
     def release(self, session: Session) -> None:
         """Answer a session that waits, now that this entry knows the configuration."""
         if session.session_id in self._waiting:
@@ -106,6 +96,16 @@
         self._work.actions.append(CloseSession(session.session_id))
         return True
 
+    def _hold(self, session: Session) -> None:
+        """Let a session wait for the first state of control, which a start takes a moment for."""
+        self._waiting.add(session.session_id)
+        self._work.after(_CONFIGURATION_WAIT_S, lambda: self._end_hold(session))
+
+    def _end_hold(self, session: Session) -> None:
+        if session.session_id in self._waiting and not session.closed:
+            self.open(session)
+        self._waiting.discard(session.session_id)
+
     def _find_refusal(self, session: Session) -> NotRun | None:
         if not self._work.lease.confirmed:
             return NotRun(Reason.not_configured, retry_after=_NOT_READY_S)
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -192,22 +192,22 @@
             self._complete(running, finished)
         elif status is ExecutionStatus.not_sent:
             self._retries.retry(request, Reason.target_unreachable, was_sent=False)
-        elif error is not None and error.kind in NOT_RUN_ERRORS:
+        elif error is None:
+            self._retries.retry(request, Reason.connection_lost)
+        elif error.kind in NOT_RUN_ERRORS:
             self._retry_elsewhere(running, error.kind)
-        elif error is not None:
-            self._replies.finish(request, Ran(None, Reason.target_error, error))
         else:
-            self._retries.retry(request, Reason.connection_lost)
+            self._replies.finish(request, Ran(None, Reason.target_error, error))
 
     def _complete(self, running: Running, finished: ExecutionFinished) -> None:
         request = running.request
-        is_bare = len(running.plan.steps) == 1 and running.plan.steps[0].floor is None
+        is_proved = len(running.plan.steps) > 1 or running.plan.steps[0].floor is not None
         is_open = self._work.view.is_open(request.group, request.term)
-        if is_bare and not (is_open and self._work.lease_valid):
+        if is_proved or (is_open and self._work.lease_valid):
+            self._replies.finish(request, Ran(finished.result))
+        else:
             # The instance may have been replaced before it ran the read.
             self._retries.retry(request, Reason.group_not_open)
-            return
-        self._replies.finish(request, Ran(finished.result))
 
     def _retry_elsewhere(self, running: Running, kind: ErrorKind) -> None:
         request = running.request
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -234,7 +234,11 @@
             return
         if transaction is not None and transaction.is_routed:
             self._finish_routed_begin(request, finished, transaction)
-        elif finished.status is ExecutionStatus.duplicate:
+        else:
+            self._finish_failed_begin(request, finished)
+
+    def _finish_failed_begin(self, request: Request, finished: ExecutionFinished) -> None:
+        if finished.status is ExecutionStatus.duplicate:
             self._answer_recorded(request, finished)
         elif finished.status is ExecutionStatus.target_error:
             self._replies.refuse(request, Reason.target_error, error=finished.error)
@@ -300,28 +304,34 @@
         if request.done:
             return
         if transaction is None:
-            if request.route is not None:
-                session.rolled_back = False
+            # Its caller hears of the rollback now, and a routed session may go on at once.
+            session.rolled_back = session.rolled_back and request.route is None
             self._replies.refuse(request, Reason.rolled_back)
         elif finished.status is ExecutionStatus.completed:
             self._note_statement(request, transaction)
             self._replies.finish(request, Ran(finished.result or RequestResult()))
+        elif transaction.is_routed:
+            self._end_routed(request, finished)
         elif finished.status is ExecutionStatus.target_error:
             self._note_statement(request, transaction)
             self._check_error(session, finished)
-            if transaction.is_routed and finished.error is not None:
-                self.abort(session, Reason.target_error.value)
-                session.rolled_back = False
-                self._replies.finish(request, _failed(finished.error))
-                return
             self._replies.refuse(request, Reason.target_error, error=finished.error)
         else:
             # COMMIT was not sent, so the target rolls back what the statement did.
             self.abort(session, Reason.connection_lost.value)
-            if transaction.is_routed:
-                session.rolled_back = False
             self._replies.refuse(request, Reason.rolled_back, 'connection lost')
 
+    def _end_routed(self, request: Request, finished: ExecutionFinished) -> None:
+        """End a transaction in which a statement failed; the caller hears of it at once."""
+        session, error = request.session, finished.error
+        reason = Reason.connection_lost if error is None else Reason.target_error
+        self.abort(session, reason.value)
+        session.rolled_back = False
+        if error is None:
+            self._replies.refuse(request, Reason.rolled_back, 'connection lost')
+        else:
+            self._replies.finish(request, _failed(error))
+
     def _check_error(self, session: Session, finished: ExecutionFinished) -> None:
         if finished.error is not None and finished.error.kind in _ROLLED_BACK_ERRORS:
             self.abort(session, 'target_error')
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_world.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_world.py
@@ -1,11 +1,12 @@
 """One engine with routes, whose executions and probes a test answers by hand."""
 
+from types import MappingProxyType
+
 import msgspec
 
 from bergamotcart import documents, entry, messages
-from bergamotcart.actions import MessageReceived
+from bergamotcart.actions import MessageReceived, Send
 from bergamotcart.discovery import Position, PositionReport, TargetKey
-from bergamotcart.messages import GroupPhase, Reachability, TargetRole
 from bergamotcart.outcomes import RequestResult, TargetError
 from bergamotcart.statements import Statement, StatementKind
 
@@ -20,11 +21,13 @@
 COMMIT = Statement(StatementKind.commit)
 ROLLBACK = Statement(StatementKind.rollback)
 
-_CONSISTENCIES = {
-    'strict': documents.Consistency.primary,
-    'aged': documents.Consistency.bounded_age,
-    'own': documents.Consistency.session,
-}
+_CONSISTENCIES = MappingProxyType(
+    {
+        'strict': documents.Consistency.primary,
+        'aged': documents.Consistency.bounded_age,
+        'own': documents.Consistency.session,
+    }
+)
 
 
 def make_routes(*names: str, version: int = 1) -> messages.SectionRow:
@@ -67,7 +70,7 @@
         self.now = 100.0
         self.index = 1
         self.row = messages.GroupRow(
-            name=GROUP, term=1, phase=GroupPhase.open, primary='a', modified_index=1
+            name=GROUP, term=1, phase=messages.GroupPhase.open, primary='a', modified_index=1
         )
         self.section = make_routes(*DATABASES)
         self.executions: list[entry.Execute] = []
@@ -186,13 +189,16 @@
         :param head: position that all of them report.
         :param silent: names of instances that do not answer.
         """
-        probes, self.probes = self.probes, []
+        probes = tuple(self.probes)
+        self.probes.clear()
         for sent_at, probe in probes:
             name = probe.target.instance
             if name in silent:
-                self.step(entry.ProbeFinished(probe.target, sent_at, None, Reachability.silent))
+                self.step(
+                    entry.ProbeFinished(probe.target, sent_at, None, messages.Reachability.silent)
+                )
                 continue
-            role = TargetRole.primary if name == primary else TargetRole.replica
+            role = messages.TargetRole.primary if name == primary else messages.TargetRole.replica
             report = PositionReport(role, 1, Position(1, head))
             self.step(entry.ProbeFinished(probe.target, sent_at, report))
 
@@ -254,27 +260,42 @@
         )
 
     def _keep(self, action: entry.EntryAction) -> None:
-        if isinstance(action, entry.Execute):
-            self.executions.append(action)
-        elif isinstance(action, entry.Probe):
-            self.probes.append((self.now, action))
-        elif isinstance(action, entry.Reply):
-            assert action.request_id not in self.replies, 'two replies to one request'
-            self.replies[action.request_id] = action
-        elif isinstance(action, entry.SessionAnswer):
-            self.answers[action.session_id] = action
-        elif isinstance(action, entry.CloseSession):
-            self.closed.append(action.session_id)
-        elif isinstance(action, entry.ReleasePin):
-            self.released.append(action.session_id)
-        elif isinstance(action, entry.Drained):
-            self.drained = True
-        else:
-            body = getattr(action, 'body', None)
-            if isinstance(body, messages.LeaseRequest):
-                self._asked_at.append(body.sent_at)
-            elif isinstance(body, messages.RelayPull):
-                self._pulled_at.append(body.sent_at)
+        handler = getattr(self, f'_on_{type(action).__name__.lower()}', None)
+        if handler is not None:
+            handler(action)
+
+    def _on_execute(self, action: entry.Execute) -> None:
+        self.executions.append(action)
+
+    def _on_probe(self, action: entry.Probe) -> None:
+        self.probes.append((self.now, action))
+
+    def _on_reply(self, action: entry.Reply) -> None:
+        assert action.request_id not in self.replies, 'two replies to one request'
+        self.replies[action.request_id] = action
+
+    def _on_sessionanswer(self, action: entry.SessionAnswer) -> None:
+        self.answers[action.session_id] = action
+
+    def _on_closesession(self, action: entry.CloseSession) -> None:
+        self.closed.append(action.session_id)
+
+    def _on_releasepin(self, action: entry.ReleasePin) -> None:
+        self.released.append(action.session_id)
+
+    def _on_drained(self, action: entry.Drained) -> None:
+        self.drained = True
+
+    def _on_send(self, action: Send) -> None:
+        if isinstance(action.body, messages.LeaseRequest):
+            self._asked_at.append(action.body.sent_at)
+        elif isinstance(action.body, messages.RelayPull):
+            self._pulled_at.append(action.body.sent_at)
+
+
+def open_strict(world: RoutedWorld) -> int:
+    """Open a session whose reads must see every acknowledged write."""
+    return world.open('strict')
 
 
 def key(name: str) -> TargetKey:
@@ -289,7 +310,7 @@
         availability_zone=f'z{name}',
         address=name,
         admin_address=name,
-        role=TargetRole.replica,
+        role=messages.TargetRole.replica,
         term=0,
         log_term=0,
         position=0,
