Give scarce connections back as soon as they are unused

Where the share of an entry is below 2, it closes unused connections after 0.2 s and may use up to 4 at once.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_pool.py
@@ -20,10 +20,12 @@
         '_address',
         '_connect',
         '_idle',
+        '_idle_s',
         '_limit',
         '_on_count',
         '_open',
         '_reserved',
+        '_uses',
         '_waiting',
     )
 
@@ -42,9 +44,11 @@
         self._on_count = on_count
         # Until the engine sets a limit, one connection is allowed: each entry owns at least one.
         self._limit = 1
+        self._idle_s: float | None = None
         self._open: set[TargetLink] = set()
         self._idle: list[TargetLink] = []
         self._reserved = 0
+        self._uses: dict[TargetLink, int] = {}
         self._waiting: collections.deque[_Turn] = collections.deque()
 
     @property
@@ -52,9 +56,13 @@
         """Address of the target."""
         return self._address
 
-    def change_limit(self, limit: int) -> None:
-        """Change the number of allowed connections; surplus idle ones are closed at once."""
+    def change_limit(self, limit: int, idle_s: float | None = None) -> None:
+        """Change the number of allowed connections; surplus idle ones are closed at once.
+
+        :param idle_s: seconds after which an unused connection is closed; ``None`` keeps it.
+        """
         self._limit = limit
+        self._idle_s = idle_s
         while self._idle and self._used > limit:
             self.discard(self._idle[0])
         self._admit()
@@ -89,6 +97,10 @@
         turn = self._take_turn()
         if turn is None:
             self._idle.append(connection)
+            if self._idle_s is not None:
+                loop = asyncio.get_running_loop()
+                self._uses[connection] = uses = self._uses.get(connection, 0) + 1
+                loop.call_later(self._idle_s, self._close_unused, connection, uses)
         else:
             turn.set_result(connection)
 
@@ -99,6 +111,7 @@
         if connection not in self._open:
             return
         self._open.remove(connection)
+        self._uses.pop(connection, None)
         if connection in self._idle:
             self._idle.remove(connection)
         self._on_count(self._used)
@@ -114,6 +127,11 @@
     def _used(self) -> int:
         return len(self._open) + self._reserved
 
+    def _close_unused(self, connection: TargetLink, uses: int) -> None:
+        """Close a connection that has been idle since it was put back for the ``uses``-th time."""
+        if connection in self._idle and self._uses.get(connection) == uses:
+            self.discard(connection)
+
     async def _open_link(self) -> TargetLink:
         # The caller has reserved a place for the connection.
         try:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_probes.py
@@ -24,6 +24,7 @@
         '_submit',
         '_target',
         '_tasks',
+        'keeps_connection',
         'last_used',
     )
 
@@ -45,6 +46,7 @@
         self._lock = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self.last_used = 0.0
+        self.keeps_connection = True
 
     @property
     def address(self) -> Address:
@@ -82,6 +84,8 @@
                 self._disconnect()
                 self._submit(ProbeFinished(self._target, sent_at, None, failure))
                 return
+            if not self.keeps_connection:
+                self._disconnect()
         self._submit(ProbeFinished(self._target, sent_at, report))
 
     async def _connect(self) -> TargetLink:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_service.py
@@ -58,7 +58,7 @@
         self._settings = settings
         self._submit = submit
         self._pools: dict[TargetKey, ConnectionPool] = {}
-        self._limits: dict[TargetKey, int] = {}
+        self._limits: dict[TargetKey, LimitConnections] = {}
         self._probers: dict[TargetKey, Prober] = {}
         self._executor = Executor(
             settings.driver,
@@ -99,9 +99,13 @@
 
     def limit_connections(self, action: LimitConnections) -> None:
         """Change the limit of a target's pool."""
-        self._limits[action.target] = action.limit
+        self._limits[action.target] = action
         with contextlib.suppress(ValueError):
-            self._find_pool(action.target, action.address).change_limit(action.limit)
+            pool = self._find_pool(action.target, action.address)
+            pool.change_limit(action.limit, action.idle_s)
+            prober = self._probers.get(action.target)
+            if prober is not None:
+                prober.keeps_connection = action.idle_s is None
 
     def _find_pool(self, target: TargetKey, address: str) -> ConnectionPool:
         reached = self._settings.translation.translate(address)
@@ -116,7 +120,9 @@
             partial(self._report_count, target),
         )
         self._pools[target] = pool
-        pool.change_limit(self._limits.get(target, 1))
+        known = self._limits.get(target)
+        if known is not None:
+            pool.change_limit(known.limit, known.idle_s)
         return pool
 
     def _find_prober(self, target: TargetKey, address: str) -> Prober:
@@ -133,6 +139,8 @@
             self._settings.driver,
             self._submit,
         )
+        known = self._limits.get(target)
+        prober.keeps_connection = known is None or known.idle_s is None
         self._probers[target] = prober
         return prober
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_traffic.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_traffic.py
@@ -29,7 +29,7 @@
         entry.traffic.note(control.send('e', second + 0.1), second + 0.1)
 
 
-def test_messages_that_do_not_arrive_are_noticed_while_others_come_from_the_peer():
+def test_lost_messages_are_noticed_while_others_come_from_the_peer():
     """Only one of the two directions may have gone silent."""
     entry, control = _Side('e'), _Side('c')
     entry.send('c', 0)
@@ -40,7 +40,7 @@
     assert entry.traffic.is_silent('c:1', 2 * REDIAL_AFTER_S)
 
 
-def test_a_restarted_peer_acknowledges_nothing_that_its_former_start_received():
+def test_a_restarted_peer_acknowledges_nothing_of_its_former_start():
     """Its messages must not vouch for a connection that it never had."""
     entry, control = _Side('e'), _Side('c')
     control.traffic.note(entry.send('c', 0), 0)
--- a/packages/bergamotcart/src/bergamotcart/entry/_actions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_actions.py
@@ -97,11 +97,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitConnections:
-    """Keep at most ``limit`` connections to a target, without the one for probes."""
+    """Keep at most ``limit`` connections to a target, without the one for probes.
+
+    :param idle_s: seconds after which an unused connection is closed, also the one for probes;
+        ``None`` keeps them.
+    """
 
     target: TargetKey
     address: str
     limit: int
+    idle_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
@@ -16,6 +16,11 @@
 from bergamotcart.messages import QuotaUse
 
 MAX_QUEUED_READS: Final = 500
+# With fewer connections than this for each entry, nobody keeps one that is not in use.
+_SCARCE_SHARE: Final = 2
+# What an entry may then use at once; the target refuses what is too much for it.
+_SCARCE_QUOTA: Final = 4
+_SCARCE_IDLE_S: Final = 0.2
 
 
 class Lane:
@@ -24,21 +29,33 @@
     :param base: base quota, with the connection for probes.
     :param queue: reads that wait for a place.
     :param told: connection limit that the adapter was told last.
+    :param is_scarce: whether unused connections must be given back at once.
     :param reported: connections that the adapter reported last.
     """
 
-    __slots__ = ('base', 'concurrency', 'key', 'queue', 'quota', 'reads', 'reported', 'told')
+    __slots__ = (
+        'base',
+        'concurrency',
+        'is_scarce',
+        'key',
+        'queue',
+        'quota',
+        'reads',
+        'reported',
+        'told',
+    )
 
     def __init__(self, key: TargetKey, now: float) -> None:
         """Start with the least quota."""
         self.key = key
         self.base = 1
+        self.is_scarce = False
         self.quota = ConnectionQuota(1)
         self.concurrency = ConcurrencyLimit(now, 1, ConcurrencySettings())
         self.queue = FairQueue(MAX_QUEUED_READS)
         self.reads = 0
         self.reported = 0
-        self.told = 0
+        self.told: tuple[int, bool] = (0, False)
 
     @property
     def has_room(self) -> bool:
@@ -108,7 +125,9 @@
             lent = {TargetKey(quota.group, quota.instance): quota.lent for quota in quotas}
         for target in self._work.table:
             lane = self.get(target.key)
-            lane.base = self._base_quota(target)
+            share = self._base_quota(target)
+            lane.is_scarce = share < _SCARCE_SHARE and self._is_shared_by_use(target.key.group)
+            lane.base = _SCARCE_QUOTA if lane.is_scarce else max(share, 1)
             lane.quota.change_base(lane.base)
             lane.quota.apply_grant(self._work.now, lent.get(target.key, 0))
             self._tell(lane, target.announcement.address)
@@ -138,7 +157,12 @@
         limit = target.announcement.connection_limit
         if settings is not None:
             limit = settings.usable_connections(limit)
-        return max(1, limit // entries)
+        return limit // entries
+
+    def _is_shared_by_use(self, group: str) -> bool:
+        """Whether entries may use more connections than their share, since few use any at once."""
+        settings = self._work.view.document.group(group)
+        return settings is not None and settings.entries_limit is None
 
     def _entries(self, settings: GroupSettings | None) -> int:
         if settings is None:
@@ -147,9 +171,10 @@
 
     def _tell(self, lane: Lane, address: str) -> None:
         limit = lane.quota.limit
-        if lane.told == limit:
+        if lane.told == (limit, lane.is_scarce):
             return
-        lane.told = limit
+        lane.told = (limit, lane.is_scarce)
         lane.concurrency.change_quota(limit)
-        self._work.actions.append(LimitConnections(lane.key, address, limit))
+        idle_s = _SCARCE_IDLE_S if lane.is_scarce else None
+        self._work.actions.append(LimitConnections(lane.key, address, limit, idle_s))
         self._on_room(lane)
