--- a/packages/bergamotcart/src/bergamotcart/entry/_relays.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_relays.py
@@ -10,6 +10,10 @@
 # An announcement is up to 2 s old when it is replaced; with this pause it reaches the
 # other availability zones well before it expires after 3 s.
 PULL_INTERVAL_S: Final = 0.5
+# Control members are pulled from one by one, so each change comes by all of them. A leaving
+# target must be known within 3 s; a started entry needs the targets at once.
+MEMBER_PULL_INTERVAL_S: Final = 1.0
+FIRST_PULL_INTERVAL_S: Final = 0.25
 # An unanswered pull is repeated at another entry of the same availability zone.
 _RETRY_S: Final = 0.15
 _REMEMBERED_PULLS: Final = 64
@@ -57,6 +61,13 @@
         sightings = self._held.expand(envelope, batch)
         return self._work.table.receive_sightings(self._work.now, batch.echo_sent_at, sightings)
 
+    @property
+    def _interval(self) -> float:
+        if not self._work.config.targets_announce_to_control:
+            return PULL_INTERVAL_S
+        is_known = any(True for _ in self._work.table)
+        return MEMBER_PULL_INTERVAL_S if is_known else FIRST_PULL_INTERVAL_S
+
     def _pull_all(self) -> None:
         self._answered.clear()
         self._held.keep({row.name for rows in self._peers().values() for row in rows})
@@ -64,7 +75,7 @@
         for zone, rows in self._peers().items():
             self._pull(zone, rows)
         self._work.after(_RETRY_S, self._retry)
-        self._work.after(PULL_INTERVAL_S, self._pull_all)
+        self._work.after(self._interval, self._pull_all)
 
     def _retry(self) -> None:
         unanswered = {
