--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_succession.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_succession.py
@@ -1,5 +1,7 @@
 """Guards the changes of members that a leader makes by itself."""
 
+import pytest
+
 from bergamotcart.consensus._membership import voter_ids
 from bergamotcart.consensus._succession import REPLACE_AFTER_S
 from bergamotcart.consensus.tests._cluster import Cluster, Server
@@ -107,3 +109,25 @@
     cluster.run(5)
     assert cluster.find_leader() is None
     assert not cluster.oracle.committed
+
+
+@pytest.mark.parametrize('moment', range(24))
+def test_all_members_may_be_killed_at_any_moment_of_a_replacement(moment):
+    """No moment of a change of members may leave a group that cannot elect a leader again."""
+    cluster = _started()
+    gone = next(name for name in 'abc' if name != cluster.find_leader().name)
+    cluster.servers[gone].stop()
+    _add(cluster, 'd')
+    _run(cluster, REPLACE_AFTER_S - 0.2 + moment * 0.03)
+    left = [server for server in cluster.servers.values() if server.name != gone]
+    for server in left:
+        server.stop()
+    cluster.run(0.5)
+    for server in left:
+        server.start()
+    _run(cluster, REPLACE_AFTER_S + _SETTLE_S)
+    assert _voters(cluster) == set('abcd') - {gone}
+    cluster.propose(b'two')
+    cluster.run(1)
+    commands = [entry.command for entry in cluster.oracle.committed if entry.command]
+    assert commands == [b'one', b'two']
