--- a/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
@@ -6,7 +6,6 @@
 
 from bergamotcart import control, documents, messages
 from bergamotcart.actions import Decision, MessageReceived, Send
-from bergamotcart.messages import Reachability, TargetRole
 
 GROUP = 'ledger'
 _TOKEN = 'admin'
@@ -19,7 +18,7 @@
     """One instance as control sees it."""
 
     name: str
-    role: TargetRole = TargetRole.replica
+    role: messages.TargetRole = messages.TargetRole.replica
     position: int = 10
     up: bool = True
     leaving: bool = False
@@ -64,14 +63,14 @@
         """Start control, let instances announce themselves, and send a document."""
         self.now = 10.0
         self.instances = {name: Instance(name) for name in 'abc'}
-        self.instances['a'].role = TargetRole.primary
+        self.instances['a'].role = messages.TargetRole.primary
         self.calls: list[tuple[str, int]] = []
         self.answers_calls = True
         self.refuses_calls = False
         self.replies: dict[int, control.OperatorReply] = {}
         self.decisions: list[Decision] = []
         self.sent: list[Send] = []
-        self.unreachable: dict[str, Reachability] = {}
+        self.unreachable: dict[str, messages.Reachability] = {}
         self.applied = 0
         self._requests = 0
         self._reports = 1
@@ -110,7 +109,8 @@
             if self.now >= renew_at:
                 renew_at = self.now + 0.25
                 self._renew()
-            inbox, self._pending = tuple(self._pending), []
+            inbox = tuple(self._pending)
+            self._pending.clear()
             for action in self.engine.step(self.now, inbox).actions:
                 self._act(action)
 
@@ -133,7 +133,9 @@
         """Return the document as operators read it."""
         return self._ask(control.OperatorCommand.get_document, {}, '').body
 
-    def lose(self, name: str, reachability: Reachability = Reachability.refusing) -> None:
+    def lose(
+        self, name: str, reachability: messages.Reachability = messages.Reachability.refusing
+    ) -> None:
         """Let an instance crash, and the entry notice it."""
         self.instances[name].up = False
         self.unreachable[name] = reachability
@@ -156,7 +158,7 @@
             messages.TargetReport(
                 group=GROUP,
                 instance=name,
-                reachability=self.unreachable.get(name, Reachability.reachable),
+                reachability=self.unreachable.get(name, messages.Reachability.reachable),
                 for_s=1.0,
             )
             for name in self.instances
@@ -185,17 +187,18 @@
         self._pending.append(MessageReceived(envelope))
 
     def _act(self, action: control.ControlAction) -> None:
-        if isinstance(action, control.Persist):
-            self._pending.append(control.Persisted(action.batch_id))
-        elif isinstance(action, control.OperatorReply):
-            self.replies[action.request_id] = action
-        elif isinstance(action, control.Order):
-            status = self._obey(action)
-            self._pending.append(control.OrderFinished(action.order_id, status))
-        elif isinstance(action, Send):
-            self._take(action)
-        elif isinstance(action, Decision):
-            self.decisions.append(action)
+        match action:
+            case control.Persist(batch_id=batch_id):
+                self._pending.append(control.Persisted(batch_id))
+            case control.OperatorReply():
+                self.replies[action.request_id] = action
+            case control.Order():
+                status = self._obey(action)
+                self._pending.append(control.OrderFinished(action.order_id, status))
+            case Send():
+                self._take(action)
+            case Decision():
+                self.decisions.append(action)
 
     def _take(self, send: Send) -> None:
         self.sent.append(send)
@@ -211,8 +214,8 @@
                 return None
             if not self.refuses_calls:
                 for other in self.instances.values():
-                    other.role = TargetRole.replica
-                instance.role = TargetRole.primary
+                    other.role = messages.TargetRole.replica
+                instance.role = messages.TargetRole.primary
             return _status(instance, accepted=not self.refuses_calls)
         return _status(instance, accepted=True) if instance.up else None
 
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_authority.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_authority.py
@@ -5,6 +5,8 @@
 from bergamotcart.control.tests._authority_world import GROUP, AuthorityWorld, make_body
 from bergamotcart.messages import GroupPhase, Reachability, TargetRole
 
+_PRIMARY = 'a'
+
 
 def _started(synchronous_replicas: int = 0) -> AuthorityWorld:
     world = AuthorityWorld(synchronous_replicas)
@@ -26,8 +28,9 @@
 def test_an_invalid_document_is_refused_whatever_its_version():
     """What is invalid must be neither in force nor confirmed."""
     world = _started()
-    for version, body in ((9, '{'), (9, '{"routes": []}'), (1, make_body().replace('1', 'x'))):
-        reply = world.replace(version, body.replace('groups', 'gruppen'))
+    misspelt = make_body(tickets=GROUP).replace('groups', 'gruppen')
+    for version, body in ((9, '{'), (9, '{"routes": []}'), (1, misspelt)):
+        reply = world.replace(version, body)
         assert reply.status == HTTPStatus.UNPROCESSABLE_ENTITY
         assert reply.body['problems']
     assert world.replace(9, make_body(), token='other').status == HTTPStatus.FORBIDDEN
@@ -51,17 +54,17 @@
     """What the chosen instance lacks is lost."""
     world = _started()
     world.instances['b'].position = 20
-    world.lose('a')
+    world.lose(_PRIMARY)
     world.run(1.0)
     assert (world.row.phase, world.row.primary) == (GroupPhase.open, 'b')
     assert world.calls[-1][0] == 'b'
 
 
-def test_each_decision_has_a_larger_token_and_a_refused_one_is_not_used_again():
+def test_each_decision_has_a_larger_token_than_all_before_it():
     """A call that runs late must not undo a newer one."""
     world = _started()
     world.refuses_calls = True
-    world.lose('a')
+    world.lose(_PRIMARY)
     world.run(1.0)
     world.refuses_calls = False
     world.run(1.0)
@@ -75,7 +78,7 @@
     """It may run later, and then changes nothing any more."""
     world = _started()
     world.answers_calls = False
-    world.lose('a')
+    world.lose(_PRIMARY)
     world.run(2.0)
     assert world.row.phase is GroupPhase.promoting
     known = len(world.calls)
@@ -88,8 +91,8 @@
 def test_a_leaving_primary_hands_over_only_to_a_replica_with_all_its_writes():
     """A planned replacement must lose nothing."""
     world = _started()
-    world.instances['a'].position = 30
-    world.instances['a'].leaving = True
+    world.instances[_PRIMARY].position = 30
+    world.instances[_PRIMARY].leaving = True
     world.announce()
     world.run(1.0)
     assert world.row.phase is GroupPhase.frozen
@@ -101,7 +104,7 @@
 def test_acknowledged_writes_of_synchronous_replicas_survive():
     """One replica of two may lack a write that the other has acknowledged."""
     world = _started(synchronous_replicas=1)
-    world.lose('a')
+    world.lose(_PRIMARY)
     world.instances['c'].up = False
     world.run(2.0)
     assert world.row.phase is GroupPhase.frozen
@@ -114,9 +117,9 @@
 def test_a_late_heartbeat_of_a_replica_does_not_depose_a_primary():
     """Heartbeats may arrive long after they were sent."""
     world = _started()
-    world.instances['a'].role = TargetRole.replica
+    world.instances[_PRIMARY].role = TargetRole.replica
     world.announce()
-    world.instances['a'].role = TargetRole.primary
+    world.instances[_PRIMARY].role = TargetRole.primary
     world.run(1.0)
     assert world.row.primary == 'a'
     assert world.row.phase is GroupPhase.open
@@ -125,7 +128,7 @@
 def test_a_primary_that_says_itself_that_it_is_none_is_replaced():
     """Nobody else may notice."""
     world = _started()
-    world.instances['a'].role = TargetRole.replica
+    world.instances[_PRIMARY].role = TargetRole.replica
     world.announce()
     world.run(2.0)
     assert world.calls
@@ -136,6 +139,6 @@
     """It may be cut off rather than gone."""
     world = _started()
     world.run(5.0)
-    world.lose('a', Reachability.silent)
+    world.lose(_PRIMARY, Reachability.silent)
     world.run(1.0)
     assert world.row.primary in {'b', 'c'}
