--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -160,7 +160,7 @@
             self._usable.discard(target.key)
             self._drain_lane(target.key)
             is_gone = now - target.made_after > FORGET_AFTER_S
-            if is_gone and not self._is_primary(target.key):
+            if is_gone and not self._work.view.is_primary(target.key):
                 self._work.table.remove(target.key)
                 self._monitor.forget(target.key)
                 self._lanes.forget(target.key)
@@ -201,10 +201,6 @@
     def _drain_lane(self, key: TargetKey) -> None:
         _resume(self._gate.queues.take_all(self._lanes.get(key).queue))
 
-    def _is_primary(self, key: TargetKey) -> bool:
-        row = self._work.view.groups.get(key.group)
-        return row is not None and row.primary == key.instance
-
     def _is_proof(self, watched: Watched) -> bool:
         """Tell whether a position is that of the primary of the open term."""
         key, report = watched.key, watched.report
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_endings.py
@@ -0,0 +1,78 @@
+"""What callers are told when a transaction of a route does not go as they asked.
+
+COMMIT alone makes anything last, so whatever failed before it is a promise that nothing is kept.
+"""
+
+from bergamotcart.entry._execution import ExecutionStatus, StepKind
+from bergamotcart.entry._inputs import ExecutionFinished
+from bergamotcart.entry._replies import Replies
+from bergamotcart.entry._requests import Request
+from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._sessions import Transaction
+from bergamotcart.entry._writes import NOT_RUN_ERRORS
+from bergamotcart.outcomes import ErrorKind, NotRun, Outcome, Ran, Reason, TargetError
+
+
+class RoutedEndings:
+    """Decides the outcomes of failed begins, statements and commits."""
+
+    __slots__ = ('_replies', '_retries')
+
+    def __init__(self, replies: Replies, retries: Retries) -> None:
+        """Keep what ends or repeats requests."""
+        self._replies = replies
+        self._retries = retries
+
+    def finish_begin(
+        self,
+        request: Request,
+        finished: ExecutionFinished,
+        transaction: Transaction,
+    ) -> None:
+        """Begin again elsewhere after a failure, unless the caller must be told of it."""
+        error = finished.error
+        if finished.failed_step is StepKind.commit:
+            self.finish_commit(request, finished, transaction)
+        elif error is not None and error.kind not in NOT_RUN_ERRORS:
+            request.session.begun = None
+            self._replies.finish(request, _describe(error))
+        else:
+            reason = Reason.connection_lost if error is None else Reason.target_busy
+            was_sent = finished.status is not ExecutionStatus.not_sent
+            self._retries.retry(request, reason, was_sent=was_sent)
+
+    def finish_statement(self, request: Request, finished: ExecutionFinished) -> None:
+        """Tell the caller of a statement whose transaction was rolled back for its failure."""
+        request.session.rolled_back = False
+        if finished.error is None:
+            self._replies.refuse(request, Reason.rolled_back, 'connection lost')
+        else:
+            self._replies.finish(request, _describe(finished.error))
+
+    def finish_commit(
+        self,
+        request: Request,
+        finished: ExecutionFinished,
+        transaction: Transaction,
+    ) -> None:
+        """Tell the caller of a failed COMMIT; only a write can have been kept by it."""
+        request.session.begun = None
+        error = finished.error
+        was_refused = error is not None and error.kind is not ErrorKind.ran
+        was_sent = finished.status is not ExecutionStatus.not_sent
+        if was_sent and not was_refused and transaction.has_written:
+            self._replies.may_have_run(request, Reason.connection_lost)
+        else:
+            self._replies.refuse(request, Reason.rolled_back, error=error)
+
+
+def describe_failure(finished: ExecutionFinished) -> str:
+    """Return why a transaction is rolled back after a failed statement, for the log."""
+    reason = Reason.connection_lost if finished.error is None else Reason.target_error
+    return reason.value
+
+
+def _describe(error: TargetError) -> Outcome:
+    if error.kind is ErrorKind.ran:
+        return Ran(None, Reason.target_error, error)
+    return NotRun(Reason.rolled_back, error.message, error=error)
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -14,6 +14,7 @@
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Request
 from bergamotcart.entry._retries import Retries
+from bergamotcart.entry._routed_endings import RoutedEndings, describe_failure
 from bergamotcart.entry._sessions import LastRead, Session, Transaction, TransactionPhase
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.entry._writes import (
@@ -21,7 +22,6 @@
     COMMIT,
     LEDGER_INSERT,
     LEDGER_RECORD,
-    NOT_RUN_ERRORS,
     POSITION,
     ROLLBACK,
     recorded_outcome,
@@ -30,11 +30,9 @@
 from bergamotcart.outcomes import (
     ErrorKind,
     NotRun,
-    Outcome,
     Ran,
     Reason,
     RequestResult,
-    TargetError,
 )
 from bergamotcart.statements import StatementKind
 
@@ -49,6 +47,7 @@
     __slots__ = (
         '_checks',
         '_confirmations',
+        '_endings',
         '_executions',
         '_gate',
         '_open',
@@ -75,6 +74,7 @@
         self._checks = checks
         self._replies = replies
         self._retries = retries
+        self._endings = RoutedEndings(replies, retries)
         self._open = 0
 
     @property
@@ -233,7 +233,7 @@
         if request.done:
             return
         if transaction is not None and transaction.is_routed:
-            self._finish_routed_begin(request, finished, transaction)
+            self._endings.finish_begin(request, finished, transaction)
         else:
             self._finish_failed_begin(request, finished)
 
@@ -248,24 +248,6 @@
             was_sent = finished.status is not ExecutionStatus.not_sent
             self._retries.retry(request, Reason.connection_lost, was_sent=was_sent)
 
-    def _finish_routed_begin(
-        self,
-        request: Request,
-        finished: ExecutionFinished,
-        transaction: Transaction,
-    ) -> None:
-        """Begin again elsewhere after a failure, unless the caller must be told of it."""
-        error = finished.error
-        if finished.failed_step is StepKind.commit:
-            self._finish_unanswered_commit(request, finished, transaction)
-        elif error is not None and error.kind not in NOT_RUN_ERRORS:
-            request.session.begun = None
-            self._replies.finish(request, _failed(error))
-        else:
-            reason = Reason.connection_lost if error is None else Reason.target_busy
-            was_sent = finished.status is not ExecutionStatus.not_sent
-            self._retries.retry(request, reason, was_sent=was_sent)
-
     def _opened(
         self,
         request: Request,
@@ -311,7 +293,8 @@
             self._note_statement(request, transaction)
             self._replies.finish(request, Ran(finished.result or RequestResult()))
         elif transaction.is_routed:
-            self._end_routed(request, finished)
+            self.abort(session, describe_failure(finished))
+            self._endings.finish_statement(request, finished)
         elif finished.status is ExecutionStatus.target_error:
             self._note_statement(request, transaction)
             self._check_error(session, finished)
@@ -321,17 +304,6 @@
             self.abort(session, Reason.connection_lost.value)
             self._replies.refuse(request, Reason.rolled_back, 'connection lost')
 
-    def _end_routed(self, request: Request, finished: ExecutionFinished) -> None:
-        """End a transaction in which a statement failed; the caller hears of it at once."""
-        session, error = request.session, finished.error
-        reason = Reason.connection_lost if error is None else Reason.target_error
-        self.abort(session, reason.value)
-        session.rolled_back = False
-        if error is None:
-            self._replies.refuse(request, Reason.rolled_back, 'connection lost')
-        else:
-            self._replies.finish(request, _failed(error))
-
     def _check_error(self, session: Session, finished: ExecutionFinished) -> None:
         if finished.error is not None and finished.error.kind in _ROLLED_BACK_ERRORS:
             self.abort(session, 'target_error')
@@ -350,7 +322,7 @@
             return
         self._work.actions.append(ReleasePin(session.session_id))
         if transaction is not None and transaction.is_routed:
-            self._finish_unanswered_commit(request, finished, transaction)
+            self._endings.finish_commit(request, finished, transaction)
         elif status is ExecutionStatus.not_sent or step is StepKind.ledger_record:
             self._replies.refuse(request, Reason.rolled_back, error=finished.error)
         elif request.ledger is None:
@@ -360,22 +332,6 @@
             request.system = self._checks
             self._retries.retry(request, Reason.connection_lost)
 
-    def _finish_unanswered_commit(
-        self,
-        request: Request,
-        finished: ExecutionFinished,
-        transaction: Transaction,
-    ) -> None:
-        """Tell the caller of a failed COMMIT; only a write can have been kept by it."""
-        request.session.begun = None
-        error = finished.error
-        was_refused = error is not None and error.kind is not ErrorKind.ran
-        was_sent = finished.status is not ExecutionStatus.not_sent
-        if was_sent and not was_refused and transaction.has_written:
-            self._replies.may_have_run(request, Reason.connection_lost)
-        else:
-            self._replies.refuse(request, Reason.rolled_back, error=error)
-
     def _committed(self, request: Request, finished: ExecutionFinished) -> None:
         position = reported_position(finished)
         if position is not None:
@@ -423,10 +379,3 @@
             if timer is not None:
                 timer.cancel()
         self._executions.release_pin(transaction.target)
-
-
-def _failed(error: TargetError) -> Outcome:
-    """Return what a caller is told of a target's error inside a transaction."""
-    if error.kind is ErrorKind.ran:
-        return Ran(None, Reason.target_error, error)
-    return NotRun(Reason.rolled_back, error.message, error=error)
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_route_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_route_sessions.py
@@ -3,14 +3,9 @@
 from bergamotcart import entry
 from bergamotcart.entry.tests import routed_world as routed
 from bergamotcart.entry.tests.routed_world import RoutedWorld, open_strict
-from bergamotcart.outcomes import ErrorKind, MayHaveRun, NotRun, Ran, Reason, TargetError
+from bergamotcart.outcomes import MayHaveRun, NotRun, Ran, Reason
 from bergamotcart.statements import Statement, StatementKind
 
-_BEHIND = TargetError(0, 'LAGGING', 'behind', ErrorKind.behind)
-_READ_ONLY = TargetError(0, 'READONLY', 'read only', ErrorKind.read_only)
-_REFUSED = TargetError(0, 'RETRY', 'full', ErrorKind.not_run)
-_FAILED = TargetError(0, 'FAILED', 'failed', ErrorKind.ran)
-_LEASE_ENDS_S = 1.1
 _INSERT = 'WRITE x 1'
 
 
