Let replicas receive again after their positions were fixed

Cause: with synchronous replicas, a replacement stops all replicas to fix their positions, and nothing told those that were not promoted to go on, so writes would have waited for ever. Found by reading; the extended test fails without the change.

--- a/packages/bergamotcart/src/bergamotcart/control/_appointment.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_appointment.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from bergamotcart import messages
-from bergamotcart.control._collection import is_freeze_complete, primaries_by_zone
+from bergamotcart.control._collection import NEVER_S, is_freeze_complete, primaries_by_zone
 from bergamotcart.control._commands import OpenGroup, PromoteGroup
 from bergamotcart.control._events import InstanceStatus, OrderKind
 from bergamotcart.control._group_work import GroupWork
@@ -40,6 +40,7 @@
 
 
 def _run_open(tick: Tick, row: messages.GroupRow, work: GroupWork) -> None:
+    _resume_replicas(tick, row)
     reason = find_suspicion(tick, row, work)
     if reason == 'primary_demoted':
         reason = _confirm_demotion(tick, row)
@@ -50,6 +51,27 @@
         work.waiting_for = ''
 
 
+def _resume_replicas(tick: Tick, row: messages.GroupRow) -> None:
+    """Let the replicas receive again that were stopped to fix their positions."""
+    primary = tick.local.sightings.find(row.name, row.primary or '')
+    if primary is None or not tick.document.groups[row.name].synchronous_replicas:
+        return
+    for seen in tick.local.sightings.of_group(row.name):
+        instance = seen.announcement.instance
+        key = OrderKey(OrderKind.follow, row.name, instance, row.term)
+        if instance == row.primary:
+            continue
+        order = tick.local.orders.prepare(
+            key,
+            seen.announcement,
+            tick.now,
+            NEVER_S,
+            primary.announcement,
+        )
+        if order is not None:
+            tick.actions.append(order)
+
+
 def _confirm_demotion(tick: Tick, row: messages.GroupRow) -> str:
     """Ask an instance that announced itself as a replica, since announcements may be late."""
     tick.wake_at(tick.now + POLL_S)
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
@@ -69,6 +69,7 @@
         self.refuses_calls = False
         self.replies: dict[int, control.OperatorReply] = {}
         self.decisions: list[Decision] = []
+        self.orders: list[control.Order] = []
         self.sent: list[Send] = []
         self.unreachable: dict[str, messages.Reachability] = {}
         self.applied = 0
@@ -208,6 +209,7 @@
 
     def _obey(self, order: control.Order) -> control.InstanceStatus | None:
         instance = self.instances[order.instance]
+        self.orders.append(order)
         if order.kind is control.OrderKind.promote:
             self.calls.append((order.instance, order.fencing_token))
             if not self.answers_calls:
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_authority.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_authority.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 
+from bergamotcart.control import OrderKind
 from bergamotcart.control.tests._authority_world import GROUP, AuthorityWorld, make_body
 from bergamotcart.messages import GroupPhase, Reachability, TargetRole
 
@@ -112,6 +113,9 @@
     world.instances['c'].position = 40
     world.run(2.0)
     assert (world.row.phase, world.row.primary) == (GroupPhase.open, 'c')
+    kinds = [order.kind for order in world.orders if order.instance == 'b']
+    stopped = kinds.index(OrderKind.stop_following)
+    assert OrderKind.follow in kinds[stopped:], 'the other replica receives nothing any more'
 
 
 def test_a_late_heartbeat_of_a_replica_does_not_depose_a_primary():
