--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_fuzz.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_fuzz.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from bergamotcart.consensus import Role
-from bergamotcart.consensus._membership import is_majority, voter_ids
+from bergamotcart.consensus._membership import Members, is_majority, voter_ids
 from bergamotcart.consensus.tests._cluster import Cluster, Server
 
 _EXAMPLES = int(os.environ.get('BERGAMOTCART_FUZZ_EXAMPLES', '30'))
@@ -19,6 +19,8 @@
 _MAIL_KEPT = 400
 # Time for the faults to heal: elections, two membership changes and a snapshot transfer.
 _HEAL_S = 60
+# What one tolerated loss needs.
+_VOTERS = 3
 
 _servers = st.sampled_from('abcd')
 
@@ -26,10 +28,16 @@
 class ConsensusMachine(stateful.RuleBasedStateMachine):
     """Three initial members and a spare one, with faults drawn by hypothesis."""
 
+    tolerated_losses: int | None = None
+
     def __init__(self) -> None:
         """Start all members with empty folders."""
         super().__init__()
-        self.cluster = Cluster(trailing_records=2, part_bytes=40)
+        self.cluster = Cluster(
+            trailing_records=2,
+            part_bytes=40,
+            tolerated_losses=self.tolerated_losses,
+        )
         self.cluster.add_server('d')
         self.servers = self.cluster.servers
         self.commands = 0
@@ -181,9 +189,11 @@
         members = leader.node.members
         if not voter_ids(members).issubset(self.cluster.find_present()):
             return False
-        return all(
-            member.voter and self.servers[member.name].applied >= index for member in members
-        )
+        is_applied = all(self.servers[member.name].applied >= index for member in members)
+        return is_applied and self._have_votes(members)
+
+    def _have_votes(self, members: Members) -> bool:
+        return all(member.voter for member in members)
 
     def _run_well(self, seconds: float) -> None:
         end = self.cluster.now + seconds
@@ -243,12 +253,20 @@
         )
 
 
+class SuccessionMachine(ConsensusMachine):
+    """The same, with a leader that admits, promotes and replaces members by itself."""
+
+    tolerated_losses = 1
+
+    def _have_votes(self, members: Members) -> bool:
+        return len(voter_ids(members)) == _VOTERS
+
+
 def _happens(chance: random.Random, per_mille: int) -> bool:
     return chance.randrange(1000) < per_mille
 
 
-TestConsensus = ConsensusMachine.TestCase
-TestConsensus.settings = settings(
+_SETTINGS = settings(
     max_examples=_EXAMPLES,
     stateful_step_count=30,
     derandomize=_SEED is None,
@@ -259,5 +277,10 @@
     phases=(Phase.explicit, Phase.generate),
     suppress_health_check=list(HealthCheck),
 )
+TestConsensus = ConsensusMachine.TestCase
+TestConsensus.settings = _SETTINGS
+TestSuccession = SuccessionMachine.TestCase
+TestSuccession.settings = _SETTINGS
 if _SEED is not None:
     seed(int(_SEED))(TestConsensus)
+    seed(int(_SEED))(TestSuccession)
