--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_silent_connection.py
@@ -0,0 +1,87 @@
+"""Guards against a connection between processes that goes silent for good."""
+
+import asyncio
+import contextlib
+from typing import Self
+
+from bergamotcart import messages
+from bergamotcart.actions import MessageReceived, Send
+from bergamotcart_daemon.addresses import Address, AddressTranslation
+from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.transport import Identity, Transport
+
+_SEND_INTERVAL_S = 0.05
+_HANG_TIMEOUT_S = 20
+_CHUNK_BYTES = 4096
+
+
+class _Proxy:
+    """Passes connections on; those that are open can be silenced, while new ones work."""
+
+    def __init__(self, listen: str, target: str) -> None:
+        self._listen = Address.parse(listen)
+        self._target = Address.parse(target)
+        self._silent: set[asyncio.StreamWriter] = set()
+        self._open: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(self._serve, self._listen.host, self._listen.port)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+        for writer in self._open:
+            writer.transport.abort()
+
+    def silence(self) -> None:
+        """Swallow all that comes over the connections that are open now."""
+        self._silent |= self._open
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        target = await asyncio.open_connection(self._target.host, self._target.port)
+        self._open |= {writer, target[1]}
+        ways = (self._pass(reader, target[1]), self._pass(target[0], writer))
+        await asyncio.gather(*ways, return_exceptions=True)
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        chunk = await reader.read(_CHUNK_BYTES)
+        while chunk:
+            if writer not in self._silent:
+                writer.write(chunk)
+            chunk = await reader.read(_CHUNK_BYTES)
+
+
+def _build(name: str, address: str, translations: dict[str, str], submit) -> Transport:
+    identity = Identity('default', name, f'{name}-1', address)
+    return Transport(address, identity, AddressTranslation(translations), Metrics(dict), submit)
+
+
+async def _send_for_ever(transport: Transport, recipient: str, address: str) -> None:
+    number = 0
+    while True:
+        number += 1
+        transport.send(Send(recipient, address, messages.RelayPull(sent_at=float(number))))
+        await asyncio.sleep(_SEND_INTERVAL_S)
+
+
+async def test_a_silent_connection_is_replaced_by_one_that_works(addresses):
+    """Without that, a process would be cut off from a peer that it can reach."""
+    entry, control, proxied = (next(addresses) for _ in range(3))
+    received: asyncio.Queue[MessageReceived] = asyncio.Queue()
+    first = _build('e', entry, {control: proxied}, lambda _: None)
+    second = _build('c', control, {}, received.put_nowait)
+    async with contextlib.AsyncExitStack() as stack:
+        proxy = await stack.enter_async_context(_Proxy(proxied, control))
+        for transport in (second, first):
+            await stack.enter_async_context(transport)
+        stack.callback(asyncio.create_task(_send_for_ever(first, 'c', control)).cancel)
+        stack.callback(asyncio.create_task(_send_for_ever(second, 'e', entry)).cancel)
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            await received.get()
+            proxy.silence()
+            # What was on its way arrives still; then nothing more does on this connection.
+            await asyncio.sleep(0.2)
+            while not received.empty():
+                received.get_nowait()
+            await received.get()
