Find leaders outside the seeds, and share heads of primaries so that many entries need few probes

Cause: on the grown sites a started entry knows three seeds of six control members. Reads without an instance in their zone all went to the same one (busiest/mean 2.38).

Ruled out: slow elections (a leader stood 0.2 s after the start); too little capacity (15 of 36 slots).

Change: refusals carry the leader's address; the leader asks primaries for their heads and sends them with leases, with the groups whose primary seems lost; entries probe only those, and rarer the more of them there are; targets count as usable before anything is known; reads prefer the region, spread by rank, and go elsewhere when refused; unused scarce connections are kept for an adapted time.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -134,6 +134,7 @@
         address=settings.advertised_address,
         control_members=tuple(settings.control_member.items()),
         session_key=settings.session_key,
+        zone_regions=settings.zone_region,
         target_expiry_s=settings.target_expiry,
         targets_announce_to_control=settings.announce_to is AnnouncementPlace.control,
         silence_timeout_s=settings.silence_timeout,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
@@ -82,6 +82,7 @@
 
     mysql_listen: AddressText
     session_key: SecretStr
+    zone_region: NameMap = Field(default_factory=dict)
     connect_timeout: Seconds = 0.5
     statement_timeout: Seconds = 30.0
     drain_notice: Annotated[float, Field(ge=0, le=86_400)] = 0.0
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_options.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_options.py
@@ -83,6 +83,12 @@
         _ENTRY,
         'Secret of at least 16 bytes that authenticates session tokens; the same on all entries.',
     ),
+    Flag(
+        'zone-region',
+        _ENTRY,
+        'Region of an availability zone, ZONE=REGION; reads prefer the own region.',
+        repeatable=True,
+    ),
     Flag('data-folder', _CONTROL, 'Folder for durable state.'),
     Flag(
         'found-domain',
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
@@ -58,12 +58,14 @@
     """Settings of the role entry, whatever protocol its callers speak.
 
     :param session_key: secret that authenticates session tokens.
+    :param zone_region: regions of availability zones by name.
     :param drain_notice: for which a draining entry still takes new sessions.
     :param drain_limit: after which a draining entry rolls back open transactions.
     """
 
     role: ClassVar[Role] = Role.entry
     session_key: bytes = field(repr=False)
+    zone_region: dict[str, str] = field(default_factory=dict)
     connect_timeout: float = 0.5
     statement_timeout: float = 30.0
     drain_notice: float = 0.0
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/deployment/_process.py
@@ -71,6 +71,10 @@
         """Ask the process to shut down."""
         self._signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Tell the process that its settings have changed."""
+        self._signal(signal.SIGHUP)
+
     def pause(self) -> None:
         """Stop the process without its noticing."""
         self._signal(signal.SIGSTOP)
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_link.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_link.py
@@ -82,6 +82,11 @@
         self._upstream.resume()
         self._downstream.resume()
 
+    def silence(self) -> None:
+        """Swallow everything from now on, without either end noticing."""
+        self._upstream.silent = True
+        self._downstream.silent = True
+
     def reset(self) -> None:
         """Break both connections at once."""
         if self._connecting:
@@ -206,6 +211,11 @@
         """Wait until other settings are in force."""
         await self._changed.wait()
 
+    def silence(self) -> None:
+        """Let all open connections go silent for good; new ones work."""
+        for relayed in self.relayed:
+            relayed.silence()
+
     def reset(self) -> None:
         """Reset all open connections."""
         for relayed in tuple(self.relayed):
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_pipe.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_pipe.py
@@ -22,6 +22,7 @@
     """Passes bytes on after the delay of the link, in order.
 
     :ivar lost: true once bytes were dropped.
+    :ivar silent: whether everything is swallowed, also the end of the stream.
     :ivar passed: number of bytes that were accepted.
     """
 
@@ -36,6 +37,7 @@
         :param settings: returns the settings in force.
         """
         self.lost = False
+        self.silent = False
         self.passed = 0
         self._direction = direction
         self._settings = settings
@@ -59,6 +61,8 @@
 
     def feed(self, content: bytes) -> None:
         """Take bytes of the source; empty means that it has closed."""
+        if self.silent:
+            return
         settings = self._settings()
         if settings.drops(self._direction):
             self.lost = True
@@ -99,6 +103,8 @@
 
     def _pass_on(self, content: bytes, sink: asyncio.Transport) -> None:
         self._queued -= len(content)
+        if self.silent:
+            return
         if self._settings().drops(self._direction):
             self.lost = True
             return
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_relay.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/_relay.py
@@ -67,6 +67,16 @@
             link.reset()
         return len(matching)
 
+    def silence(self, reset: LinkReset) -> int:
+        """Let the open connections of the matching links go silent.
+
+        :returns: how many links match.
+        """
+        matching = self._matching(reset.pattern)
+        for link in matching:
+            link.silence()
+        return len(matching)
+
     def application(self) -> web.Application:
         """Return the HTTP application that changes the links."""
         application = web.Application()
--- a/packages/bergamotcart/src/bergamotcart/consensus/_core.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_core.py
@@ -119,6 +119,14 @@
         if not self.is_formed or sender in {member_id(member) for member in self.members}:
             self._addresses[envelope.sender] = envelope.sender_address
 
+    def find_address(self, member: str) -> str | None:
+        """Return where a member can be reached, if that is known."""
+        address = self._addresses.get(member)
+        if address is None:
+            known = find_member(self.members, member)
+            address = known.address if known else self.contacts.get(member)
+        return address
+
     def send(self, recipient: str, body: messages.Body) -> None:
         """Send a message that promises nothing about durable state."""
         message = self._address(recipient, body)
@@ -196,10 +204,5 @@
         self.election_at = earliest + self._random.uniform(0, greatest - least)
 
     def _address(self, recipient: str, body: messages.Body) -> Send | None:
-        address = self._addresses.get(recipient)
-        if address is None:
-            known = find_member(self.members, recipient)
-            address = known.address if known else self.contacts.get(recipient)
-        if address is None:
-            return None
-        return Send(recipient, address, body)
+        address = self.find_address(recipient)
+        return None if address is None else Send(recipient, address, body)
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -64,6 +64,11 @@
         """Name of the leader that this member knows."""
         return self._core.leader
 
+    @property
+    def leader_address(self) -> str:
+        """Inter-process address of the leader that this member knows; empty if there is none."""
+        return self._core.find_address(self._core.leader or '') or ''
+
     @property
     def term(self) -> int:
         """Current term."""
--- a/packages/bergamotcart/src/bergamotcart/control/_authority.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_authority.py
@@ -48,4 +48,10 @@
         reason = 'no_quorum'
     elif state.applied_term != node.term:
         reason = 'not_caught_up'
-    return Authority(leads=not reason, leader=node.leader, term=node.term, reason=reason)
+    return Authority(
+        leads=not reason,
+        leader=node.leader,
+        term=node.term,
+        reason=reason,
+        leader_address=node.leader_address,
+    )
--- a/packages/bergamotcart/src/bergamotcart/control/_leases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leases.py
@@ -9,6 +9,7 @@
 from bergamotcart.control._config import ControlConfig
 from bergamotcart.control._distribution import push_update
 from bergamotcart.control._entry_table import EntryContact
+from bergamotcart.control._heads import find_heads
 from bergamotcart.control._quotas import grant_quotas
 from bergamotcart.control._sightings import pull_sightings
 from bergamotcart.control._tick import Tick
@@ -42,6 +43,7 @@
         refusal = messages.LeaseRefusal(
             echo_sent_at=request.sent_at,
             leader=tick.authority.leader,
+            leader_address=tick.authority.leader_address,
         )
         tick.send(envelope.sender, envelope.sender_address, refusal)
         _refuse(tick, envelope, tick.authority.reason)
@@ -127,6 +129,8 @@
         current_index=tick.state.index,
         quotas=grant_quotas(tick, contact, request.sent_at),
         reports_version=contact.reports_version,
+        heads=find_heads(tick),
+        suspects=tuple(sorted(tick.local.suspected_primaries)),
     )
     tick.send(contact.key.name, contact.address, grant)
 
--- a/packages/bergamotcart/src/bergamotcart/control/_local.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local.py
@@ -18,8 +18,10 @@
     :param pushed_index: index of the state that was last pushed to all known entries.
     :param cleaned_at: time at which old rows were last removed.
     :param suspects: groups of which some entry cannot reach an instance, in this tick.
+    :param suspected_primaries: groups whose primary this leader or some entry cannot reach.
     :param assumed_instances: instances of the replicated state were taken over.
     :param members_pulled_at: time of the newest pull from the other members.
+    :param heads_polled_at: time at which the primaries were last asked for their heads.
     :param led_since: time at which this member's leadership began.
     """
 
@@ -31,11 +33,13 @@
     groups: dict[str, GroupWork] = field(default_factory=dict)
     looked_at: dict[str, float] = field(default_factory=dict)
     suspects: frozenset[str] = frozenset()
+    suspected_primaries: frozenset[str] = frozenset()
     assumed_instances: bool = False
     led_since: float = 0
     pushed_index: int = 0
     cleaned_at: float = 0
     members_pulled_at: float = 0
+    heads_polled_at: float = 0
 
     def restart(self, now: float, assumed_until: float) -> None:
         """Begin a leadership without any memory of a former one.
@@ -55,3 +59,5 @@
         self.pushed_index = 0
         self.cleaned_at = now
         self.members_pulled_at = 0
+        self.heads_polled_at = 0
+        self.suspected_primaries = frozenset()
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -13,6 +13,7 @@
 from bergamotcart.control._config import ControlConfig, ControlOutbox, ControlStatus
 from bergamotcart.control._distribution import handle_state_ack, push_changes
 from bergamotcart.control._failover import run_failover
+from bergamotcart.control._heads import poll_heads
 from bergamotcart.control._instances import (
     assume_instances,
     assumed_announcements,
@@ -191,6 +192,7 @@
             leases.forget_gone_contacts(tick)
             forget_instances(tick)
         run_failover(tick)
+        poll_heads(tick)
 
     def _drain(self, tick: Tick) -> None:
         """Publish what the log asks for and apply what it has committed."""
--- a/packages/bergamotcart/src/bergamotcart/control/_tick.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_tick.py
@@ -22,12 +22,14 @@
 
     :param leads: it leads, has applied its own first record and a majority answers it.
     :param reason: why it does not lead; empty if it does.
+    :param leader_address: inter-process address of the leader; empty if it is not known.
     """
 
     leads: bool
     leader: str | None
     term: int
     reason: str = ''
+    leader_address: str = ''
 
 
 @dataclass(slots=True)
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
@@ -101,6 +101,11 @@
         rows = [row for update in updates for row in update.groups if row.name == GROUP]
         return max(rows, key=lambda row: row.modified_index)
 
+    @property
+    def grants(self) -> list[messages.LeaseGrant]:
+        """Leases that the entry was granted."""
+        return [send.body for send in self.sent if isinstance(send.body, messages.LeaseGrant)]
+
     def run(self, seconds: float) -> None:
         """Let time pass; the entry renews its lease all the while."""
         end = self.now + seconds
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_authority.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_authority.py
@@ -146,3 +146,32 @@
     world.lose(_PRIMARY, Reachability.silent)
     world.run(1.0)
     assert world.row.primary in {'b', 'c'}
+
+
+def test_entries_are_told_the_heads_of_primaries():
+    """Otherwise each entry would ask each primary for its head."""
+    world = _started()
+    world.instances[_PRIMARY].position = 33
+    world.run(1.0)
+    heads = world.grants[-1].heads
+    assert [(head.group, head.position) for head in heads] == [(GROUP, 33)]
+    assert 0 <= heads[0].age_s < 0.5
+
+
+def test_an_instance_that_is_not_the_primary_has_no_head():
+    """A replica may lack what was acknowledged."""
+    world = _started()
+    world.instances[_PRIMARY].role = TargetRole.replica
+    world.run(0.5)
+    assert not world.grants[-1].heads
+
+
+def test_entries_are_asked_to_look_at_a_primary_that_does_not_answer():
+    """Most of them may not have sent it anything lately."""
+    world = _started()
+    world.run(0.5)
+    assert world.grants[-1].suspects == ()
+    world.instances[_PRIMARY].up = False
+    world.run(1.5)
+    assert world.grants[-1].suspects == (GROUP,)
+    assert world.row.primary == _PRIMARY
--- a/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_assembly.py
@@ -95,7 +95,14 @@
             self.executions,
             self._release_sessions,
         )
-        self.control = ControlLink(work, monitor, self.lanes, self._on_update, self.flow.on_lease)
+        self.control = ControlLink(
+            work,
+            monitor,
+            self.lanes,
+            self._on_update,
+            self.flow.on_lease,
+            self.flow.on_grant,
+        )
         self.systems = build_systems(
             Parts(
                 work=work,
--- a/packages/bergamotcart/src/bergamotcart/entry/_config.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_config.py
@@ -1,6 +1,7 @@
 """Configuration, outbox and status of the entry engine."""
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from bergamotcart.entry._actions import EntryAction
@@ -12,6 +13,7 @@
 
     :param control_members: name and inter-process address of the initial control members.
     :param session_key: secret that authenticates session tokens.
+    :param zone_regions: regions of availability zones by name.
     :param silence_timeout_s: seconds until a silent target counts as unreachable.
     :param drift_margin: share by which clocks may run at different speeds.
     :param target_expiry_s: age in seconds from which an announcement counts no more.
@@ -26,6 +28,7 @@
     address: str
     control_members: tuple[tuple[str, str], ...]
     session_key: bytes
+    zone_regions: Mapping[str, str] = field(default_factory=dict)
     silence_timeout_s: float = 0.8
     drift_margin: float = 0.02
     target_expiry_s: float = 3.0
@@ -33,6 +36,11 @@
     targets_announce_to_control: bool = False
     seed: int = 0
 
+    def is_near(self, availability_zone: str) -> bool:
+        """Tell whether an availability zone is in the region of this process."""
+        region = self.zone_regions.get(availability_zone)
+        return region is not None and region == self.zone_regions.get(self.availability_zone)
+
 
 @dataclass(frozen=True, slots=True)
 class EntryOutbox:
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -23,6 +23,7 @@
 
     :param on_update: called with the groups whose rows changed.
     :param on_lease: called after a grant, and when a request stays unanswered.
+    :param on_grant: called with each grant that counts.
     """
 
     __slots__ = (
@@ -30,6 +31,7 @@
         '_lanes',
         '_leader',
         '_monitor',
+        '_on_grant',
         '_on_lease',
         '_on_update',
         '_renew_after_s',
@@ -47,6 +49,7 @@
         lanes: Lanes,
         on_update: Callable[[list[str]], None],
         on_lease: Callable[[], None],
+        on_grant: Callable[[messages.LeaseGrant], None],
     ) -> None:
         """Start without a known leader."""
         self._work = work
@@ -54,6 +57,7 @@
         self._lanes = lanes
         self._on_update = on_update
         self._on_lease = on_lease
+        self._on_grant = on_grant
         self._leader: tuple[str, str] | None = None
         self._renew_after_s = _DEFAULT_RENEWAL_S
         self._sent_at = float('-inf')
@@ -104,13 +108,14 @@
         if not was_valid and self._work.lease_valid:
             self._work.decide('leases', 'hold', 'granted', detail=envelope.sender)
         self._on_lease()
+        self._on_grant(grant)
 
     def take_refusal(self, refusal: messages.LeaseRefusal) -> None:
         """Take a refusal; the member may know the leader."""
         if not self._work.lease.is_own_request(refusal.echo_sent_at) or refusal.leader is None:
             return
-        address = dict(self._members()).get(refusal.leader)
-        if address is None or self._answered:
+        address = refusal.leader_address or dict(self._members()).get(refusal.leader)
+        if not address or self._answered:
             return
         if self._leader is None or self._leader[0] != refusal.leader:
             self._leader = (refusal.leader, address)
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
@@ -85,6 +85,10 @@
         settings = self.document.group(group)
         return settings is not None and settings.promotion is documents.Promotion.authority
 
+    def primary_of(self, group: str) -> str | None:
+        """Return the primary of a group that is open, or ``None``."""
+        return self.groups[group].primary if self.is_open(group) else None
+
     def is_primary(self, key: TargetKey) -> bool:
         """Tell whether an instance is the primary of its group."""
         row = self.groups.get(key.group)
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -117,6 +117,7 @@
 
     def _sweep(self) -> None:
         self._parts.flow.sweep()
+        self._parts.lanes.adapt()
         self._parts.lanes.update_limits()
         self._work.after(_SWEEP_S, self._sweep)
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -22,6 +22,7 @@
 from bergamotcart.entry._timers import Timer
 from bergamotcart.entry._workspace import Workspace
 from bergamotcart.messages import Reachability
+from bergamotcart.outcomes import ErrorKind
 from bergamotcart.statements import StatementKind
 
 # The adapter reports every execution in time; this covers a report that is lost all the same.
@@ -135,6 +136,8 @@
         self._at_target[running.plan.target].pop(finished.execution_id)
         if running.timer is not None:
             running.timer.cancel()
+        if finished.status is ExecutionStatus.not_sent and _is_busy(finished):
+            running.lane.was_refused = True
         if finished.refused and finished.status is ExecutionStatus.not_sent:
             self._monitor.note_refused(running.plan.target)
         elif finished.status is ExecutionStatus.lost:
@@ -189,6 +192,10 @@
         ]
 
 
+def _is_busy(finished: ExecutionFinished) -> bool:
+    return finished.error is not None and finished.error.kind is ErrorKind.busy
+
+
 def _session_state(request: Request) -> SessionState | None:
     if request.route is None:
         return None
--- a/packages/bergamotcart/src/bergamotcart/entry/_flow.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_flow.py
@@ -12,7 +12,7 @@
 from bergamotcart.entry._primary import PrimaryGate
 from bergamotcart.entry._requests import Request
 from bergamotcart.entry._workspace import Workspace
-from bergamotcart.messages import GroupPhase, Reachability, TargetRole
+from bergamotcart.messages import GroupPhase, LeaseGrant, Reachability, TargetRole
 from bergamotcart.outcomes import Reason
 
 # A target that stopped announcing itself is forgotten after this time.
@@ -91,6 +91,19 @@
             group.heads.add(sent_at, position)
             _resume(group.primary_waits.pop_answered(sent_at))
 
+    def on_grant(self, grant: LeaseGrant) -> None:
+        """Take over the heads that came with a lease, and look for primaries that seem lost."""
+        for head in grant.heads:
+            key = TargetKey(head.group, self._work.view.primary_of(head.group) or '')
+            watched = self._monitor.get(key)
+            asked_at = grant.echo_sent_at - head.age_s
+            group = self._work.groups.get(head.group)
+            if watched is not None and self._work.lease_valid and asked_at >= group.open_since:
+                group.heads.add(asked_at, Position(head.log_term, head.position))
+                _resume(group.primary_waits.pop_answered(asked_at))
+        for name in grant.suspects:
+            self._monitor.check(TargetKey(name, self._work.view.primary_of(name) or ''))
+
     def on_room(self, lane: Lane) -> None:
         """Send what waits for a place at a target."""
         if len(self._work.groups.get(lane.key.group).writes):
--- a/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
@@ -1,5 +1,6 @@
 """Connections and concurrency per target."""
 
+import hashlib
 from collections.abc import Callable
 from typing import Final
 
@@ -16,11 +17,19 @@
 from bergamotcart.messages import QuotaUse
 
 MAX_QUEUED_READS: Final = 500
-# With fewer connections than this for each entry, nobody keeps one that is not in use.
-_SCARCE_SHARE: Final = 2
+# With fewer connections than this for each entry, nobody keeps those that are not in use: one
+# serves the probes, and a transaction holds one while its caller thinks.
+_SCARCE_SHARE: Final = 4
 # What an entry may then use at once; the target refuses what is too much for it.
 _SCARCE_QUOTA: Final = 4
-_SCARCE_IDLE_S: Final = 0.2
+# How long an unused connection is then kept: long while the target accepts all, short once it
+# has refused some. Opening one costs as much of the target's time as a short statement.
+_LEAST_IDLE_S: Final = 0.05
+_GREATEST_IDLE_S: Final = 1.6
+_FIRST_IDLE_S: Final = 0.4
+_IDLE_GROWTH: Final = 1.1
+_IDLE_CUT: Final = 0.5
+_RANK_BYTES: Final = 4
 
 
 class Lane:
@@ -31,23 +40,33 @@
     :param told: connection limit that the adapter was told last.
     :param is_scarce: whether unused connections must be given back at once.
     :param reported: connections that the adapter reported last.
+    :param rank: order among instances that are equal otherwise, from 0 to 1; entries differ in it,
+        so that they do not all choose the same one.
+    :param idle_s: seconds for which an unused connection is kept while they are scarce.
+    :param was_refused: whether the target has refused a connection since the last sweep.
     """
 
     __slots__ = (
         'base',
         'concurrency',
+        'idle_s',
         'is_scarce',
         'key',
         'queue',
         'quota',
+        'rank',
         'reads',
         'reported',
         'told',
+        'was_refused',
     )
 
-    def __init__(self, key: TargetKey, now: float) -> None:
+    def __init__(self, key: TargetKey, now: float, entry: str) -> None:
         """Start with the least quota."""
         self.key = key
+        self.rank = _rank(key, entry)
+        self.idle_s = _FIRST_IDLE_S
+        self.was_refused = False
         self.base = 1
         self.is_scarce = False
         self.quota = ConnectionQuota(1)
@@ -55,7 +74,7 @@
         self.queue = FairQueue(MAX_QUEUED_READS)
         self.reads = 0
         self.reported = 0
-        self.told: tuple[int, bool] = (0, False)
+        self.told: tuple[int, float | None] = (0, None)
 
     @property
     def has_room(self) -> bool:
@@ -74,6 +93,12 @@
         """
         return self.has_room and self.reads < max(1, int(self.concurrency.limit * share))
 
+    def adapt_idle(self) -> None:
+        """Keep unused connections longer, or shorter if the target has refused some."""
+        factor = _IDLE_CUT if self.was_refused else _IDLE_GROWTH
+        self.idle_s = min(max(self.idle_s * factor, _LEAST_IDLE_S), _GREATEST_IDLE_S)
+        self.was_refused = False
+
     def take_place(self, *, is_read: bool) -> None:
         """Count a statement or a transaction that starts; there must be room for it."""
         self.concurrency.start()
@@ -98,7 +123,7 @@
         """Return the lane of a target."""
         lane = self._lanes.get(key)
         if lane is None:
-            lane = Lane(key, self._work.now)
+            lane = Lane(key, self._work.now, self._work.config.name)
             self._lanes[key] = lane
         return lane
 
@@ -117,6 +142,11 @@
         if lane is not None and not lane.concurrency.in_flight and not len(lane.queue):
             self._lanes.pop(key)
 
+    def adapt(self) -> None:
+        """Adapt for how long unused connections are kept."""
+        for lane in self._lanes.values():
+            lane.adapt_idle()
+
     def update_limits(self) -> None:
         """Set the limits from the announcements, the document and the lease."""
         lent: dict[TargetKey, int] = {}
@@ -171,10 +201,16 @@
 
     def _tell(self, lane: Lane, address: str) -> None:
         limit = lane.quota.limit
-        if lane.told == (limit, lane.is_scarce):
+        idle_s = lane.idle_s if lane.is_scarce else None
+        if lane.told == (limit, idle_s):
             return
-        lane.told = (limit, lane.is_scarce)
+        lane.told = (limit, idle_s)
         lane.concurrency.change_quota(limit)
-        idle_s = _SCARCE_IDLE_S if lane.is_scarce else None
         self._work.actions.append(LimitConnections(lane.key, address, limit, idle_s))
         self._on_room(lane)
+
+
+def _rank(key: TargetKey, entry: str) -> float:
+    text = f'{entry} {key.group} {key.instance}'
+    digest = hashlib.blake2s(text.encode(), digest_size=_RANK_BYTES).digest()
+    return int.from_bytes(digest) / (1 << (8 * _RANK_BYTES))
--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -15,9 +15,15 @@
 # At nine idle targets, four probes a second each were most of an idle entry's processor time.
 IDLE_PROBE_INTERVAL_S: Final = 1.0
 IDLE_AFTER_S: Final = 10.0
-# A primary whose answers carry positions is probed only if it has not answered for this long;
-# control must hear within about a second that it does not answer any more.
-ANSWERED_PROBE_S: Final = 0.5
+# A primary whose answers carry positions is probed only if it has not answered for this long.
+# Control asks it four times a second, and tells the entries to look when it gets no answer.
+ANSWERED_PROBE_S: Final = 5.0
+# Without control, nobody else looks.
+UNLEASED_PROBE_S: Final = 0.5
+# A primary that seems lost is looked at by all entries; together they must not fill its slots.
+SUSPECT_PROBE_S: Final = 0.5
+# Entries that may probe an instance at the usual pace; more of them share that load.
+_PROBING_ENTRIES: Final = 16
 # A replica that answers a waiting probe without progress is not asked in a tight loop.
 _REPEAT_S: Final = 0.005
 # The adapter reports every probe; this covers a report that is lost all the same.
@@ -104,9 +110,17 @@
         return self._watched.get(key)
 
     def is_reachable(self, key: TargetKey) -> bool:
-        """Tell whether the last probe of a target was answered."""
+        """Tell whether the last probe or statement was answered.
+
+        Where answers carry positions, a target that was never asked counts too: its
+        announcements are fresh, and the first statement shows whether it answers.
+        """
         watched = self._watched.get(key)
-        return watched is not None and watched.reachability is Reachability.reachable
+        if watched is None:
+            return False
+        if watched.reachability is None:
+            return self._work.view.answers_carry_positions(key.group)
+        return watched.reachability is Reachability.reachable
 
     def reports(self) -> tuple[TargetReport, ...]:
         """Return what control is told about the targets."""
@@ -127,7 +141,8 @@
         if watched is None:
             watched = Watched(target.key, target.announcement.incarnation)
             self._watched[target.key] = watched
-            self._send(watched)
+            if not self._work.view.answers_carry_positions(target.key.group):
+                self._send(watched)
             return
         if watched.incarnation != target.announcement.incarnation:
             watched.incarnation = target.announcement.incarnation
@@ -165,6 +180,15 @@
         if watched is not None and not watched.in_flight:
             self._send(watched)
 
+    def check(self, key: TargetKey) -> None:
+        """Probe a target that others cannot reach, unless it has answered lately."""
+        watched = self._watched.get(key)
+        if watched is None or watched.in_flight:
+            return
+        last = max(watched.answered_at, watched.last_sent)
+        if self._work.now - last >= SUSPECT_PROBE_S * self._crowding:
+            self._send(watched)
+
     def note_answer(self, key: TargetKey, sent_at: float, position: Position) -> None:
         """Take over the position that an answer to a statement carried.
 
@@ -251,12 +275,14 @@
         if not (is_answered and self._work.view.answers_carry_positions(watched.key.group)):
             self._send(watched)
             return
-        due = watched.answered_at + ANSWERED_PROBE_S
+        pause = ANSWERED_PROBE_S if self._work.lease_valid else UNLEASED_PROBE_S
+        pause *= self._crowding
+        due = watched.answered_at + pause
         is_primary = self._work.view.is_primary(watched.key) or not self._work.lease_valid
         if is_primary and due <= self._work.now:
             self._send(watched)
             return
-        delay = max(due - self._work.now, ANSWERED_PROBE_S / 2)
+        delay = max(due - self._work.now, UNLEASED_PROBE_S / 2)
         watched.timer = self._work.after(delay, lambda: self._probe_if_due(watched))
 
     def _interval(self, watched: Watched) -> float:
@@ -264,7 +290,16 @@
         is_answered = watched.reachability is Reachability.reachable
         if is_answered and self._is_idle(watched.key.group):
             return IDLE_PROBE_INTERVAL_S
-        return PROBE_INTERVAL_S
+        if not self._work.view.answers_carry_positions(watched.key.group):
+            return PROBE_INTERVAL_S
+        # Entries that lost a target at the same moment must not all come back at the same one.
+        spread = 1 + self._work.random.random()
+        return PROBE_INTERVAL_S * self._crowding * spread
+
+    @property
+    def _crowding(self) -> float:
+        """Factor by which probes become rarer, since other entries send them as well."""
+        return max(1.0, len(self._work.view.entries) / _PROBING_ENTRIES)
 
     def _is_idle(self, group: str) -> bool:
         used_at = self._used_at.get(group, float('-inf'))
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -50,7 +50,7 @@
     :param route: route of the session, if it uses one.
     :param statement_id: the caller's identifier of the statement.
     :param prepared: prepared statement that it executes, if any.
-    :param behind: instances that lacked the position which the read needs.
+    :param refused_by: instances that have refused the read, or could not be reached for it.
     """
 
     request_id: int
@@ -82,7 +82,7 @@
     route: documents.Route | None = None
     statement_id: str = ''
     prepared: PreparedShape | None = None
-    behind: set[TargetKey] = field(default_factory=set)
+    refused_by: set[TargetKey] = field(default_factory=set)
 
     @property
     def step(self) -> Step:
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -144,8 +144,10 @@
             own_zone=target.announcement.availability_zone == self._work.config.availability_zone,
             is_primary=is_primary,
             has_floor=has_floor or is_primary,
-            was_behind=key in request.behind,
+            has_failed=key in request.refused_by,
             load=self._lanes.get(key).load,
+            own_region=self._work.config.is_near(target.announcement.availability_zone),
+            rank=self._lanes.get(key).rank,
         )
 
     def _send(
@@ -191,6 +193,7 @@
         if status is ExecutionStatus.completed:
             self._complete(running, finished)
         elif status is ExecutionStatus.not_sent:
+            request.refused_by.add(running.plan.target)
             self._retries.retry(request, Reason.target_unreachable, was_sent=False)
         elif error is None:
             self._retries.retry(request, Reason.connection_lost)
@@ -209,14 +212,17 @@
             # The instance may have been replaced before it ran the read.
             self._retries.retry(request, Reason.group_not_open)
 
+    def _count_targets(self, group: str) -> int:
+        return sum(1 for _ in self._work.table.of_group(group))
+
     def _retry_elsewhere(self, running: Running, kind: ErrorKind) -> None:
         request = running.request
-        if kind is ErrorKind.behind:
-            request.behind.add(running.plan.target)
-            if len(request.behind) == 1:
-                # Another instance probably has the position, the primary certainly.
-                request.phase = Phase.waiting
-                self.resume(request)
-                return
+        request.refused_by.add(running.plan.target)
+        if len(request.refused_by) < self._count_targets(request.group):
+            # Another instance probably has the position or room, and the primary the position.
+            request.phase = Phase.waiting
+            self.resume(request)
+            return
+        request.refused_by.clear()
         reason = Reason.replica_behind if kind is ErrorKind.behind else Reason.target_busy
         self._retries.retry(request, reason, was_sent=False)
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_world.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_world.py
@@ -63,6 +63,7 @@
 
     :ivar executions: executions that have no answer yet.
     :ivar probes: probes without an answer, with their time.
+    :ivar asked_at: times of the lease requests.
     """
 
     def __init__(self, *, configured: bool = True) -> None:
@@ -78,13 +79,15 @@
         self.replies: dict[int, entry.Reply] = {}
         self.answers: dict[int, entry.SessionAnswer] = {}
         self.closed: list[int] = []
+        self.limits: list[entry.LimitConnections] = []
         self.released: list[int] = []
         self.drained = False
         self.requests = 0
         self.sessions = 0
-        self._asked_at: list[float] = []
+        self.asked_at: list[float] = []
         self._pulled_at: list[float] = []
         self._announced = 0
+        self._entries: tuple[messages.EntryRow, ...] = ()
         self.engine = entry.EntryEngine(
             entry.EntryConfig(
                 name='e1',
@@ -106,7 +109,7 @@
         self.update()
         self.announce()
         self.answer_probes()
-        self.grant()
+        self.grant(head=10)
         self.pass_time(0.05)
         self.answer_probes()
 
@@ -133,6 +136,11 @@
         )
         self.step(MessageReceived(envelope))
 
+    def update_entries(self, rows: list[messages.EntryRow]) -> None:
+        """Send the whole state with other entries beside this one."""
+        self._entries = tuple(rows)
+        self.update()
+
     def update(self, **changed: object) -> None:
         """Send the whole state, with changed fields of the group's row."""
         self.index += 1
@@ -146,20 +154,43 @@
                 entries_limit=1,
                 groups=(self.row,),
                 sections=(self.section,),
+                entries=self._entries,
             )
         )
 
-    def grant(self, duration_s: float = 1.0) -> None:
-        """Grant a lease for the newest request."""
+    def grant(
+        self,
+        duration_s: float = 1.0,
+        head: int | None = None,
+        suspects: tuple[str, ...] = (),
+    ) -> None:
+        """Grant a lease for the newest request.
+
+        :param head: head of the primary as control was told just now.
+        :param suspects: groups whose primary others cannot reach.
+        """
         self.pass_time(0.3)
-        self.receive(
-            messages.LeaseGrant(
-                echo_sent_at=self._asked_at[-1],
-                duration_s=duration_s,
-                renew_after_s=0.25,
-                control_term=1,
-                current_index=self.index,
-            )
+        self.receive(self.build_grant(self.asked_at[-1], duration_s, head, suspects))
+
+    def build_grant(
+        self,
+        asked_at: float,
+        duration_s: float = 1.0,
+        head: int | None = None,
+        suspects: tuple[str, ...] = (),
+    ) -> messages.LeaseGrant:
+        """Return the grant for a request of a time."""
+        heads: tuple[messages.PrimaryHead, ...] = ()
+        if head is not None:
+            heads = (messages.PrimaryHead(group=GROUP, log_term=1, position=head, age_s=0),)
+        return messages.LeaseGrant(
+            echo_sent_at=asked_at,
+            duration_s=duration_s,
+            renew_after_s=0.25,
+            control_term=1,
+            current_index=self.index,
+            heads=heads,
+            suspects=suspects,
         )
 
     def announce(self, leaving: str = '') -> None:
@@ -283,12 +314,15 @@
     def _on_releasepin(self, action: entry.ReleasePin) -> None:
         self.released.append(action.session_id)
 
+    def _on_limitconnections(self, action: entry.LimitConnections) -> None:
+        self.limits.append(action)
+
     def _on_drained(self, action: entry.Drained) -> None:
         self.drained = True
 
     def _on_send(self, action: Send) -> None:
         if isinstance(action.body, messages.LeaseRequest):
-            self._asked_at.append(action.body.sent_at)
+            self.asked_at.append(action.body.sent_at)
         elif isinstance(action.body, messages.RelayPull):
             self._pulled_at.append(action.body.sent_at)
 
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_failover.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_failover.py
@@ -1,5 +1,7 @@
 """Scenarios of requests in flight while a target falls silent or a primary is replaced."""
 
+import pytest
+
 from bergamotcart import messages
 from bergamotcart.actions import MessageReceived, Send
 from bergamotcart.entry import EntryConfig, EntryEngine
@@ -57,8 +59,12 @@
     assert isinstance(world.outcome(request), MayHaveRun)
 
 
-def test_a_refusal_that_names_the_leader_is_followed():
-    """After a change of leader the lease must not wait for a whole round of all members."""
+@pytest.mark.parametrize(('leader', 'address'), [('m2', ''), ('m7', 'm7:1')])
+def test_a_refusal_that_names_the_leader_is_followed(leader, address):
+    """After a change of leader the lease must not wait for a whole round of all members.
+
+    The leader may be none of the members that a started entry knows from its settings.
+    """
     engine = EntryEngine(
         EntryConfig(
             name=E1,
@@ -70,7 +76,11 @@
         )
     )
     engine.step(1.0, ())
-    refusal = messages.LeaseRefusal(echo_sent_at=1.0, leader='m2')
+    refusal = messages.LeaseRefusal(
+        echo_sent_at=1.0,
+        leader=leader,
+        leader_address=address,
+    )
     envelope = messages.Envelope(
         version=1,
         domain='default',
@@ -82,4 +92,4 @@
     )
     outbox = engine.step(1.001, (MessageReceived(envelope),))
     asked = engine.step(outbox.next_tick, ()).actions
-    assert [sent.recipient for sent in asked if isinstance(sent, Send)] == ['m2']
+    assert [sent.recipient for sent in asked if isinstance(sent, Send)] == [leader]
--- a/packages/bergamotcart/src/bergamotcart/messages/_control.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_control.py
@@ -128,6 +128,18 @@
     quota_use: tuple[QuotaUse, ...] = ()
 
 
+class PrimaryHead(msgspec.Struct, frozen=True, kw_only=True):
+    """Head of a primary as the leader of control was told by that instance itself.
+
+    :param age_s: seconds since the leader asked for it, when the message was made.
+    """
+
+    group: str
+    log_term: int
+    position: int
+    age_s: float
+
+
 class LeaseGrant(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Grants a lease that the holder counts from ``echo_sent_at``.
 
@@ -135,6 +147,8 @@
     :param renew_after_s: seconds between renewals.
     :param current_index: index of the newest committed control state.
     :param reports_version: version of the entry's reports that the leader holds.
+    :param heads: heads of primaries whose answers carry positions.
+    :param suspects: groups whose primary someone cannot reach; the holder is to look for itself.
     """
 
     echo_sent_at: float
@@ -144,13 +158,20 @@
     current_index: int
     quotas: tuple[QuotaGrant, ...] = ()
     reports_version: int = 0
+    heads: tuple[PrimaryHead, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 class LeaseRefusal(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """The member cannot grant leases; ``leader`` is the leader it knows, if any."""
+    """The member cannot grant leases; ``leader`` is the leader it knows, if any.
+
+    :param leader_address: its inter-process address, since a started entry knows only the members
+        in its settings; empty if it is not known.
+    """
 
     echo_sent_at: float
     leader: str | None
+    leader_address: str = ''
 
 
 class StateUpdate(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/bergamotcart/src/bergamotcart/routing/_choice.py
+++ b/packages/bergamotcart/src/bergamotcart/routing/_choice.py
@@ -10,13 +10,15 @@
 # A replica of another availability zone is preferred to one of the own availability zone
 # only when that one has this many more statements per allowed connection.
 _OTHER_ZONE_LOAD: Final = 1.0
+# Another zone of the same region takes less than half as long as one of another region.
+_OWN_REGION_LOAD: Final = 0.4
 
 # Writes have nowhere else to go, so a read takes the primary only if replicas have this many
 # more statements per allowed connection.
 _PRIMARY_LOAD: Final = 0.5
 # A refused read costs a round trip, which is about as much as the way to another zone.
 _UNPROVED_LOAD: Final = 0.75
-_BEHIND_LOAD: Final = 10.0
+_FAILED_LOAD: Final = 10.0
 
 # Reasons for a wait: a replica will catch up soon; the reads' share of the primary is used up.
 CATCH_UP: Final = 'catch_up'
@@ -147,34 +149,42 @@
 class InstanceChoice:
     """An instance that may serve a read together with the position that it must have.
 
+    :param own_region: whether it is in the region of this process, which its zone implies.
     :param has_floor: whether it is known to have that position.
-    :param was_behind: whether it has refused this read because it lacked the position.
+    :param has_failed: whether it has refused this read, for lack of the position or of room.
     :param load: statements running and queued per allowed connection.
+    :param rank: order among equals, from 0 to 1; it differs between processes.
     """
 
     key: TargetKey
     own_zone: bool
     is_primary: bool
     has_floor: bool
-    was_behind: bool
+    has_failed: bool
     load: float
+    own_region: bool = False
+    rank: float = 0.0
 
     @property
     def reason(self) -> str:
         """Why it is a good choice, for the log."""
         if self.is_primary:
             return 'primary'
-        return 'own_zone' if self.own_zone else 'other_zone'
+        if self.own_zone:
+            return 'own_zone'
+        return 'own_region' if self.own_region else 'other_zone'
 
     @property
     def cost(self) -> float:
         """What speaks against it; the lowest cost is chosen."""
-        cost = self.load if self.own_zone else self.load + _OTHER_ZONE_LOAD
+        cost = self.load
+        if not self.own_zone:
+            cost += _OWN_REGION_LOAD if self.own_region else _OTHER_ZONE_LOAD
         if self.is_primary:
             cost += _PRIMARY_LOAD
         if not self.has_floor:
             cost += _UNPROVED_LOAD
-        return cost + _BEHIND_LOAD * self.was_behind
+        return cost + _FAILED_LOAD * self.has_failed
 
 
 def choose_instance(choices: Sequence[InstanceChoice]) -> InstanceChoice | None:
@@ -183,4 +193,4 @@
     :param choices: instances that take new work.
     :returns: the choice, or ``None`` if there is none.
     """
-    return min(choices, key=lambda choice: (choice.cost, choice.key), default=None)
+    return min(choices, key=lambda choice: (choice.cost, choice.rank, choice.key), default=None)
