Add the fault soak, and let entries share a full instance

Soak: real processes, all connections through a relay, instances, operators and an authority as stand-ins.

Unused connections were even given back sooner, so more were opened. Ruled out: replica lag alone (ended at 11.7 s, the refusals went on to the end). Change: a full target gets a pause before the next connection, fewer connections at once, and refusals of it count against the retry budget. Not yet measured.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/_sqlite.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/_sqlite.py
@@ -180,7 +180,9 @@
         try:
             yield
         except BaseException:
-            self._execute('ROLLBACK')
+            # A disk that is full or broken has rolled the transaction back already.
+            if self._connection.in_transaction:
+                self._execute('ROLLBACK')
             raise
         self._execute('COMMIT')
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/tests/test_sqlite_storage.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/tests/test_sqlite_storage.py
@@ -1,5 +1,7 @@
 """Guards the durable state against loss, mixing and two owners."""
 
+import contextlib
+import resource
 import sqlite3
 import subprocess
 import sys
@@ -116,3 +118,22 @@
         check=False,
     )
     assert 'is in use by another process' in second.stderr
+
+
+def test_a_full_disk_is_reported_as_such(open_storage):
+    """Operators must read the cause, not that of the clean-up after it."""
+    storage = open_storage()
+    with _full_disk(), pytest.raises(StorageError, match='disk'):
+        storage.write(Persist(batch_id=1, hard=HardState(incarnation='i1', term=2)))
+    storage.write(Persist(batch_id=2, hard=HardState(incarnation='i1', term=3)))
+    assert storage.load().hard.term == 3
+
+
+@contextlib.contextmanager
+def _full_disk():
+    """Let the files of this process grow no more."""
+    limits = resource.getrlimit(resource.RLIMIT_FSIZE)
+    with contextlib.ExitStack() as stack:
+        stack.callback(resource.setrlimit, resource.RLIMIT_FSIZE, limits)
+        resource.setrlimit(resource.RLIMIT_FSIZE, (1, limits[1]))
+        yield
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/tests/test_relay.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/relay/tests/test_relay.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bergamotcart_testkit.addresses import Address, free_addresses
-from bergamotcart_testkit.relay import Drop, LinkAddress, LinkChange, LinkSettings, Relay
+from bergamotcart_testkit.relay import Drop, LinkAddress, LinkChange, LinkReset, LinkSettings, Relay
 
 PLAIN = LinkSettings(delay=0.002, jitter=0.005)
 HANG_TIMEOUT_S = 10
@@ -100,3 +100,20 @@
         reader, _ = await _connect(listen)
         with pytest.raises(ConnectionError):
             await reader.readexactly(1)
+
+
+async def test_silences_open_connections_while_new_ones_work():
+    """Guards against a fault that callers would notice, or that would hit everyone."""
+    async with _echo_through_relay() as (relay, listen):
+        reader, writer = await _connect(listen)
+        writer.write(b'one')
+        assert await reader.readexactly(3) == b'one'
+        assert relay.silence(LinkReset(pattern='a>*')) == 1
+        writer.write(b'two')
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(3), 0.05)
+        other_reader, other_writer = await _connect(listen)
+        other_writer.write(b'new')
+        assert await other_reader.readexactly(3) == b'new'
+        other_writer.close()
+        writer.close()
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
@@ -52,13 +52,8 @@
         self.control_term = update.control_term
         if update.to_index == self.applied_index and self.applied_index > 0:
             return False
-        sections = {} if update.from_index == 0 else dict(self._sections)
-        for name in update.removed_sections:
-            sections.pop(name, None)
-        sections.update((row.name, row) for row in update.sections)
-        self.document = documents.Document.from_sections(sections.values(), update.revision)
-        self._sections = sections
-        self._policies.clear()
+        if update.from_index == 0 or update.revision != self.document.revision:
+            self._apply_sections(update)
         self._apply_rows(update)
         self.applied_index = update.to_index
         self.entries_limit = max(update.entries_limit, 1)
@@ -101,6 +96,16 @@
             return False
         return term is None or row.term == term
 
+    def _apply_sections(self, update: StateUpdate) -> None:
+        """Read the document anew, which takes long if it has many routes."""
+        sections = {} if update.from_index == 0 else dict(self._sections)
+        for name in update.removed_sections:
+            sections.pop(name, None)
+        sections.update((row.name, row) for row in update.sections)
+        self.document = documents.Document.from_sections(sections.values(), update.revision)
+        self._sections = sections
+        self._policies.clear()
+
     def _apply_rows(self, update: StateUpdate) -> None:
         if update.from_index == 0:
             self.groups = {}
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -28,6 +28,7 @@
 # The adapter reports every execution in time; this covers a report that is lost all the same.
 _LOST_REPORT_S: Final = 1.0
 _MIN_TIMEOUT_S: Final = 0.001
+_FULL_ERRORS: Final = frozenset((ErrorKind.busy, ErrorKind.not_run))
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,8 +137,10 @@
         self._at_target[running.plan.target].pop(finished.execution_id)
         if running.timer is not None:
             running.timer.cancel()
-        if finished.status is ExecutionStatus.not_sent and _is_busy(finished):
-            running.lane.was_refused = True
+        if _is_full(finished):
+            self._lanes.note_refused(running.lane)
+        elif finished.status is ExecutionStatus.completed:
+            running.lane.refusals = 0
         if finished.refused and finished.status is ExecutionStatus.not_sent:
             self._monitor.note_refused(running.plan.target)
         elif finished.status is ExecutionStatus.lost:
@@ -192,8 +195,9 @@
         ]
 
 
-def _is_busy(finished: ExecutionFinished) -> bool:
-    return finished.error is not None and finished.error.kind is ErrorKind.busy
+def _is_full(finished: ExecutionFinished) -> bool:
+    """Tell whether the target had no room for the connection or the statement."""
+    return finished.error is not None and finished.error.kind in _FULL_ERRORS
 
 
 def _session_state(request: Request) -> SessionState | None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from bergamotcart.admission import (
+    Backoff,
     ConcurrencyLimit,
     ConcurrencySettings,
     ConnectionQuota,
@@ -20,15 +21,21 @@
 # With fewer connections than this for each entry, nobody keeps those that are not in use: one
 # serves the probes, and a transaction holds one while its caller thinks.
 _SCARCE_SHARE: Final = 4
-# What an entry may then use at once; the target refuses what is too much for it.
+# What an entry may then use at once, with the one for probes; fewer while the target refuses some.
 _SCARCE_QUOTA: Final = 4
+_LEAST_SCARCE_QUOTA: Final = 2
+# One more after a second without a refusal.
+_QUOTA_GROWTH: Final = 0.25
 # How long an unused connection is then kept: long while the target accepts all, short once it
-# has refused some. Opening one costs as much of the target's time as a short statement.
+# refuses some of even the least quota. Opening one costs the target as much as a short statement.
 _LEAST_IDLE_S: Final = 0.05
 _GREATEST_IDLE_S: Final = 1.6
 _FIRST_IDLE_S: Final = 0.4
 _IDLE_GROWTH: Final = 1.1
 _IDLE_CUT: Final = 0.5
+# Pause before a further connection to a target that has refused one or its statement; all entries
+# that come back at once would fill it again.
+_PAUSE: Final = Backoff(first_s=0.05, greatest_s=0.8)
 _RANK_BYTES: Final = 4
 
 
@@ -43,20 +50,26 @@
     :param rank: order among instances that are equal otherwise, from 0 to 1; entries differ in it,
         so that they do not all choose the same one.
     :param idle_s: seconds for which an unused connection is kept while they are scarce.
-    :param was_refused: whether the target has refused a connection since the last sweep.
+    :param scarce_quota: connections that may be used at once while they are scarce.
+    :param refusals: times in a row that the target has refused a connection or its statement.
+    :param was_refused: whether the target has done so since the last sweep.
+    :param is_pausing: whether no further connection may be opened for a moment.
     """
 
     __slots__ = (
         'base',
         'concurrency',
         'idle_s',
+        'is_pausing',
         'is_scarce',
         'key',
         'queue',
         'quota',
         'rank',
         'reads',
+        'refusals',
         'reported',
+        'scarce_quota',
         'told',
         'was_refused',
     )
@@ -66,7 +79,10 @@
         self.key = key
         self.rank = _rank(key, entry)
         self.idle_s = _FIRST_IDLE_S
+        self.scarce_quota = float(_SCARCE_QUOTA)
+        self.refusals = 0
         self.was_refused = False
+        self.is_pausing = False
         self.base = 1
         self.is_scarce = False
         self.quota = ConnectionQuota(1)
@@ -79,7 +95,8 @@
     @property
     def has_room(self) -> bool:
         """Whether another statement may be sent now."""
-        return self.concurrency.has_room
+        needs_opening = self.concurrency.in_flight >= self.reported
+        return self.concurrency.has_room and not (self.is_pausing and needs_opening)
 
     @property
     def load(self) -> float:
@@ -93,10 +110,15 @@
         """
         return self.has_room and self.reads < max(1, int(self.concurrency.limit * share))
 
-    def adapt_idle(self) -> None:
-        """Keep unused connections longer, or shorter if the target has refused some."""
-        factor = _IDLE_CUT if self.was_refused else _IDLE_GROWTH
-        self.idle_s = min(max(self.idle_s * factor, _LEAST_IDLE_S), _GREATEST_IDLE_S)
+    def adapt(self) -> None:
+        """Use more connections and keep them longer, or fewer if the target has refused some."""
+        if not self.was_refused:
+            self.scarce_quota = min(self.scarce_quota + _QUOTA_GROWTH, float(_SCARCE_QUOTA))
+            self.idle_s = min(self.idle_s * _IDLE_GROWTH, _GREATEST_IDLE_S)
+        elif self.scarce_quota > _LEAST_SCARCE_QUOTA:
+            self.scarce_quota = max(self.scarce_quota - 1, float(_LEAST_SCARCE_QUOTA))
+        else:
+            self.idle_s = max(self.idle_s * _IDLE_CUT, _LEAST_IDLE_S)
         self.was_refused = False
 
     def take_place(self, *, is_read: bool) -> None:
@@ -136,6 +158,18 @@
         lane.reads -= int(is_read)
         self._on_room(lane)
 
+    def note_refused(self, lane: Lane) -> None:
+        """Pause before the next connection to a target that is full."""
+        lane.was_refused = True
+        lane.refusals += 1
+        if lane.is_pausing:
+            return
+        lane.is_pausing = True
+        self._work.after(
+            _PAUSE.pause_s(lane.refusals, self._work.random),
+            lambda: self._end_pause(lane),
+        )
+
     def forget(self, key: TargetKey) -> None:
         """Remove the lane of a target that is gone, unless statements still run there."""
         lane = self._lanes.get(key)
@@ -143,9 +177,9 @@
             self._lanes.pop(key)
 
     def adapt(self) -> None:
-        """Adapt for how long unused connections are kept."""
+        """Adapt how many connections are used, and for how long unused ones are kept."""
         for lane in self._lanes.values():
-            lane.adapt_idle()
+            lane.adapt()
 
     def update_limits(self) -> None:
         """Set the limits from the announcements, the document and the lease."""
@@ -157,7 +191,7 @@
             lane = self.get(target.key)
             share = self._base_quota(target)
             lane.is_scarce = share < _SCARCE_SHARE and self._is_shared_by_use(target.key.group)
-            lane.base = _SCARCE_QUOTA if lane.is_scarce else max(share, 1)
+            lane.base = int(lane.scarce_quota) if lane.is_scarce else max(share, 1)
             lane.quota.change_base(lane.base)
             lane.quota.apply_grant(self._work.now, lent.get(target.key, 0))
             self._tell(lane, target.announcement.address)
@@ -167,6 +201,10 @@
         uses = [self._use(lane) for lane in self._lanes.values()]
         return tuple(use for use in uses if use.lent_in_use or use.demand)
 
+    def _end_pause(self, lane: Lane) -> None:
+        lane.is_pausing = False
+        self._on_room(lane)
+
     def _use(self, lane: Lane) -> QuotaUse:
         own = max(lane.base - 1, 1)
         in_flight = lane.concurrency.in_flight
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -144,7 +144,7 @@
             own_zone=target.announcement.availability_zone == self._work.config.availability_zone,
             is_primary=is_primary,
             has_floor=has_floor or is_primary,
-            has_failed=key in request.refused_by,
+            has_failed=key in request.refused_by or self._lanes.get(key).is_pausing,
             load=self._lanes.get(key).load,
             own_region=self._work.config.is_near(target.announcement.availability_zone),
             rank=self._lanes.get(key).rank,
@@ -224,5 +224,7 @@
             self.resume(request)
             return
         request.refused_by.clear()
-        reason = Reason.replica_behind if kind is ErrorKind.behind else Reason.target_busy
-        self._retries.retry(request, reason, was_sent=False)
+        if kind is ErrorKind.behind:
+            self._retries.retry(request, Reason.replica_behind, was_sent=False)
+        else:
+            self._retries.retry(request, Reason.target_busy)
