--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -137,16 +137,7 @@
         self._at_target[running.plan.target].pop(finished.execution_id)
         if running.timer is not None:
             running.timer.cancel()
-        if _is_full(finished):
-            self._lanes.note_refused(running.lane)
-        elif finished.status is ExecutionStatus.completed:
-            running.lane.refusals = 0
-        if finished.refused and finished.status is ExecutionStatus.not_sent:
-            self._monitor.note_refused(running.plan.target)
-        elif finished.status is ExecutionStatus.lost:
-            self._monitor.probe_soon(running.plan.target)
-        elif finished.position is not None:
-            self._monitor.note_answer(running.plan.target, running.started_at, finished.position)
+        self._note_end(running, finished)
         running.request.execution_id = None
         running.request.phase = Phase.waiting
         running.on_finished(running, finished)
@@ -182,6 +173,20 @@
         """Give back the place of a transaction that ended."""
         self._lanes.release(self._lanes.get(target), is_read=False)
 
+    def _note_end(self, running: Running, finished: ExecutionFinished) -> None:
+        """Let the monitor and the lane of a target know how an execution ended."""
+        target = running.plan.target
+        if _is_full(finished):
+            self._lanes.note_refused(running.lane)
+        elif finished.status is ExecutionStatus.completed:
+            running.lane.refusals = 0
+        if finished.refused and finished.status is ExecutionStatus.not_sent:
+            self._monitor.note_refused(target)
+        elif finished.status is ExecutionStatus.lost:
+            self._monitor.probe_soon(target)
+        elif finished.position is not None:
+            self._monitor.note_answer(target, running.started_at, finished.position)
+
     def _retention(self, request: Request) -> float | None:
         settings = self._work.view.document.group(request.group)
         return settings.ledger_retention_s if settings else None
--- a/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lanes.py
@@ -112,14 +112,15 @@
 
     def adapt(self) -> None:
         """Use more connections and keep them longer, or fewer if the target has refused some."""
-        if not self.was_refused:
-            self.scarce_quota = min(self.scarce_quota + _QUOTA_GROWTH, float(_SCARCE_QUOTA))
-            self.idle_s = min(self.idle_s * _IDLE_GROWTH, _GREATEST_IDLE_S)
-        elif self.scarce_quota > _LEAST_SCARCE_QUOTA:
+        was_refused = self.was_refused
+        self.was_refused = False
+        if was_refused and self.scarce_quota > _LEAST_SCARCE_QUOTA:
             self.scarce_quota = max(self.scarce_quota - 1, float(_LEAST_SCARCE_QUOTA))
-        else:
+        elif was_refused:
             self.idle_s = max(self.idle_s * _IDLE_CUT, _LEAST_IDLE_S)
-        self.was_refused = False
+        else:
+            self.scarce_quota = min(self.scarce_quota + _QUOTA_GROWTH, float(_SCARCE_QUOTA))
+            self.idle_s = min(self.idle_s * _IDLE_GROWTH, _GREATEST_IDLE_S)
 
     def take_place(self, *, is_read: bool) -> None:
         """Count a statement or a transaction that starts; there must be room for it."""
