--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -128,6 +128,8 @@
             'revision': status.revision,
             'sessions': status.sessions,
             'requests': status.requests,
+            'open_connections': status.open_connections,
+            'opened_connections': status.opened_connections,
             'serving': int(status.health == entry.EntryHealth.serving),
         }
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
@@ -68,6 +68,8 @@
 
     :param lease_left_s: seconds until the lease ends; 0 without a lease.
     :param revision: revision of the operator document in force, or 0.
+    :param open_connections: connections to targets that are open or being opened.
+    :param opened_connections: connections to targets opened since the start.
     """
 
     health: EntryHealth
@@ -77,3 +79,5 @@
     sessions: int
     requests: int
     groups: dict[str, str] = field(default_factory=dict)
+    open_connections: int = 0
+    opened_connections: int = 0
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -116,6 +116,8 @@
             sessions=len(self._components.sessions),
             requests=len(self._components.requests),
             groups={name: row.phase.value for name, row in view.groups.items()},
+            open_connections=self._components.limiters.open_connections,
+            opened_connections=self._components.limiters.opened_connections,
         )
 
     def _start(self) -> None:
@@ -218,7 +220,7 @@
             self._components.request_handlers.transactions.abort(session, 'connection_lost')
 
     def _update_connection_count(self, count: inputs.ConnectionCount) -> None:
-        self._components.limiters.get(count.target).reported_connections = count.open
+        self._components.limiters.record_connection_count(count.target, count.open)
 
     def _start_drain(self, requested: inputs.DrainRequested) -> None:
         if not self._context.draining:
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -201,6 +201,8 @@
             self._limiters.record_refusal(running.limiter)
         elif finished.status is ExecutionStatus.completed:
             running.limiter.refusals = 0
+        if finished.status is not ExecutionStatus.completed:
+            self._publish_failed_attempt(running, finished)
         if finished.connection_refused and finished.status is ExecutionStatus.not_sent:
             self._monitor.record_refused_connection(target)
         elif finished.status is ExecutionStatus.lost:
@@ -208,6 +210,25 @@
         elif finished.position is not None:
             self._monitor.record_answer(target, running.started_at, finished.position)
 
+    def _publish_failed_attempt(
+        self, running: RunningExecution, finished: ExecutionFinished
+    ) -> None:
+        request, target = running.request, running.plan.target
+        elapsed_s = self._context.now - running.started_at
+        self._context.publish_decision(
+            'attempts',
+            'fail',
+            finished.error.kind.value if finished.error else finished.status.value,
+            request=request.request_id,
+            session=request.session.session_id,
+            group=target.group,
+            target=target.instance,
+            term=request.term,
+            statement=request.statement_id or None,
+            detail=f'attempt {request.attempts}, {finished.status.value} after {elapsed_s:.3f} s, '
+            f'{running.limiter.reported_connections} connections',
+        )
+
     def _ledger_retention_s(self, request: Request) -> float | None:
         settings = self._context.control_view.document.group(request.group)
         return settings.ledger_retention_s if settings else None
--- a/packages/bergamotcart/src/bergamotcart/entry/_replies.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replies.py
@@ -75,5 +75,12 @@
             caller=request.session.caller,
             group=request.group,
             statement=request.statement_id or None,
-            detail='may_have_run' if request.may_have_run else detail,
+            detail=self._describe_refusal(request, detail),
         )
+
+    def _describe_refusal(self, request: Request, detail: str) -> str:
+        cause = 'may_have_run' if request.may_have_run else detail
+        waited_s = self._context.now - request.arrived_at
+        progress = f'{request.attempts} attempts in {waited_s:.3f} s'
+        return f'{cause}; {progress}' if cause else progress
+
--- a/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
@@ -148,7 +148,7 @@
 class TargetLimiters:
     """The limiters of all targets, with the connection quotas of this entry."""
 
-    __slots__ = ('_limiters', '_on_capacity_available', '_context')
+    __slots__ = ('_limiters', '_on_capacity_available', '_opened_count', '_context')
 
     def __init__(
         self, context: EngineContext, on_capacity_available: Callable[[TargetLimiter], None]
@@ -160,6 +160,17 @@
         self._context = context
         self._on_capacity_available = on_capacity_available
         self._limiters: dict[TargetKey, TargetLimiter] = {}
+        self._opened_count = 0
+
+    @property
+    def opened_connections(self) -> int:
+        """Number of connections to targets that were opened since the start."""
+        return self._opened_count
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections to targets that are open or being opened."""
+        return sum(limiter.reported_connections for limiter in self._limiters.values())
 
     def get(self, key: TargetKey) -> TargetLimiter:
         """Return the limiter of a target; create it if necessary."""
@@ -188,10 +199,23 @@
         if limiter.is_pausing:
             return
         limiter.is_pausing = True
-        self._context.call_later(
-            _CONNECT_BACKOFF.delay_s(limiter.refusals, self._context.random),
-            lambda: self._end_pause(limiter),
+        pause_s = _CONNECT_BACKOFF.delay_s(limiter.refusals, self._context.random)
+        self._context.publish_decision(
+            'limits',
+            'pause',
+            'target_full',
+            group=limiter.key.group,
+            target=limiter.key.instance,
+            detail=f'{pause_s:.3f} s after {limiter.refusals} refusals, '
+            f'{limiter.reported_connections} connections, {len(limiter.queue)} queued',
         )
+        self._context.call_later(pause_s, lambda: self._end_pause(limiter))
+
+    def record_connection_count(self, key: TargetKey, open_count: int) -> None:
+        """Record the number of open connections to a target, as the adapter reports it."""
+        limiter = self.get(key)
+        self._opened_count += max(open_count - limiter.reported_connections, 0)
+        limiter.reported_connections = open_count
 
     def remove_unused(self, key: TargetKey) -> None:
         """Remove the limiter of a removed target unless statements run or wait there."""
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from bergamotcart import documents, entry, messages
-from bergamotcart.actions import MessageReceived, Send
+from bergamotcart.actions import Decision, MessageReceived, Send
 from bergamotcart.discovery import Position, PositionReport, TargetKey
 from bergamotcart.outcomes import RequestResult, TargetError
 from bergamotcart.statements import Statement, StatementKind
@@ -82,6 +82,7 @@
         self.limits: list[entry.LimitConnections] = []
         self.released_pins: list[int] = []
         self.drained = False
+        self.decisions: list[Decision] = []
         self.requests = 0
         self.sessions = 0
         self.lease_requested_at: list[float] = []
@@ -327,6 +328,9 @@
     def _on_limitconnections(self, action: entry.LimitConnections) -> None:
         self.limits.append(action)
 
+    def _on_decision(self, action: Decision) -> None:
+        self.decisions.append(action)
+
     def _on_drained(self, action: entry.Drained) -> None:
         self.drained = True
 
