--- a/packages/bergamotcart/src/bergamotcart/entry/_replies.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replies.py
@@ -83,4 +83,3 @@
         waited_s = self._context.now - request.arrived_at
         progress = f'{request.attempts} attempts in {waited_s:.3f} s'
         return f'{cause}; {progress}' if cause else progress
-
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
@@ -30,7 +30,9 @@
 )
 
 
-def make_routes(*names: str, version: int = 1) -> messages.SectionRow:
+def make_routes(
+    *names: str, version: int = 1, timeout_s: float = TIMEOUT_S, connection_limit: int = 20
+) -> messages.SectionRow:
     """Return the section with a route for each database name."""
     body = documents.RoutesBody(
         routes=tuple(
@@ -39,7 +41,7 @@
                 database=name,
                 group=GROUP,
                 consistency=_CONSISTENCIES[name],
-                statement_timeout_s=TIMEOUT_S,
+                statement_timeout_s=timeout_s,
                 max_age_s=MAX_AGE_S,
             )
             for name in names
@@ -50,7 +52,7 @@
                 acknowledgement=documents.Acknowledgement.target,
                 promotion=documents.Promotion.authority,
                 positions=documents.PositionSource.answers,
-                connection_limit=20,
+                connection_limit=connection_limit,
             ),
         },
     )
@@ -208,7 +210,7 @@
         self._announcement_sequence += 1
         sightings = tuple(
             messages.RelayedAnnouncement(
-                announcement=_announcement(
+                announcement=announcement(
                     name, self._announcement_sequence, leaving=name in leaving
                 ),
                 age_s=0,
@@ -351,12 +353,15 @@
     return TargetKey(GROUP, name)
 
 
-def _announcement(name: str, sequence: int, *, leaving: bool) -> messages.Announcement:
+def announcement(
+    name: str, sequence: int, *, leaving: bool = False, address: str = ''
+) -> messages.Announcement:
+    """Return an announcement of an instance of the group."""
     return messages.Announcement(
         group=GROUP,
         instance=name,
         availability_zone=f'z{name}',
-        address=name,
+        address=address or name,
         admin_address=name,
         role=messages.TargetRole.replica,
         term=0,
