Stop sending reads to a replica that has just refused one for its position

Callers saw reads refused or late while replicas lagged: a read that found the primary full went round the lagging replicas again and again, since such an attempt was free. A replica is left out for 0.1 s to 1.6 s after it has refused a read for its position.

--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from bergamotcart.admission import Backoff
 from bergamotcart.discovery import KnownTarget, Position, PositionReport, TargetKey
 from bergamotcart.entry._actions import Probe
 from bergamotcart.entry._context import EngineContext
@@ -34,6 +35,9 @@
 # The adapter should report every probe by its timeout. If no report has come this much later, the
 # target counts as silent.
 _REPORT_GRACE_S: Final = 0.5
+# Time for which no read is sent to an instance that has refused one for its position. It doubles
+# with each further refusal.
+_BEHIND_BACKOFF: Final = Backoff(initial_delay_s=0.1, max_delay_s=1.6)
 _INITIAL_CATCH_UP_S: Final = 0.01
 _CATCH_UP_WEIGHT: Final = 0.2
 
@@ -56,6 +60,8 @@
     :param timer: starts the next probe, or ends the one in flight if its report is lost.
     :param last_answered_at: time of the last answer of any kind, in seconds.
     :param position: newest position that an answer to a statement carried.
+    :param behind_refusals: number of consecutive reads that it refused for its position.
+    :param behind_until: time until which it is assumed to be too far behind for reads, in seconds.
     """
 
     key: TargetKey
@@ -73,6 +79,8 @@
     timer: Timer | None = None
     last_answered_at: float = float('-inf')
     position: Position | None = None
+    behind_refusals: int = 0
+    behind_until: float = float('-inf')
 
 
 class TargetMonitor:
@@ -220,6 +228,31 @@
         self._set_reachability(monitored, Reachability.reachable)
         self._on_statement_answer(monitored, sent_at, position)
 
+    def record_behind(self, key: TargetKey) -> None:
+        """Record that a target refused a read because it lacks the required position."""
+        monitored = self._monitored.get(key)
+        if monitored is None or monitored.behind_until > self._context.now:
+            return
+        delay_s = _BEHIND_BACKOFF.delay_s(monitored.behind_refusals, self._context.random)
+        monitored.behind_refusals += 1
+        monitored.behind_until = self._context.now + delay_s
+        self._context.publish_decision(
+            'limits',
+            'avoid',
+            'behind',
+            group=key.group,
+            target=key.instance,
+            detail=f'{delay_s:.3f} s after {monitored.behind_refusals} refusals, '
+            f'position {monitored.position}',
+        )
+
+    def record_caught_up(self, key: TargetKey) -> None:
+        """Record that a target had the position that a read required."""
+        monitored = self._monitored.get(key)
+        if monitored is not None:
+            monitored.behind_refusals = 0
+            monitored.behind_until = float('-inf')
+
     def record_refused_connection(self, key: TargetKey) -> None:
         """Record that a target refused a connection, and probe it."""
         monitored = self._monitored.get(key)
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -122,10 +122,22 @@
         ]
         chosen = choose_instance(candidates)
         if chosen is None:
-            self._context.groups.get(request.group).primary_waits.add(_NO_PROBE_S, request)
+            self._wait_for_candidate(request)
             return
         self._send_read(request, chosen.key, floor, chosen.reason)
 
+    def _wait_for_candidate(self, request: Request) -> None:
+        """Make a read wait until an instance becomes usable or may have caught up."""
+        self._context.groups.get(request.group).primary_waits.add(_NO_PROBE_S, request)
+        behind_until = [
+            monitored.behind_until
+            for target in self._context.targets.list_group(request.group)
+            if (monitored := self._monitor.get(target.key)) is not None
+            and monitored.behind_until > self._context.now
+        ]
+        if behind_until:
+            self._context.timers.schedule(min(behind_until), lambda: self.resume(request))
+
     def _build_candidate(
         self,
         request: Request,
@@ -142,6 +154,8 @@
         # Without a lease this entry may not know that the primary was replaced. The required
         # position, which the instance checks, makes the read correct in that case too.
         has_floor = monitored.position is not None and monitored.position >= floor
+        if not (has_floor or is_primary) and monitored.behind_until > self._context.now:
+            return None
         return InstanceCandidate(
             key=key,
             own_zone=target.announcement.availability_zone
@@ -212,6 +226,8 @@
 
     def _finish_completed(self, running: RunningExecution, finished: ExecutionFinished) -> None:
         request = running.request
+        if running.plan.steps[0].floor is not None:
+            self._monitor.record_caught_up(running.plan.target)
         is_proved = len(running.plan.steps) > 1 or running.plan.steps[0].floor is not None
         is_open = self._context.control_view.is_open(request.group, request.term)
         if is_proved or (is_open and self._context.lease_valid):
@@ -226,6 +242,8 @@
     def _retry_elsewhere(self, running: RunningExecution, kind: ErrorKind) -> None:
         request = running.request
         request.failed_targets.add(running.plan.target)
+        if kind is ErrorKind.behind:
+            self._monitor.record_behind(running.plan.target)
         if len(request.failed_targets) < self._count_targets(request.group):
             # Another instance probably has the position or a free connection, and the primary
             # always has the position.
