Enforce the attempts of a route at full instances

Route.max_attempts was stored and not enforced, and a refused connection was not charged to the retry budget, so a statement came back to full instances until its deadline. It is now refused at once after that many refusals, with a time to come back that is spread over 0.2 s to 1 s.

--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -198,6 +198,7 @@
         """Report the result of an execution to the monitor and the limiter of its target."""
         target = running.plan.target
         if _is_at_capacity(finished):
+            running.request.capacity_refusals += 1
             self._limiters.record_refusal(running.limiter)
         elif finished.status is ExecutionStatus.completed:
             running.limiter.refusals = 0
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -51,6 +51,7 @@
     :param route: route of the session, if it uses one.
     :param statement_id: the caller's identifier of the statement.
     :param prepared: prepared statement that it executes, if any.
+    :param capacity_refusals: number of attempts that a full instance has refused.
     :param failed_targets: instances that refused the read or could not be reached for it.
     """
 
@@ -83,8 +84,14 @@
     route: documents.Route | None = None
     statement_id: str = ''
     prepared: PreparedShape | None = None
+    capacity_refusals: int = 0
     failed_targets: set[TargetKey] = field(default_factory=set)
 
+    @property
+    def has_used_attempts(self) -> bool:
+        """Whether full instances have refused it as often as its route allows."""
+        return self.route is not None and self.capacity_refusals >= self.route.max_attempts
+
     @property
     def step(self) -> Step:
         """Step that runs the statement without a required position."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_retries.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_retries.py
@@ -12,6 +12,10 @@
 _CALLER_EXPIRY_S: Final = 600.0
 _RETRY_BACKOFF: Final = Backoff(initial_delay_s=0.01, max_delay_s=0.5)
 
+# Bounds of the time after which a request that full instances have refused may come back.
+_MIN_BUSY_RETRY_AFTER_S: Final = 0.2
+_MAX_BUSY_RETRY_AFTER_S: Final = 1.0
+
 
 class Retries:
     """Retries requests while their deadline and the retry budgets allow it."""
@@ -40,6 +44,12 @@
         :param was_sent: whether that attempt put load on the target; only then the retry is charged
             to the budgets.
         """
+        if request.has_used_attempts:
+            # More attempts would keep the instances full.
+            self._replies.refuse(
+                request, Reason.target_busy, reason.value, retry_after=self._busy_retry_after_s()
+            )
+            return
         delay_s = _RETRY_BACKOFF.delay_s(request.attempts, self._context.random)
         if self._context.now + delay_s >= request.deadline:
             self._replies.refuse(
@@ -64,6 +74,10 @@
             request.wait_timer.cancel()
         request.wait_timer = self._context.call_later(delay_s, lambda: _resume_request(request))
 
+    def _busy_retry_after_s(self) -> float:
+        """Return when a refused caller may come back, spread so that not all return at once."""
+        return self._context.random.uniform(_MIN_BUSY_RETRY_AFTER_S, _MAX_BUSY_RETRY_AFTER_S)
+
     def _spend_retry(self, request: Request) -> bool:
         caller, limits = request.session.caller, _retry_limits(request)
         return self._budgets.try_consume(self._context.now, caller, request.group, limits)
