Pace reads at a full primary, so that statements only it can run are served

Callers saw schedule-order refused while replicas lagged: reads, five times as frequent, fell back to the primary and competed for its slots with what can run nowhere else. Each entry now spaces its reads there after a refusal (the interval doubles with a refusal and shrinks slowly, so all entries converge without messages), and refuses the others at once with the time to come back. Ruled out: pausing all reads for a time, which converges at about a third of refusals.

--- a/packages/bergamotcart/src/bergamotcart/admission/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/__init__.py
@@ -8,6 +8,7 @@
 from bergamotcart.admission._fair_queue import FairQueue, Waiter
 from bergamotcart.admission._lending import Grant, TargetLender, divide_fairly
 from bergamotcart.admission._quota import ConnectionQuota, QuotaReport
+from bergamotcart.admission._read_pacer import ReadPacer
 from bergamotcart.admission._retries import Backoff, RetryBudgets, RetryLimits
 
 __all__ = (
@@ -19,6 +20,7 @@
     'FairQueue',
     'Grant',
     'QuotaReport',
+    'ReadPacer',
     'RetryBudgets',
     'RetryLimits',
     'TargetLender',
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -121,10 +121,33 @@
             if (candidate := self._build_candidate(request, target, floor)) is not None
         ]
         chosen = choose_instance(candidates)
-        if chosen is None:
+        if chosen is not None and chosen.is_primary:
+            chosen = self._pace_primary_read(chosen, candidates)
+        if chosen is not None:
+            self._send_read(request, chosen.key, floor, chosen.reason)
+        elif candidates:
+            self._refuse_paced_read(request, candidates[0].key)
+        else:
             self._wait_for_candidate(request)
-            return
-        self._send_read(request, chosen.key, floor, chosen.reason)
+
+    def _pace_primary_read(
+        self, primary: InstanceCandidate, candidates: list[InstanceCandidate]
+    ) -> InstanceCandidate | None:
+        """Return the primary, or a replica if the primary must keep its slots for other statements.
+
+        :returns: ``None`` if no replica may have the position.
+        """
+        pacer = self._limiters.get(primary.key).read_pacer
+        if pacer.delay_s(self._context.now) > 0:
+            return choose_instance([each for each in candidates if not each.is_primary])
+        pacer.record_read(self._context.now, self._context.random)
+        return primary
+
+    def _refuse_paced_read(self, request: Request, primary: TargetKey) -> None:
+        delay_s = self._limiters.get(primary).read_pacer.delay_s(self._context.now)
+        self._replies.refuse(
+            request, Reason.target_busy, 'reads at the primary are paced', retry_after=delay_s
+        )
 
     def _wait_for_candidate(self, request: Request) -> None:
         """Make a read wait until an instance becomes usable or may have caught up."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
@@ -10,6 +10,7 @@
     ConcurrencySettings,
     ConnectionQuota,
     FairQueue,
+    ReadPacer,
 )
 from bergamotcart.discovery import KnownTarget, TargetKey
 from bergamotcart.documents import GroupSettings
@@ -48,6 +49,7 @@
 
     :param base_quota: connections that the entry may use without a grant, with the one for probes.
     :param queue: reads that wait for a free slot.
+    :param read_pacer: spaces the reads that fall back to this target while it is the primary.
     :param reads_in_flight: running reads.
     :param sent_limits: connection limit, and idle time in seconds or ``None``, that were last sent
         to the adapter.
@@ -72,6 +74,7 @@
         'queue',
         'quota',
         'rank',
+        'read_pacer',
         'reads_in_flight',
         'refusals',
         'reported_connections',
@@ -98,6 +101,7 @@
         self.quota = ConnectionQuota(1)
         self.concurrency = ConcurrencyLimit(now, 1, ConcurrencySettings())
         self.queue = FairQueue(MAX_QUEUED_READS)
+        self.read_pacer = ReadPacer()
         self.reads_in_flight = 0
         self.reported_connections = 0
         self.sent_limits: tuple[int, float | None] = (0, None)
@@ -196,6 +200,7 @@
         """Record that a target had no capacity, and pause before opening another connection."""
         limiter.was_refused = True
         limiter.refusals += 1
+        limiter.read_pacer.record_refusal(self._context.now)
         if limiter.is_pausing:
             return
         limiter.is_pausing = True
