Keep connections to scarce instances open, and close none after a refused statement

An entry closed a connection after 0.05 s to 1.6 s without use and sends less than one statement a second to each instance, so most statements opened one, which costs a slot nearly as long as the statement; a refused statement even made it close them sooner. Each entry now keeps its part of half of the connections for good: by its rank where there are more entries than connections, so that the sum holds without messages. Only a refused connection, not a full instance, lowers the limits. Ruled out: no limit on idle ones, since all connections would be held by entries that do not use them.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection_pool.py
@@ -22,6 +22,7 @@
         '_connect',
         '_idle',
         '_idle_timeout_s',
+        '_kept',
         '_limit',
         '_on_count_change',
         '_open',
@@ -47,6 +48,7 @@
         # sets a limit.
         self._limit = 1
         self._idle_timeout_s: float | None = None
+        self._kept = 0
         self._open: set[TargetConnection] = set()
         self._idle: list[TargetConnection] = []
         self._reserved_count = 0
@@ -58,14 +60,16 @@
         """Address of the target."""
         return self._address
 
-    def change_limit(self, limit: int, idle_timeout_s: float | None = None) -> None:
+    def change_limit(self, limit: int, idle_timeout_s: float | None = None, kept: int = 0) -> None:
         """Change the limit of connections; idle ones above the limit are closed at once.
 
         :param idle_timeout_s: seconds after which an idle connection is closed, or ``None`` to
             keep it open.
+        :param kept: number of connections that stay open although they are idle.
         """
         self._limit = limit
         self._idle_timeout_s = idle_timeout_s
+        self._kept = kept
         while self._idle and self._connection_count > limit:
             self.discard(self._idle[0])
         self._grant_reservations()
@@ -139,7 +143,8 @@
 
     def _close_if_unused(self, connection: TargetConnection, release_count: int) -> None:
         """Close a connection that has stayed idle since its release number ``release_count``."""
-        if connection in self._idle and self._release_counts.get(connection) == release_count:
+        is_unused = self._release_counts.get(connection) == release_count
+        if is_unused and connection in self._idle and self._connection_count > self._kept:
             self.discard(connection)
 
     async def _open_connection(self) -> TargetConnection:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_targets.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_targets.py
@@ -107,7 +107,7 @@
         self._limit_actions[action.target] = action
         with contextlib.suppress(ValueError):
             pool = self._get_or_create_pool(action.target, action.address)
-            pool.change_limit(action.limit, action.idle_s)
+            pool.change_limit(action.limit, action.idle_s, action.kept)
             prober = self._probers.get(action.target)
             if prober is not None:
                 prober.keeps_connection = action.idle_s is None
@@ -127,7 +127,7 @@
         self._pools[target] = pool
         limit_action = self._limit_actions.get(target)
         if limit_action is not None:
-            pool.change_limit(limit_action.limit, limit_action.idle_s)
+            pool.change_limit(limit_action.limit, limit_action.idle_s, limit_action.kept)
         return pool
 
     def _get_or_create_prober(self, target: TargetKey, address: str) -> Prober:
--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_connection_pool.py
@@ -0,0 +1,50 @@
+"""Tests which unused connections a pool closes."""
+
+import asyncio
+
+from bergamotcart_daemon.addresses import Address
+from bergamotcart_daemon.targets._connection_pool import ConnectionPool
+from bergamotcart_daemon.targets._interfaces import TargetConnection
+from bergamotcart_daemon.targets.tests.saturation import VirtualTimeLoop
+
+_IDLE_S = 0.4
+
+
+class _FakeConnection(TargetConnection):
+    """Connection without a peer."""
+
+    def __init__(self) -> None:
+        self.on_connection_lost = None
+        self._closed = False
+
+    @property
+    def usable(self) -> bool:
+        return not self._closed
+
+    @property
+    def closed(self) -> bool:
+        return self._closed
+
+    def close(self) -> None:
+        self._closed = True
+
+
+async def _count_kept(kept: int) -> int:
+    """Use three connections at once, and return how many stay open."""
+
+    async def connect() -> _FakeConnection:
+        return _FakeConnection()
+
+    pool = ConnectionPool(Address('127.0.0.1', 1), connect, lambda count: None)
+    pool.change_limit(3, _IDLE_S, kept)
+    connections = [await pool.acquire() for _ in range(3)]
+    for connection in connections:
+        pool.release(connection)
+    await asyncio.sleep(2 * _IDLE_S)
+    return sum(connection.usable for connection in connections)
+
+
+def test_kept_connections_stay_open():
+    """Unused connections are closed down to the number that the entry keeps."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        assert [runner.run(_count_kept(kept)) for kept in (0, 1, 2)] == [0, 1, 2]
--- a/packages/bergamotcart/src/bergamotcart/entry/_actions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_actions.py
@@ -102,12 +102,14 @@
     :param limit: greatest number of open connections.
     :param idle_s: seconds after which an unused connection is closed, including the one for probes;
         ``None`` keeps unused connections open.
+    :param kept: number of connections that stay open although they are unused.
     """
 
     target: TargetKey
     address: str
     limit: int
     idle_s: float | None = None
+    kept: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -199,7 +199,8 @@
         target = running.plan.target
         if _is_at_capacity(finished):
             running.request.capacity_refusals += 1
-            self._limiters.record_refusal(running.limiter)
+            is_over_limit = finished.error.kind is ErrorKind.busy
+            self._limiters.record_refusal(running.limiter, is_over_limit=is_over_limit)
         elif finished.status is ExecutionStatus.completed:
             running.limiter.refusals = 0
         if finished.status is not ExecutionStatus.completed:
--- a/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
@@ -27,6 +27,9 @@
 # quota shrinks down to the minimum while the target refuses connections.
 _MAX_SCARCE_QUOTA: Final = 4
 _MIN_SCARCE_QUOTA: Final = 2
+# Part of an instance's connections that entries keep open for good while connections are scarce.
+# The rest serves transactions and peaks.
+_KEPT_FRACTION: Final = 0.5
 # Growth of the quota per adjustment without a refusal. It is adjusted four times a second, so it
 # grows by one connection per second.
 _SCARCE_QUOTA_STEP: Final = 0.25
@@ -51,8 +54,9 @@
     :param queue: reads that wait for a free slot.
     :param read_pacer: spaces the reads that fall back to this target while it is the primary.
     :param reads_in_flight: running reads.
-    :param sent_limits: connection limit, and idle time in seconds or ``None``, that were last sent
-        to the adapter.
+    :param kept: connections that stay open although they are unused while connections are scarce.
+    :param sent_limits: connection limit, idle time in seconds or ``None``, and number of kept
+        connections that were last sent to the adapter.
     :param is_scarce: whether connections are scarce, so that unused ones are closed early.
     :param reported_connections: number of open connections that the adapter last reported.
     :param rank: tie-breaker between instances that are otherwise equal, from 0 to 1; it differs
@@ -70,6 +74,7 @@
         'idle_s',
         'is_pausing',
         'is_scarce',
+        'kept',
         'key',
         'queue',
         'quota',
@@ -104,7 +109,8 @@
         self.read_pacer = ReadPacer()
         self.reads_in_flight = 0
         self.reported_connections = 0
-        self.sent_limits: tuple[int, float | None] = (0, None)
+        self.kept = 0
+        self.sent_limits: tuple[int, float | None, int] = (0, None, 0)
 
     @property
     def has_capacity(self) -> bool:
@@ -196,9 +202,14 @@
         limiter.reads_in_flight -= int(is_read)
         self._on_capacity_available(limiter)
 
-    def record_refusal(self, limiter: TargetLimiter) -> None:
-        """Record that a target had no capacity, and pause before opening another connection."""
-        limiter.was_refused = True
+    def record_refusal(self, limiter: TargetLimiter, *, is_over_limit: bool) -> None:
+        """Record that a target had no capacity, and pause before opening another connection.
+
+        :param is_over_limit: whether it accepts no further connections, as opposed to statements.
+            Only then do fewer connections help: after a refused statement, closing one would
+            only make the next statement open it again.
+        """
+        limiter.was_refused = limiter.was_refused or is_over_limit
         limiter.refusals += 1
         limiter.read_pacer.record_refusal(self._context.now)
         if limiter.is_pausing:
@@ -208,7 +219,7 @@
         self._context.publish_decision(
             'limits',
             'pause',
-            'target_full',
+            'connections_full' if is_over_limit else 'slots_full',
             group=limiter.key.group,
             target=limiter.key.instance,
             detail=f'{pause_s:.3f} s after {limiter.refusals} refusals, '
@@ -241,8 +252,12 @@
             lent = {TargetKey(quota.group, quota.instance): quota.lent for quota in quotas}
         for target in self._context.targets:
             limiter = self.get(target.key)
-            share = self._base_quota(target)
+            exact_share = self._connection_share(target)
+            share = int(exact_share)
             limiter.is_scarce = share < _SCARCE_SHARE and self._may_exceed_share(target.key.group)
+            # Entries with a low rank keep one connection more, so that the sum over all entries is
+            # about the part, also where there are more entries than connections.
+            limiter.kept = int(exact_share * _KEPT_FRACTION + 1 - limiter.rank)
             limiter.base_quota = int(limiter.scarce_quota) if limiter.is_scarce else max(share, 1)
             limiter.quota.change_base(limiter.base_quota)
             limiter.quota.apply_grant(self._context.now, lent.get(target.key, 0))
@@ -271,13 +286,14 @@
             demand=max(in_flight + waiting - own_quota, 0),
         )
 
-    def _base_quota(self, target: KnownTarget) -> int:
+    def _connection_share(self, target: KnownTarget) -> float:
+        """Return the connections of a target divided by the number of entries."""
         settings = self._context.control_view.document.group(target.key.group)
         entries = self._entry_count(settings)
         limit = target.announcement.connection_limit
         if settings is not None:
             limit = settings.usable_connections(limit)
-        return limit // entries
+        return limit / entries
 
     def _may_exceed_share(self, group: str) -> bool:
         """Tell whether entries may use more connections than their share.
@@ -296,11 +312,12 @@
     def _send_limits(self, limiter: TargetLimiter, address: str) -> None:
         limit = limiter.quota.limit
         idle_s = limiter.idle_s if limiter.is_scarce else None
-        if limiter.sent_limits == (limit, idle_s):
+        limits = (limit, idle_s, limiter.kept if limiter.is_scarce else 0)
+        if limiter.sent_limits == limits:
             return
-        limiter.sent_limits = (limit, idle_s)
+        limiter.sent_limits = limits
         limiter.concurrency.change_quota(limit)
-        self._context.actions.append(LimitConnections(limiter.key, address, limit, idle_s))
+        self._context.actions.append(LimitConnections(limiter.key, address, *limits))
         self._on_capacity_available(limiter)
 
 
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_target_limits.py
@@ -117,3 +117,27 @@
 
 def _last_limit(harness: RoutedEntryHarness, name: str) -> int:
     return [limit.limit for limit in harness.limits if limit.target == key(name)][-1]
+
+
+def test_refused_statement_does_not_close_connections():
+    """A full instance is not relieved by closing a connection that must be opened again."""
+    harness = _harness_with_ten_entries()
+    before = _last_limit(harness, 'b')
+    harness.send_statement(harness.open_session('aged'), routed.READ)
+    full = TargetError(0, 'RETRY', 'full', ErrorKind.not_run)
+    harness.fail_execution(harness.next_execution(), full)
+    harness.advance(0.26)
+    assert _last_limit(harness, 'b') == before
+
+
+def test_kept_connections_leave_room_for_others():
+    """Entries keep about half of an instance's connections, also if there are fewer than entries.
+
+    Each of these entries believes that 10 entries share 20 connections, so it keeps one or two.
+    """
+    target = TargetKey('ledger', 'a')
+    harness = _harness_with_ten_entries()
+    (kept,) = {limit.kept for limit in harness.limits if limit.target == key('a')} - {0}
+    assert kept in {1, 2}
+    ranks = [TargetLimiter(target, 0, f'e{number}').rank for number in range(67)]
+    assert 20 <= sum(57 / 67 / 2 >= rank for rank in ranks) <= 37
