--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/saturation.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/saturation.py
@@ -243,6 +243,7 @@
             failed_step=self._failed_step,
             error=error,
             connection_clean=self._connection.usable and not self._in_transaction,
+            is_transaction_open=error is not None and self._in_transaction,
             position=None if lost else self._connection.instance.position,
         )
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
@@ -77,6 +77,8 @@
     :param connection_refused: whether the connection was refused or reset, as opposed to
         unanswered.
     :param position: position in the instance's log that its last answer carried, if any.
+    :param is_transaction_open: whether the instance reported with its error that the transaction
+        goes on, so that the refused statement may be repeated in it.
     """
 
     execution_id: int
@@ -89,6 +91,7 @@
     connection_clean: bool = True
     connection_refused: bool = False
     position: Position | None = None
+    is_transaction_open: bool = False
 
 
 @dataclass(frozen=True, slots=True)
