--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -29,6 +29,9 @@
 # Number of entries that may probe an instance at the usual interval. With more entries, each probes
 # less often, so that the total load on the instance stays the same.
 _FULL_RATE_ENTRIES: Final = 16
+# Delay before a probe that requests wait for is repeated after an instance refused it, since a full
+# instance would refuse an immediate one too.
+_REFUSED_PROBE_BACKOFF: Final = Backoff(initial_delay_s=0.1, max_delay_s=1.6)
 # Interval between probes of a replica that is behind an awaited position. If the replica answers
 # without progress, probing it again at once would be a busy loop.
 _AWAITED_PROBE_INTERVAL_S: Final = 0.005
@@ -60,6 +63,7 @@
     :param timer: starts the next probe, or ends the one in flight if its report is lost.
     :param last_answered_at: time of the last answer of any kind, in seconds.
     :param position: newest position that an answer to a statement carried.
+    :param failed_probes: number of consecutive probes that returned no report.
     :param behind_refusals: number of consecutive reads that it refused for its position.
     :param behind_until: time until which it is assumed to be too far behind for reads, in seconds.
     """
@@ -79,6 +83,7 @@
     timer: Timer | None = None
     last_answered_at: float = float('-inf')
     position: Position | None = None
+    failed_probes: int = 0
     behind_refusals: int = 0
     behind_until: float = float('-inf')
 
@@ -196,7 +201,7 @@
         if monitored is None:
             return
         monitored.report_needed_after = max(monitored.report_needed_after, after)
-        if not monitored.in_flight:
+        if not monitored.in_flight and not self._is_refusing_probes(monitored):
             self._send_probe(monitored)
 
     def probe_now(self, key: TargetKey) -> None:
@@ -271,6 +276,7 @@
         monitored.finished_probe_sent_at = max(monitored.finished_probe_sent_at, finished.sent_at)
         if is_repeated:
             return
+        monitored.failed_probes = 0 if finished.report else monitored.failed_probes + 1
         if finished.report is None:
             # The adapter also reports a failure on its own when the connection for probes breaks.
             self._set_reachability(monitored, finished.failure or Reachability.silent)
@@ -278,6 +284,11 @@
             self._accept_report(monitored, finished.report, finished.sent_at)
         self._schedule_probe(monitored)
 
+    def _is_refusing_probes(self, monitored: MonitoredTarget) -> bool:
+        """Tell whether the next probe is delayed because the instance refused the last one."""
+        is_answered = monitored.reachability is Reachability.reachable
+        return is_answered and bool(monitored.failed_probes) and monitored.timer is not None
+
     def _accept_report(
         self, monitored: MonitoredTarget, report: PositionReport, sent_at: float
     ) -> None:
@@ -316,11 +327,17 @@
         if monitored.in_flight or self._monitored.get(monitored.key) is not monitored:
             return
         is_answered = monitored.reachability is Reachability.reachable
-        if is_answered and monitored.report_needed_after >= monitored.report_sent_at:
+        is_needed = is_answered and monitored.report_needed_after >= monitored.report_sent_at
+        is_awaited = is_answered and self._lowest_awaited_position(monitored.key) is not None
+        if is_needed and not monitored.failed_probes:
             self._send_probe(monitored)
             return
-        is_awaited = is_answered and self._lowest_awaited_position(monitored.key) is not None
-        delay_s = _AWAITED_PROBE_INTERVAL_S if is_awaited else self._probe_interval_s(monitored)
+        if is_needed:
+            delay_s = _REFUSED_PROBE_BACKOFF.delay_s(
+                monitored.failed_probes - 1, self._context.random
+            )
+        else:
+            delay_s = _AWAITED_PROBE_INTERVAL_S if is_awaited else self._probe_interval_s(monitored)
         if monitored.timer is not None:
             monitored.timer.cancel()
         monitored.timer = self._context.call_later(delay_s, lambda: self._probe_if_due(monitored))
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_probes.py
@@ -0,0 +1,54 @@
+"""Tests of probes that a full instance refuses."""
+
+from bergamotcart import entry
+from bergamotcart.entry.tests import routed_entry_harness as routed
+from bergamotcart.entry.tests.routed_entry_harness import RoutedEntryHarness, key
+from bergamotcart.messages import GroupPhase, Reachability
+
+
+def _refuse_probes(harness: RoutedEntryHarness) -> int:
+    """Refuse all probes in flight, as a full instance does, and return their number."""
+    probes = tuple(harness.probes)
+    harness.probes.clear()
+    for sent_at, probe in probes:
+        harness.step(entry.ProbeFinished(probe.target, sent_at, None, Reachability.reachable))
+    return len(probes)
+
+
+def _wait_for_position() -> RoutedEntryHarness:
+    """Let a read wait for a position that only a probe of the primary can return."""
+    harness = RoutedEntryHarness()
+    harness.answer_probes()
+    harness.update(phase=GroupPhase.open, term=2)
+    harness.send_statement(harness.open_session('aged'), routed.READ)
+    harness.advance(0.01)
+    return harness
+
+
+def test_refused_probe_is_repeated_after_growing_pauses():
+    """Each probe of a full instance costs it a connection and a slot."""
+    harness = _wait_for_position()
+    refused = 0
+    for _ in range(90):
+        refused += _refuse_probes(harness)
+        harness.advance(0.01)
+    assert 2 <= refused <= 5
+
+
+def test_further_reads_do_not_shorten_the_pause():
+    """All reads of an entry wait for the same probe."""
+    harness = _wait_for_position()
+    _refuse_probes(harness)
+    for _ in range(5):
+        harness.send_statement(harness.open_session('aged'), routed.READ)
+    assert not harness.probes
+
+
+def test_refused_probe_is_answered_after_the_pause():
+    """The read is served once the instance has a free slot."""
+    harness = _wait_for_position()
+    _refuse_probes(harness)
+    harness.advance(0.2)
+    assert [probe.target for _, probe in harness.probes] == [key('a')]
+    harness.answer_probes(position=30)
+    assert harness.executions
