Refuse requests at once in a long outage of their primary

Requests with a route are still held for 1.5 s, in which a usual failover ends; later ones are refused at once, with 0.5 s to 1.5 s to come back.

--- a/packages/bergamotcart/src/bergamotcart/entry/_group_state.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_group_state.py
@@ -106,6 +106,8 @@
     :param primary_positions: positions of the primary, with the times at which they were read.
     :param open_term: newest term at which this entry knew the group to be open.
     :param open_since: time at which this entry learnt of that term, in seconds.
+    :param unusable_since: time at which the primary was first found unusable, in seconds, or
+        ``None`` while it is usable.
     """
 
     __slots__ = (
@@ -119,6 +121,7 @@
         'primary_waits',
         'awaiting_position',
         'primary_queue',
+        'unusable_since',
     )
 
     def __init__(self, name: str) -> None:
@@ -133,6 +136,7 @@
         self.primary_positions = PrimaryPositionHistory()
         self.open_term: int | None = None
         self.open_since = float('-inf')
+        self.unusable_since: float | None = None
 
     def wait_for_instance(self, key: TargetKey, after: float, request: Request) -> None:
         """Add a read that waits for a report of an instance.
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary_dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatch of requests to the primary, by lease, term, reachability and capacity."""
 
 import abc
+from typing import Final
 
 from bergamotcart.discovery import TargetKey
 from bergamotcart.entry._context import EngineContext
@@ -12,6 +13,14 @@
 from bergamotcart.messages import TargetRole
 from bergamotcart.outcomes import Reason
 
+# A usual failover, with the detection of the lost primary, ends within this time. Requests are held for it; in a longer outage, further ones
+# are refused at once.
+_OUTAGE_HOLD_S: Final = 1.5
+# Bounds of the time after which a request that was refused in an outage may come back, spread so
+# that not all callers return at once.
+_MIN_OUTAGE_RETRY_AFTER_S: Final = 0.5
+_MAX_OUTAGE_RETRY_AFTER_S: Final = 1.5
+
 
 class QueuedRequestHandler(RequestHandler):
     """Handler whose requests wait in the queue for the primary of their group."""
@@ -93,15 +102,32 @@
             self._replies.refuse(request, Reason.group_not_open, 'the group is read-only')
         elif self.refuses_without_lease(request.group):
             self._replies.refuse(request, Reason.no_lease, retry_after=1.0)
-        else:
+        elif not self.refuse_in_outage(request):
             request.phase = RequestPhase.waiting
             self.queues.put(self._context.groups.get(request.group).primary_queue, request)
             self.probe_for_primary(request.group)
             self.send_queued(request.group)
 
+    def refuse_in_outage(self, request: Request) -> bool:
+        """Refuse a request with a route that needs a primary which has long been unusable.
+
+        :returns: whether the request was refused.
+        """
+        self._observe_primary(request.group)
+        unusable_since = self._context.groups.get(request.group).unusable_since
+        if request.route is None or unusable_since is None:
+            return False
+        outage_s = self._context.now - unusable_since
+        if outage_s < _OUTAGE_HOLD_S:
+            return False
+        self.probe_for_primary(request.group)
+        self._refuse_for_outage(request, outage_s)
+        return True
+
     def send_queued(self, group: str) -> None:
         """Send as many queued requests of a group as its primary has room for now."""
         queue = self._context.groups.get(group).primary_queue
+        self._observe_primary(group)
         while len(queue):
             key = self.usable_primary(group)
             if key is None or not self._limiters.get(key).has_capacity:
@@ -116,6 +142,38 @@
         for request in self.queues.pop_all(self._context.groups.get(group).primary_queue):
             self._replies.refuse(request, reason, retry_after=1.0)
 
+    def _observe_primary(self, group: str) -> None:
+        """Record since when the primary is unusable, and end the hold of its requests in time."""
+        state = self._context.groups.get(group)
+        if self.usable_primary(group) is not None:
+            state.unusable_since = None
+        elif state.unusable_since is None:
+            state.unusable_since = self._context.now
+            self._context.call_later(_OUTAGE_HOLD_S, lambda: self._end_hold(group))
+
+    def _end_hold(self, group: str) -> None:
+        self._observe_primary(group)
+        unusable_since = self._context.groups.get(group).unusable_since
+        if unusable_since is None or self._context.now - unusable_since < _OUTAGE_HOLD_S:
+            return
+        queue = self._context.groups.get(group).primary_queue
+        for request in self.queues.pop_all(queue):
+            if request.route is None:
+                self.queues.put(queue, request)
+            else:
+                self._refuse_for_outage(request, self._context.now - unusable_since)
+
+    def _refuse_for_outage(self, request: Request, outage_s: float) -> None:
+        retry_after_s = self._context.random.uniform(
+            _MIN_OUTAGE_RETRY_AFTER_S, _MAX_OUTAGE_RETRY_AFTER_S
+        )
+        self._replies.refuse(
+            request,
+            Reason.group_not_open,
+            f'the primary has been unusable for {outage_s:.1f} s',
+            retry_after=retry_after_s,
+        )
+
     def _self_declared_primary(self, group: str) -> TargetKey | None:
         """Return a usable instance that reports itself as the primary, or ``None``."""
         for target in self._context.targets.list_group(group):
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -104,6 +104,8 @@
         return primary_positions.newest
 
     def _wait_for_primary_position(self, request: Request) -> None:
+        if self._primary_dispatcher.refuse_in_outage(request):
+            return
         row = self._context.control_view.groups.get(request.group)
         oldest = request.arrived_at - (request.max_age_s or 0)
         self._context.groups.get(request.group).primary_waits.add(oldest, request)
