--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -123,14 +123,14 @@
             if (candidate := self._build_candidate(request, target, floor)) is not None
         ]
         chosen = choose_instance(candidates)
-        if chosen is not None and chosen.is_primary:
-            chosen = self._pace_primary_read(chosen, candidates)
-        if chosen is not None:
-            self._send_read(request, chosen.key, floor, chosen.reason)
-        elif candidates:
-            self._refuse_paced_read(request, candidates[0].key)
-        else:
+        if chosen is None:
             self._wait_for_candidate(request)
+            return
+        paced = self._pace_primary_read(chosen, candidates) if chosen.is_primary else chosen
+        if paced is None:
+            self._refuse_paced_read(request, chosen.key)
+        else:
+            self._send_read(request, paced.key, floor, paced.reason)
 
     def _pace_primary_read(
         self, primary: InstanceCandidate, candidates: list[InstanceCandidate]
--- a/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
@@ -54,7 +54,6 @@
     :param queue: reads that wait for a free slot.
     :param read_pacer: spaces the reads that fall back to this target while it is the primary.
     :param reads_in_flight: running reads.
-    :param kept: connections that stay open although they are unused while connections are scarce.
     :param sent_limits: connection limit, idle time in seconds or ``None``, and number of kept
         connections that were last sent to the adapter.
     :param is_scarce: whether connections are scarce, so that unused ones are closed early.
@@ -74,7 +73,6 @@
         'idle_s',
         'is_pausing',
         'is_scarce',
-        'kept',
         'key',
         'queue',
         'quota',
@@ -109,7 +107,6 @@
         self.read_pacer = ReadPacer()
         self.reads_in_flight = 0
         self.reported_connections = 0
-        self.kept = 0
         self.sent_limits: tuple[int, float | None, int] = (0, None, 0)
 
     @property
@@ -255,13 +252,13 @@
             exact_share = self._connection_share(target)
             share = int(exact_share)
             limiter.is_scarce = share < _SCARCE_SHARE and self._may_exceed_share(target.key.group)
-            # Entries with a low rank keep one connection more, so that the sum over all entries is
-            # about the part, also where there are more entries than connections.
-            limiter.kept = int(exact_share * _KEPT_FRACTION + 1 - limiter.rank)
             limiter.base_quota = int(limiter.scarce_quota) if limiter.is_scarce else max(share, 1)
             limiter.quota.change_base(limiter.base_quota)
             limiter.quota.apply_grant(self._context.now, lent.get(target.key, 0))
-            self._send_limits(limiter, target.announcement.address)
+            # Entries with a low rank keep one connection more, so that the sum over all entries is
+            # about the part, also where there are more entries than connections.
+            kept = int(exact_share * _KEPT_FRACTION + 1 - limiter.rank) * limiter.is_scarce
+            self._send_limits(limiter, target.announcement.address, kept)
 
     def quota_use(self) -> tuple[QuotaUse, ...]:
         """Return the use of and demand for lent connections, for the lease request."""
@@ -309,10 +306,10 @@
             return self._context.control_view.entries_limit
         return settings.entries_limit or max(len(self._context.control_view.entries), 1)
 
-    def _send_limits(self, limiter: TargetLimiter, address: str) -> None:
+    def _send_limits(self, limiter: TargetLimiter, address: str, kept: int) -> None:
         limit = limiter.quota.limit
         idle_s = limiter.idle_s if limiter.is_scarce else None
-        limits = (limit, idle_s, limiter.kept if limiter.is_scarce else 0)
+        limits = (limit, idle_s, kept)
         if limiter.sent_limits == limits:
             return
         limiter.sent_limits = limits
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -3,7 +3,6 @@
 from dataclasses import replace
 from typing import Final
 
-from bergamotcart.admission import Backoff
 from bergamotcart.discovery import Position, TargetKey
 from bergamotcart.entry._actions import ReleasePin
 from bergamotcart.entry._commit_outcome_checks import CommitOutcomeChecks
@@ -14,13 +13,14 @@
 from bergamotcart.entry._primary_dispatcher import PrimaryDispatcher, QueuedRequestHandler
 from bergamotcart.entry._replication_acknowledgements import ReplicationAcknowledgements
 from bergamotcart.entry._replies import Replies
-from bergamotcart.entry._requests import Request, RequestPhase
+from bergamotcart.entry._requests import Request
 from bergamotcart.entry._retries import Retries
 from bergamotcart.entry._routed_transaction_failures import (
     RoutedTransactionFailures,
     rollback_reason,
 )
 from bergamotcart.entry._sessions import LastRead, Session, Transaction, TransactionPhase
+from bergamotcart.entry._statement_repeats import StatementRepeats, may_repeat_statement
 from bergamotcart.entry._writes import (
     BEGIN,
     COMMIT,
@@ -44,9 +44,6 @@
 _ROLLED_BACK_ERRORS: Final = frozenset((ErrorKind.read_only, ErrorKind.rolled_back))
 _BEGIN_READ_ONLY: Final = Step(StepKind.begin, 'BEGIN READ')
 
-# Delay before a statement that a full instance refused is repeated in its transaction.
-_REPEAT_BACKOFF: Final = Backoff(initial_delay_s=0.02, max_delay_s=0.2)
-
 
 class TransactionHandler(QueuedRequestHandler):
     """Begins transactions, runs their statements, and commits or rolls them back."""
@@ -60,6 +57,7 @@
         '_replies',
         '_retries',
         '_routed_failures',
+        '_statement_repeats',
         '_context',
     )
 
@@ -82,6 +80,7 @@
         self._replies = replies
         self._retries = retries
         self._routed_failures = RoutedTransactionFailures(replies, retries)
+        self._statement_repeats = StatementRepeats(context, self._repeat_statement)
         self._open_count = 0
 
     @property
@@ -241,9 +240,9 @@
         if finished.status is ExecutionStatus.completed and is_opening and not session.closed:
             self._complete_begin(request, session, transaction, finished)
             return
-        if is_opening and not session.closed and self._may_repeat_statement(request, finished):
+        if is_opening and not session.closed and may_repeat_statement(request, finished):
             self._open_transaction(request, session, transaction)
-            self._repeat_statement_later(request, transaction)
+            self._statement_repeats.schedule(request, transaction)
             return
         self._context.actions.append(ReleasePin(session.session_id))
         if is_opening:
@@ -316,11 +315,8 @@
         elif finished.status is ExecutionStatus.completed:
             self._record_statement(request, transaction)
             self._replies.finish_request(request, Ran(finished.result or RequestResult()))
-        elif self._may_repeat_statement(request, finished):
-            self._repeat_statement_later(request, transaction)
         elif transaction.is_routed:
-            self.abort(session, rollback_reason(finished))
-            self._routed_failures.handle_failed_statement(request, finished)
+            self._finish_failed_routed_statement(request, finished, transaction)
         elif finished.status is ExecutionStatus.target_error:
             self._record_statement(request, transaction)
             self._abort_if_rolled_back(session, finished)
@@ -332,6 +328,15 @@
                 request, Reason.rolled_back, f'connection to {running.plan.target.instance} lost'
             )
 
+    def _finish_failed_routed_statement(
+        self, request: Request, finished: ExecutionFinished, transaction: Transaction
+    ) -> None:
+        if may_repeat_statement(request, finished):
+            self._statement_repeats.schedule(request, transaction)
+            return
+        self.abort(request.session, rollback_reason(finished))
+        self._routed_failures.handle_failed_statement(request, finished)
+
     def _refuse_ended(self, request: Request) -> None:
         """Refuse a statement whose transaction has ended meanwhile."""
         # This refusal tells the caller of the rollback, so a routed session may continue without
@@ -340,38 +345,7 @@
         session.rolled_back = session.rolled_back and request.route is None
         self._replies.refuse(request, Reason.rolled_back)
 
-    def _may_repeat_statement(self, request: Request, finished: ExecutionFinished) -> bool:
-        """Tell whether a refused statement may be repeated without ending its transaction."""
-        error = finished.error
-        return (
-            finished.is_transaction_open
-            and finished.failed_step is StepKind.statement
-            and error is not None
-            and error.kind is ErrorKind.not_run
-            and not request.done
-            and not request.has_used_attempts
-        )
-
-    def _repeat_statement_later(self, request: Request, transaction: Transaction) -> None:
-        # The transaction would stay open if the request were refused at its deadline during this
-        # pause, which is short.
-        request.phase = RequestPhase.executing
-        delay_s = _REPEAT_BACKOFF.delay_s(request.capacity_refusals, self._context.random)
-        self._context.publish_decision(
-            'retries',
-            'repeat_in_transaction',
-            Reason.target_busy.value,
-            request=request.request_id,
-            session=request.session.session_id,
-            group=transaction.group,
-            target=transaction.target.instance,
-        )
-        self._context.call_later(delay_s, lambda: self._repeat_statement(request, transaction))
-
     def _repeat_statement(self, request: Request, transaction: Transaction) -> None:
-        if request.done:
-            return
-        request.phase = RequestPhase.waiting
         if request.session.transaction is transaction:
             self._run_statement(request, transaction)
         else:
