Send a probe that reads wait for after the pause, also to an instance that has answered statements

A fault of the pause for refused probes: the probe after the pause went through the check that leaves out probes of instances that answered recently, so the reads waited until their deadlines. Found by reading; the new test fails without the change. The hold of an outage is compared with the same sum as its timer, so that rounding cannot leave requests in the queue.

--- a/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_monitor.py
@@ -63,7 +63,8 @@
     :param timer: starts the next probe, or ends the one in flight if its report is lost.
     :param last_answered_at: time of the last answer of any kind, in seconds.
     :param position: newest position that an answer to a statement carried.
-    :param failed_probes: number of consecutive probes that returned no report.
+    :param refused_probes: number of consecutive probes that it refused.
+    :param refused_until: time before which a refused probe is not repeated, in seconds.
     :param behind_refusals: number of consecutive reads that it refused for its position.
     :param behind_until: time until which it is assumed to be too far behind for reads, in seconds.
     """
@@ -83,7 +84,8 @@
     timer: Timer | None = None
     last_answered_at: float = float('-inf')
     position: Position | None = None
-    failed_probes: int = 0
+    refused_probes: int = 0
+    refused_until: float = float('-inf')
     behind_refusals: int = 0
     behind_until: float = float('-inf')
 
@@ -201,8 +203,8 @@
         if monitored is None:
             return
         monitored.report_needed_after = max(monitored.report_needed_after, after)
-        if not monitored.in_flight and not self._is_refusing_probes(monitored):
-            self._send_probe(monitored)
+        if not monitored.in_flight:
+            self._send_needed_probe(monitored)
 
     def probe_now(self, key: TargetKey) -> None:
         """Probe a target at once unless a probe is in flight."""
@@ -276,18 +278,30 @@
         monitored.finished_probe_sent_at = max(monitored.finished_probe_sent_at, finished.sent_at)
         if is_repeated:
             return
-        monitored.failed_probes = 0 if finished.report else monitored.failed_probes + 1
         if finished.report is None:
+            if finished.failure is Reachability.reachable:
+                self._record_refused_probe(monitored)
             # The adapter also reports a failure on its own when the connection for probes breaks.
             self._set_reachability(monitored, finished.failure or Reachability.silent)
         elif finished.sent_at > monitored.report_sent_at:
             self._accept_report(monitored, finished.report, finished.sent_at)
         self._schedule_probe(monitored)
 
-    def _is_refusing_probes(self, monitored: MonitoredTarget) -> bool:
-        """Tell whether the next probe is delayed because the instance refused the last one."""
-        is_answered = monitored.reachability is Reachability.reachable
-        return is_answered and bool(monitored.failed_probes) and monitored.timer is not None
+    def _record_refused_probe(self, monitored: MonitoredTarget) -> None:
+        """Delay the next probe of an instance that answers but has no capacity for probes."""
+        delay_s = _REFUSED_PROBE_BACKOFF.delay_s(monitored.refused_probes, self._context.random)
+        monitored.refused_probes += 1
+        monitored.refused_until = self._context.now + delay_s
+
+    def _send_needed_probe(self, monitored: MonitoredTarget) -> None:
+        """Send a probe that requests wait for, after the delay that follows a refused one."""
+        delay_s = monitored.refused_until - self._context.now
+        if delay_s <= 0:
+            self._send_probe(monitored)
+            return
+        if monitored.timer is not None:
+            monitored.timer.cancel()
+        monitored.timer = self._context.call_later(delay_s, lambda: self._send_probe(monitored))
 
     def _accept_report(
         self, monitored: MonitoredTarget, report: PositionReport, sent_at: float
@@ -295,6 +309,8 @@
         progressed = monitored.report is None or report.position > monitored.report.position
         monitored.report = report
         monitored.report_sent_at = sent_at
+        monitored.refused_probes = 0
+        monitored.refused_until = float('-inf')
         monitored.last_answered_at = self._context.now
         self._update_catch_up_time(monitored, report)
         self._set_reachability(monitored, Reachability.reachable)
@@ -327,17 +343,11 @@
         if monitored.in_flight or self._monitored.get(monitored.key) is not monitored:
             return
         is_answered = monitored.reachability is Reachability.reachable
-        is_needed = is_answered and monitored.report_needed_after >= monitored.report_sent_at
-        is_awaited = is_answered and self._lowest_awaited_position(monitored.key) is not None
-        if is_needed and not monitored.failed_probes:
-            self._send_probe(monitored)
+        if is_answered and monitored.report_needed_after >= monitored.report_sent_at:
+            self._send_needed_probe(monitored)
             return
-        if is_needed:
-            delay_s = _REFUSED_PROBE_BACKOFF.delay_s(
-                monitored.failed_probes - 1, self._context.random
-            )
-        else:
-            delay_s = _AWAITED_PROBE_INTERVAL_S if is_awaited else self._probe_interval_s(monitored)
+        is_awaited = is_answered and self._lowest_awaited_position(monitored.key) is not None
+        delay_s = _AWAITED_PROBE_INTERVAL_S if is_awaited else self._probe_interval_s(monitored)
         if monitored.timer is not None:
             monitored.timer.cancel()
         monitored.timer = self._context.call_later(delay_s, lambda: self._probe_if_due(monitored))
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary_dispatcher.py
@@ -13,8 +13,8 @@
 from bergamotcart.messages import TargetRole
 from bergamotcart.outcomes import Reason
 
-# A usual failover, with the detection of the lost primary, ends within this time. Requests are held for it; in a longer outage, further ones
-# are refused at once.
+# A usual failover, with the detection of the lost primary, ends within this time. Requests are held
+# for it; in a longer outage, further ones are refused at once.
 _OUTAGE_HOLD_S: Final = 1.5
 # Bounds of the time after which a request that was refused in an outage may come back, spread so
 # that not all callers return at once.
@@ -114,14 +114,10 @@
         :returns: whether the request was refused.
         """
         self._observe_primary(request.group)
-        unusable_since = self._context.groups.get(request.group).unusable_since
-        if request.route is None or unusable_since is None:
-            return False
-        outage_s = self._context.now - unusable_since
-        if outage_s < _OUTAGE_HOLD_S:
+        if request.route is None or not self._is_in_long_outage(request.group):
             return False
         self.probe_for_primary(request.group)
-        self._refuse_for_outage(request, outage_s)
+        self._refuse_for_outage(request)
         return True
 
     def send_queued(self, group: str) -> None:
@@ -153,24 +149,27 @@
 
     def _end_hold(self, group: str) -> None:
         self._observe_primary(group)
-        unusable_since = self._context.groups.get(group).unusable_since
-        if unusable_since is None or self._context.now - unusable_since < _OUTAGE_HOLD_S:
+        if not self._is_in_long_outage(group):
             return
         queue = self._context.groups.get(group).primary_queue
         for request in self.queues.pop_all(queue):
             if request.route is None:
                 self.queues.put(queue, request)
             else:
-                self._refuse_for_outage(request, self._context.now - unusable_since)
+                self._refuse_for_outage(request)
+
+    def _is_in_long_outage(self, group: str) -> bool:
+        unusable_since = self._context.groups.get(group).unusable_since
+        return unusable_since is not None and self._context.now >= unusable_since + _OUTAGE_HOLD_S
 
-    def _refuse_for_outage(self, request: Request, outage_s: float) -> None:
+    def _refuse_for_outage(self, request: Request) -> None:
         retry_after_s = self._context.random.uniform(
             _MIN_OUTAGE_RETRY_AFTER_S, _MAX_OUTAGE_RETRY_AFTER_S
         )
         self._replies.refuse(
             request,
             Reason.group_not_open,
-            f'the primary has been unusable for {outage_s:.1f} s',
+            f'the primary has been unusable for more than {_OUTAGE_HOLD_S} s',
             retry_after=retry_after_s,
         )
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
@@ -255,9 +255,7 @@
             limiter.base_quota = int(limiter.scarce_quota) if limiter.is_scarce else max(share, 1)
             limiter.quota.change_base(limiter.base_quota)
             limiter.quota.apply_grant(self._context.now, lent.get(target.key, 0))
-            # Entries with a low rank keep one connection more, so that the sum over all entries is
-            # about the part, also where there are more entries than connections.
-            kept = int(exact_share * _KEPT_FRACTION + 1 - limiter.rank) * limiter.is_scarce
+            kept = _count_kept(limiter, exact_share) if limiter.is_scarce else 0
             self._send_limits(limiter, target.announcement.address, kept)
 
     def quota_use(self) -> tuple[QuotaUse, ...]:
@@ -318,6 +316,15 @@
         self._on_capacity_available(limiter)
 
 
+def _count_kept(limiter: TargetLimiter, exact_share: float) -> int:
+    """Return the number of connections that stay open although they are unused.
+
+    Entries with a low rank keep one connection more, so that the sum over all entries is about the
+    intended part, also where there are more entries than connections.
+    """
+    return int(exact_share * _KEPT_FRACTION + 1 - limiter.rank)
+
+
 def _rank(key: TargetKey, entry: str) -> float:
     label = f'{entry} {key.group} {key.instance}'
     digest = hashlib.blake2s(label.encode(), digest_size=_RANK_BYTES).digest()
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_probes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_probes.py
@@ -52,3 +52,16 @@
     assert [probe.target for _, probe in harness.probes] == [key('a')]
     harness.answer_probes(position=30)
     assert harness.executions
+
+
+def test_needed_probe_is_sent_to_an_instance_that_answered_recently():
+    """A full instance still answers some statements, which must not put off the needed probe."""
+    harness = RoutedEntryHarness()
+    harness.send_statement(harness.open_session('strict'), routed.WRITE, 'WRITE x 1')
+    harness.finish_execution(harness.next_execution())
+    harness.update(phase=GroupPhase.open, term=2)
+    harness.send_statement(harness.open_session('aged'), routed.READ)
+    harness.advance(0.01)
+    _refuse_probes(harness)
+    harness.advance(0.2)
+    assert [probe.target for _, probe in harness.probes] == [key('a')]
