--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -101,7 +101,7 @@
         commit_state = {'count': 0}
 
         def arrive(replica):
-            if not (replica.running and replica.receiving) or replica.name == self.primary:
+            if not (replica.running and replica.receives) or replica.name == self.primary:
                 return
             # The stream is in order: a replica that lacks earlier commits gets them first.
             if instance.name == self.primary and commit in log_of(instance.tail):
@@ -136,7 +136,7 @@
             f'promote {name} (log {chosen.tail}), term {self.term}; was {self.primary};'
             f' rolled back {sorted({repr(each) for each in lost})[:8]}'
         )
-        self.promotions.append((name, kept))
+        self.promotions.append((name, kept, time.monotonic()))
         self.primary = name
         for other in self.instances.values():
             other.send_heartbeat_soon()
@@ -167,7 +167,8 @@
         self.work_s, self.slots_count, self.max_conns = work_s, slots, max_conns
         self.tail = None
         self.running = False
-        self.receiving = True
+        self.receiving = True  # False after PAUSE
+        self.deaf = False  # receives nothing for a while (replica_lag, deaf)
         self.state = 'ready'
         self.sequence = 0
         self.born = next(_BORN)
@@ -176,6 +177,7 @@
         self.server = None
         self.slots = asyncio.Semaphore(slots)
         self.proofs = itertools.count(1)
+        self.one_way_s = 0.0  # network delay of each message to or from its callers
         self.beat = asyncio.Event()
         self.beat_task = None
         self.draining_acknowledged_at = None
@@ -188,6 +190,10 @@
     def position(self):
         return f'{self.tail.term}.{self.tail.number}' if self.tail else '3.0'
 
+    @property
+    def receives(self):
+        return self.receiving and not self.deaf
+
     @property
     def is_primary(self):
         return self.service.primary == self.name
@@ -264,8 +270,11 @@
                 if kind != b'QUERY':
                     return
                 identifier, _, text = rest.partition(b' ')
+                await self._travel()
                 answer = await self._run(connection, identifier.decode(), text)
-                writer.write(answer + self._ready(connection))
+                answer += self._ready(connection)
+                await self._travel()
+                writer.write(answer)
         except (OSError, EOFError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
         finally:
@@ -273,6 +282,10 @@
             self.connections.discard(connection)
             writer.close()
 
+    async def _travel(self):
+        if self.one_way_s:
+            await asyncio.sleep(self.one_way_s)
+
     def _ready(self, connection):
         return f'READY {connection.state} {self.position}\r\n'.encode()
 
@@ -392,7 +405,13 @@
                 return False
         return False
 
+    def hear_again(self):
+        self.deaf = False
+        self._catch_up()
+
     def _catch_up(self):
+        if not (self.running and self.receives):
+            return
         primary = self.service.instances.get(self.service.primary)
         if primary is not None and primary.running and primary.number > self.number:
             self.tail = primary.tail
@@ -678,6 +697,19 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def find_leader(self):
+        """Return the control process that leads, from the health page of each."""
+        deadline = time.monotonic() + 20
+        while time.monotonic() < deadline:
+            for process in self.controls:
+                with contextlib.suppress(ClientError, TimeoutError, OSError):
+                    async with self.http.get(f'http://{process.host}:9464/health') as response:
+                        form = await response.json()
+                        if form.get('leads'):
+                            return process
+            await asyncio.sleep(0.1)
+        return None
+
     async def is_ready(self, entry):
         try:
             async with self.http.get(
