--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -84,6 +84,8 @@
         self.primary = None
         self.instances = {}
         self.newest_token = 0
+        self.waiting = {}
+        self.promote_s = PROMOTE_S
         self.promotions = []
 
     def add(self, instance):
@@ -98,7 +100,7 @@
         )
         instance.tail = commit
         received = asyncio.get_running_loop().create_future()
-        commit_state = {'count': 0}
+        self.waiting[commit] = (set(), received)
 
         def arrive(replica):
             if not (replica.running and replica.receives) or replica.name == self.primary:
@@ -107,9 +109,7 @@
             if instance.name == self.primary and commit in log_of(instance.tail):
                 if replica.number < commit.number:
                     replica.tail = commit
-                commit_state['count'] += 1
-                if commit_state['count'] >= self.sync and not received.done():
-                    received.set_result(None)
+                self.note_received(replica)
 
         for replica in list(self.instances.values()):
             if replica is not instance and replica.running:
@@ -118,8 +118,23 @@
                 )
         if self.sync:
             await received
+        self.waiting.pop(commit, None)
         return commit
 
+    def note_received(self, replica):
+        """Let the commits be acknowledged that enough replicas have received."""
+        log = set(log_of(replica.tail))
+        for commit, (receivers, received) in self.waiting.items():
+            if commit in log:
+                receivers.add(replica.name)
+                if len(receivers) >= self.sync and not received.done():
+                    received.set_result(None)
+
+    def join(self, replica):
+        """Add a new replica, which starts with the log of the primary."""
+        replica.tail = self.instances[self.primary].tail
+        self.add(replica)
+
     def promote(self, name):
         if name == self.primary:
             return
@@ -207,6 +222,8 @@
         )
         self.port = self.server.sockets[0].getsockname()[1]
         self.running = True
+        if not self.is_primary:
+            self.service.note_received(self)
         self.beat_task = asyncio.create_task(self._send_heartbeats())
 
     def crash(self):
@@ -426,6 +443,7 @@
         primary = self.service.instances.get(self.service.primary)
         if primary is not None and primary.running and primary.number > self.number:
             self.tail = primary.tail
+            self.service.note_received(self)
 
 
 async def read_line(reader):
@@ -645,7 +663,9 @@
         if status == 200:
             service.newest_token = token
             if service.primary != body['id']:
-                asyncio.get_running_loop().call_later(PROMOTE_S, service.promote, body['id'])
+                asyncio.get_running_loop().call_later(
+                    service.promote_s, service.promote, body['id']
+                )
         return web.Response(status=status)
 
     def is_from_control(self, peer):
