--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -192,7 +192,6 @@
         self.server = None
         self.slots = asyncio.Semaphore(slots)
         self.proofs = itertools.count(1)
-        self.cut_from_control = False  # no message passes between it and the control processes
         self.one_way_s = 0.0  # network delay of each message to or from its callers
         self.beat = asyncio.Event()
         self.beat_task = None
@@ -256,8 +255,6 @@
                 'seq': self.sequence,
                 'born': self.born,
             }
-            while self.cut_from_control:
-                await asyncio.sleep(0.05)
             acknowledged = await self.deployment.call_control(
                 'POST', f'/api/Instances.Heartbeat/{self.name}', json.dumps(body).encode()
             )
@@ -271,9 +268,7 @@
         connection = Connection(writer)
         self.connections.add(connection)
         try:
-            from_control = self.deployment.is_from_control(writer.get_extra_info('peername'))
             line = await read_line(reader)
-            await self._pass_cut(from_control)
             words = line.split(b' ')
             if words[0] != b'STARTUP' or len(words) < 3:
                 return
@@ -292,12 +287,10 @@
                 if kind != b'QUERY':
                     return
                 identifier, _, text = rest.partition(b' ')
-                await self._pass_cut(from_control)
                 await self._travel()
                 answer = await self._run(connection, identifier.decode(), text)
                 answer += self._ready(connection)
                 await self._travel()
-                await self._pass_cut(from_control)
                 writer.write(answer)
         except (OSError, EOFError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
@@ -306,10 +299,6 @@
             self.connections.discard(connection)
             writer.close()
 
-    async def _pass_cut(self, from_control):
-        while from_control and self.cut_from_control:
-            await asyncio.sleep(0.02)
-
     async def _travel(self):
         if self.one_way_s:
             await asyncio.sleep(self.one_way_s)
@@ -668,23 +657,6 @@
                 )
         return web.Response(status=status)
 
-    def is_from_control(self, peer):
-        """Tell whether a connection from loopback was opened by a control process."""
-        address = ''.join(f'{int(part):02X}' for part in reversed(peer[0].split('.')))
-        wanted = f'{address}:{peer[1]:04X}'
-        inode = ''
-        for line in Path('/proc/net/tcp').read_text().splitlines()[1:]:
-            fields = line.split()
-            if fields[1] == wanted:
-                inode = f'socket:[{fields[9]}]'
-        for process in self.controls:
-            with contextlib.suppress(OSError):
-                for name in os.listdir(f'/proc/{process.popen.pid}/fd'):
-                    with contextlib.suppress(OSError):
-                        if os.readlink(f'/proc/{process.popen.pid}/fd/{name}') == inode:
-                            return True
-        return False
-
     async def call_control(self, method, path, body=None, attempts=6):
         """Call control processes in turn until one answers with 2xx; follow redirects."""
         order = self.controls[:]
