Sum up refusals of leases in the log

Operators saw logs of followers in which `refuse_lease` lines hid all others: each entry asks for a lease up to seven times a second, and each refusal was a line. Together with the limit of 300 lines a second, other lines were dropped.

Decisions that are marked as frequent now share a line per system, action and reason, written a second after the first one, with their count, the number of distinct details and the first three of them. The counters of the metrics count each decision as before, since they are updated before the log.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
@@ -46,6 +46,7 @@
         self._engine = ControlEngine(_build_configuration(settings), durable)
         self._metrics = Metrics(self._read_gauges)
         self._decision_log = DecisionLog()
+        self.exit_stack.callback(self._decision_log.flush)
         self._engine_loop = EngineLoop(self._engine)
         translation = AddressTranslation(settings.address_translation)
         submit = self._engine_loop.submit
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -41,6 +41,7 @@
         self._engine = entry.EntryEngine(configuration)
         self._metrics = Metrics(self._read_gauges)
         self._decision_log = DecisionLog()
+        self.exit_stack.callback(self._decision_log.flush)
         self._engine_loop = EngineLoop(self._engine, _TICK_SLACK_SHARE)
         translation = AddressTranslation(settings.address_translation)
         submit = self._engine_loop.submit
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/_logs.py
@@ -9,6 +9,7 @@
 from bergamotcart.actions import Decision
 from bergamotcart_daemon.logs._formatter import EscapingFormatter
 from bergamotcart_daemon.logs._handler import RateLimitedHandler
+from bergamotcart_daemon.logs._summaries import DecisionSummaries
 
 _RECORD_FIELDS: Final = ('levelname', 'name', 'message')
 _OPTIONAL_DECISION_FIELDS: Final = (
@@ -60,13 +61,14 @@
 
 
 class DecisionLog:
-    """Writes one log line for each decision."""
+    """Writes one log line for each decision, and sums up those that are frequent."""
 
-    __slots__ = ('_logger',)
+    __slots__ = ('_logger', '_summaries')
 
     def __init__(self) -> None:
         """Create a log that writes to the logger ``bergamotcart.decisions``."""
         self._logger = logging.getLogger('bergamotcart.decisions')
+        self._summaries = DecisionSummaries(self._logger)
 
     def write(self, decision: Decision) -> None:
         """Write a decision with its fields.
@@ -75,6 +77,9 @@
         """
         if not self._logger.isEnabledFor(logging.INFO):
             return
+        if decision.is_frequent:
+            self._summaries.add(decision)
+            return
         fields: dict[str, object] = {
             'system': decision.system,
             'action': decision.action,
@@ -87,3 +92,7 @@
         if decision.detail:
             fields['detail'] = decision.detail
         self._logger.info('decision', extra=fields)
+
+    def flush(self) -> None:
+        """Write the lines of the decisions that are being summed up."""
+        self._summaries.flush()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/tests/test_logs.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/tests/test_logs.py
@@ -1,5 +1,6 @@
 """Tests of the decision log and of the rate limit of log lines."""
 
+import asyncio
 import json
 import logging
 import os
@@ -103,3 +104,27 @@
     lines = [json.loads(line) for line in capfd.readouterr().err.splitlines()]
     assert lines[0]['caller'] == lines[0]['detail'] == r'caf\udce9'
     assert lines[1]['message'] == r'unknown database caf\udce9'
+
+
+def test_frequent_decisions_do_not_hide_others(capfd):
+    """Refusals of a fleet's lease requests have filled the logs of followers."""
+    configure_logging('info', 'control', 'c1')
+    asyncio.run(_refuse_many_leases())
+    lines = [json.loads(line) for line in capfd.readouterr().err.splitlines()]
+    assert [line['message'] for line in lines] == ['decision', 'decisions', 'decisions']
+    assert lines[1]['reason'] == 'not_leader'
+    assert (lines[1]['count'], lines[1]['distinct']) == (3000, 800)
+    assert lines[1]['detail'] == 'e0, e1, e10'
+    assert (lines[2]['reason'], lines[2]['count']) == ('no_quorum', 1)
+
+
+async def _refuse_many_leases() -> None:
+    log = DecisionLog()
+    refused = Decision(
+        system='leases', action='refuse_lease', reason='not_leader', is_frequent=True
+    )
+    for number in range(3000):
+        log.write(msgspec.structs.replace(refused, detail=f'e{number % 800}'))
+    log.write(msgspec.structs.replace(refused, reason='no_quorum', detail='e1'))
+    log.write(_DECISION)
+    await asyncio.sleep(1.1)
--- a/packages/bergamotcart/src/bergamotcart/_decisions.py
+++ b/packages/bergamotcart/src/bergamotcart/_decisions.py
@@ -13,6 +13,7 @@
     :param session: number of the session concerned, if any.
     :param detail: further text for the log.
     :param statement: identifier that the caller gave to the statement.
+    :param is_frequent: whether the log sums up decisions of this system, action and reason.
     """
 
     system: str
@@ -26,3 +27,4 @@
     term: int | None = None
     detail: str = ''
     statement: str | None = None
+    is_frequent: bool = False
--- a/packages/bergamotcart/src/bergamotcart/control/_leases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leases.py
@@ -155,7 +155,14 @@
         leader_address=context.leadership.leader_address if leader else '',
     )
     context.send(envelope.sender, envelope.sender_address, refusal)
-    _publish_decision(context, 'refuse_lease', reason, envelope.sender)
+    refused = Decision(
+        system='leases',
+        action='refuse_lease',
+        reason=reason,
+        detail=envelope.sender,
+        is_frequent=True,
+    )
+    context.publish_decision(refused)
 
 
 def _publish_decision(context: StepContext, action: str, reason: str, entry: str) -> None:
