Log why control has no leader, and each change of the membership

A member that has known no leader for a second now writes a line, and every five seconds again: term, role, the cause, and for each member its incarnation, vote, last message and last answer to a candidacy. Refusals of pre-votes and votes carry their reason, an optional field that processes of earlier versions ignore. A line tells when there is a leader again, and each change of the membership is listed by every member. Gauges: `voters`, `seconds_without_leader`. No decision changes: the conditions of votes are the same, and no step is requested for the lines.

Tests before: 'IndexError: list index out of range' (no line about the outage), 'assert set() == {'no_majority_grants'}', 'assert False' (no list of members).

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
@@ -137,6 +137,8 @@
         return {
             'leads': int(status.leads),
             'voter': int(status.voter),
+            'voters': status.voters,
+            'seconds_without_leader': status.seconds_without_leader,
             'term': status.term,
             'commit_index': status.commit_index,
             'revision': status.revision,
--- a/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
@@ -70,6 +70,7 @@
     Role,
     RoleChange,
 )
+from bergamotcart.consensus._contacts import MemberContact
 from bergamotcart.consensus._durable_state import DurableState, HardState, Snapshot, WriteBatch
 from bergamotcart.consensus._node import MAX_COMMAND_BYTES, ConsensusNode
 
@@ -81,6 +82,7 @@
     'DurableState',
     'HardState',
     'InitialMember',
+    'MemberContact',
     'Role',
     'RoleChange',
     'Snapshot',
--- a/packages/bergamotcart/src/bergamotcart/consensus/_election.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_election.py
@@ -1,5 +1,7 @@
 """Pre-votes and votes, in a formed group and during its formation."""
 
+from collections.abc import Mapping
+
 from bergamotcart import messages
 from bergamotcart.consensus._configuration import Role
 from bergamotcart.consensus._member_state import MemberState
@@ -17,7 +19,14 @@
 class Election:
     """Candidacy of this member, and its responses to other candidates."""
 
-    __slots__ = ('_state', '_is_forming_group', '_pre_votes', '_proposed_term', '_votes')
+    __slots__ = (
+        '_answers',
+        '_state',
+        '_is_forming_group',
+        '_pre_votes',
+        '_proposed_term',
+        '_votes',
+    )
 
     def __init__(self, state: MemberState) -> None:
         """Initialize without a candidacy.
@@ -29,6 +38,12 @@
         self._pre_votes: dict[str, str] = {}
         self._votes: dict[str, str] = {}
         self._is_forming_group = False
+        self._answers: dict[str, str] = {}
+
+    @property
+    def answers(self) -> Mapping[str, str]:
+        """Newest answer to a request for a pre-vote or a vote, by name of the member."""
+        return self._answers
 
     def start_pre_vote(self) -> None:
         """Start a pre-vote if this member may be a candidate; called after the election timeout."""
@@ -51,17 +66,15 @@
     def on_pre_vote_request(self, envelope: messages.Envelope) -> None:
         """Answer whether this member would grant a vote."""
         state, request = self._state, envelope.body
-        granted = (
-            request.term > state.hard_state.term
-            and not state.has_recent_leader_contact
-            and self._may_grant_vote(envelope)
-        )
+        refusal = self._find_pre_vote_refusal(envelope)
+        granted = not refusal
         if granted:
             self._delay_own_candidacy(envelope.sender)
         response = messages.PreVoteResponse(
             term=request.term if granted else state.hard_state.term,
             granted=granted,
             candidate_incarnation=envelope.incarnation,
+            reason=refusal,
         )
         state.reply(envelope, response)
 
@@ -78,11 +91,13 @@
         if request.term > state.hard_state.term:
             state.enter_term(request.term, 'vote request of a newer term')
         candidate = identity(envelope.sender, envelope.incarnation)
-        granted = (
-            request.term == state.hard_state.term
-            and state.hard_state.voted_for in {None, candidate}
-            and self._may_grant_vote(envelope)
-        )
+        if request.term != state.hard_state.term:
+            refusal = f'in newer term {state.hard_state.term}'
+        elif state.hard_state.voted_for not in {None, candidate}:
+            refusal = f'voted for {state.hard_state.voted_for}'
+        else:
+            refusal = self._find_vote_refusal(envelope)
+        granted = not refusal
         if granted:
             if state.hard_state.voted_for is None:
                 state.write_hard_state(state.hard_state.term, candidate)
@@ -91,6 +106,7 @@
             term=state.hard_state.term,
             granted=granted,
             candidate_incarnation=envelope.incarnation,
+            reason=refusal,
         )
         state.reply_when_synced(envelope, response)
 
@@ -99,6 +115,7 @@
         response = envelope.body
         if not self._is_response_to_own_request(response) or self._votes or not self._pre_votes:
             return
+        self._record_answer(envelope, 'pre-vote')
         if not response.granted:
             self._enter_newer_term(response.term)
             self._schedule_pre_vote_retry()
@@ -122,6 +139,7 @@
         response = envelope.body
         if not self._is_response_to_own_request(response):
             return
+        self._record_answer(envelope, 'vote')
         if response.term > self._state.hard_state.term:
             self._enter_newer_term(response.term)
         elif response.granted and response.term == self._state.hard_state.term and self._votes:
@@ -176,6 +194,11 @@
             state.election_at, state.now + 2 * state.configuration.leader_heartbeat_interval_s
         )
 
+    def _record_answer(self, envelope: messages.Envelope, kind: str) -> None:
+        response = envelope.body
+        answer = 'granted' if response.granted else f'refused: {response.reason}'
+        self._answers[envelope.sender] = f'{kind} of term {self._proposed_term} {answer}'
+
     def _schedule_pre_vote_retry(self) -> None:
         """Repeat a refused pre-vote after a heartbeat; it may be granted then."""
         state = self._state
@@ -215,17 +238,31 @@
             for member in self._state.configuration.initial_members
         )
 
-    def _may_grant_vote(self, envelope: messages.Envelope) -> bool:
+    def _find_pre_vote_refusal(self, envelope: messages.Envelope) -> str:
+        """Return why this member would not vote for a candidate; empty if it would."""
+        state = self._state
+        if envelope.body.term <= state.hard_state.term:
+            return f'in term {state.hard_state.term}'
+        if state.has_recent_leader_contact:
+            return f'recent contact with a leader or start, knows {state.leader or "no leader"}'
+        return self._find_vote_refusal(envelope)
+
+    def _find_vote_refusal(self, envelope: messages.Envelope) -> str:
         state, request = self._state, envelope.body
         if not request.members:
-            return self._may_grant_formation_vote(envelope)
+            return '' if self._may_grant_formation_vote(envelope) else 'cannot form this group'
         candidate = identity(envelope.sender, envelope.incarnation)
         # This member may lack the record that made it a voter, while the candidate's log has it.
         listed_voters = voter_ids(request.members)
-        if candidate not in listed_voters or state.own_id not in state.voters | listed_voters:
-            return False
+        if candidate not in listed_voters:
+            return 'candidate is no voter'
+        if state.own_id not in state.voters | listed_voters:
+            return f'{state.own_id} is no voter'
         position = (request.last_term, request.last_index)
-        return position >= (state.log.last_term, state.log.last_index)
+        own_position = (state.log.last_term, state.log.last_index)
+        if position < own_position:
+            return f'own log is longer: term and index {own_position}, candidate {position}'
+        return ''
 
     def _may_grant_formation_vote(self, envelope: messages.Envelope) -> bool:
         state = self._state
--- a/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
@@ -21,6 +21,7 @@
     """State that the election, follower, leader and join code of this member share.
 
     The term, vote and log are durable; ``output_buffer`` collects the changes to persist.
+    ``last_heard_at`` holds the time of the newest message of each member, by identity.
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         'hard_state',
         'leader_contact_at',
         'leader',
+        'last_heard_at',
         'log',
         'now',
         'output_buffer',
@@ -70,6 +72,7 @@
             f'{configuration.seed}/{configuration.name}/{durable.hard_state.incarnation}'
         )
         self._sender_addresses: dict[str, str] = {}
+        self.last_heard_at: dict[str, float] = {}
         self.contact_points = {
             member.name: member.address for member in configuration.initial_members
         }
@@ -124,11 +127,15 @@
         least, greatest = self.configuration.election_timeout_s
         self.election_at = self.now + self._random.uniform(least, greatest)
 
-    def record_sender_address(self, envelope: messages.Envelope) -> None:
-        """Record the address of a sender; it may differ from the one in the membership."""
+    def record_sender(self, envelope: messages.Envelope) -> None:
+        """Record the time of a message and the address of its sender.
+
+        The address may differ from the one in the membership.
+        """
         sender = identity(envelope.sender, envelope.incarnation)
         if not self.is_formed or sender in {member_id(member) for member in self.members}:
             self._sender_addresses[envelope.sender] = envelope.sender_address
+            self.last_heard_at[sender] = self.now
 
     def find_address(self, member: str) -> str | None:
         """Return the inter-process address of a member, or ``None`` if it is unknown."""
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -2,13 +2,14 @@
 
 from bergamotcart import messages
 from bergamotcart.consensus._configuration import ConsensusConfiguration, ConsensusOutputs, Role
+from bergamotcart.consensus._contacts import MemberContact
 from bergamotcart.consensus._durable_state import DurableState, Snapshot
 from bergamotcart.consensus._election import Election
 from bergamotcart.consensus._follower import Follower
 from bergamotcart.consensus._join_protocol import JoinProtocol
 from bergamotcart.consensus._leadership import Leadership
 from bergamotcart.consensus._member_state import MemberState
-from bergamotcart.consensus._membership import Members
+from bergamotcart.consensus._membership import Members, member_id
 from bergamotcart.consensus._membership_planner import MembershipPlanner
 
 # A record and its envelope must fit into one message, which is limited to 1 MiB.
@@ -103,6 +104,22 @@
         """Whether this member has a vote."""
         return self._state.is_voter
 
+    @property
+    def contacts(self) -> tuple[MemberContact, ...]:
+        """What this member has last received from each member of the log."""
+        answers = self._election.answers
+        return tuple(
+            MemberContact(
+                name=member.name,
+                incarnation=member.incarnation,
+                voter=member.voter,
+                is_self=member_id(member) == self._state.own_id,
+                heard_at=self._state.last_heard_at.get(member_id(member)),
+                vote_answer=answers.get(member.name, ''),
+            )
+            for member in self._state.members
+        )
+
     @property
     def newcomers(self) -> Members:
         """Processes outside the membership that ask this leader for admission."""
@@ -135,7 +152,7 @@
             return
         handler = self._find_handler(envelope.body)
         if handler:
-            self._state.record_sender_address(envelope)
+            self._state.record_sender(envelope)
             handler(envelope)
             self._update_leadership()
 
--- a/packages/bergamotcart/src/bergamotcart/control/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_configuration.py
@@ -66,6 +66,8 @@
     :param leader: name of the leader that this member knows of, if any.
     :param leads: whether this member may serve reads and grant leases.
     :param voter: whether this member is a voter of the replicated log.
+    :param voters: number of voters of the replicated log.
+    :param seconds_without_leader: seconds for which this member has known no leader.
     :param revision: revision of the document that this member has applied.
     """
 
@@ -75,3 +77,5 @@
     term: int
     commit_index: int
     revision: int
+    voters: int = 0
+    seconds_without_leader: float = 0
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -15,6 +15,7 @@
 )
 from bergamotcart.control._group_phases import advance_groups
 from bergamotcart.control._known_instances import pull_announcements_from_members
+from bergamotcart.control._leader_watch import LeaderWatch
 from bergamotcart.control._leadership import find_leadership, make_consensus_configuration
 from bergamotcart.control._local_tables import LocalTables
 from bergamotcart.control._member_changes import MemberChanges
@@ -54,6 +55,7 @@
         '_operator_requests',
         '_targets',
         '_document',
+        '_leader_watch',
         '_local',
         '_member_changes',
         '_node',
@@ -77,6 +79,7 @@
         self._node = consensus.ConsensusNode(
             now, make_consensus_configuration(configuration), durable
         )
+        self._leader_watch = LeaderWatch(now, self._node)
         self._state = ReplicatedState()
         self._snapshot_index = 0
         self._document = documents.Document({}, revision=0)
@@ -101,6 +104,7 @@
             self._run_systems(context)
         # Send and persist what the systems have proposed in the same step.
         self._process_consensus_outputs(context)
+        self._leader_watch.update(context)
         return ControlStepResult(
             tuple(context.actions), min(context.next_step_at, self._node.next_tick)
         )
@@ -111,6 +115,8 @@
             leader=self._node.leader,
             leads=find_leadership(self._node, self._state, now).may_act_as_leader,
             voter=self._node.is_voter,
+            voters=sum(member.voter for member in self._node.members),
+            seconds_without_leader=self._leader_watch.seconds_without_leader(now),
             term=self._node.term,
             commit_index=self._node.commit_index,
             revision=self._state.revision,
--- a/packages/bergamotcart/src/bergamotcart/messages/_consensus.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_consensus.py
@@ -51,11 +51,13 @@
 
     :param term: the proposed term if granted, otherwise the term of the answering member.
     :param candidate_incarnation: incarnation of the candidate that asked.
+    :param reason: why the vote would be refused, for the log of the candidate.
     """
 
     term: int
     granted: bool
     candidate_incarnation: str
+    reason: str = ''
 
 
 class VoteRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -72,11 +74,13 @@
     """Answers a vote request.
 
     :param candidate_incarnation: incarnation of the candidate that asked.
+    :param reason: why the vote was refused, for the log of the candidate.
     """
 
     term: int
     granted: bool
     candidate_incarnation: str
+    reason: str = ''
 
 
 class AppendRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
