Log whom an entry without a lease asked, and the age of its state

A session was refused for an unknown database without a hint at the state that this relied on, and an entry without a lease did not say whom it asked. So "the entry answers from an old state" and "the entry does not find the leader" looked alike.

The refusal now shows the state index, how long ago control confirmed that the state was current, and the members asked last.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -140,6 +140,7 @@
         return {
             'lease_left_s': status.lease_left_s,
             'applied_index': status.applied_index,
+            'state_age_seconds': status.state_age_s,
             'revision': status.revision,
             'sessions': status.sessions,
             'requests': status.requests,
--- a/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
@@ -66,6 +66,8 @@
 
     :param lease_left_s: seconds until the lease ends; 0 without a lease.
     :param revision: revision of the operator document in force, or 0.
+    :param state_age_s: seconds since control confirmed that the applied state was current;
+        infinite before the first confirmation.
     :param open_connections: connections to targets that are open or being opened.
     :param opened_connections: connections to targets opened since the start.
     """
@@ -79,3 +81,4 @@
     groups: dict[str, str] = msgspec.field(default_factory=dict)
     open_connections: int = 0
     opened_connections: int = 0
+    state_age_s: float = 0
--- a/packages/bergamotcart/src/bergamotcart/entry/_context.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_context.py
@@ -12,6 +12,7 @@
 from bergamotcart.entry._control_view import ControlView
 from bergamotcart.entry._group_state import GroupTable
 from bergamotcart.entry._lease import LeaseHolder
+from bergamotcart.entry._lease_watch import LeaseWatch
 from bergamotcart.entry._timers import Timer, Timers
 
 
@@ -33,6 +34,7 @@
         'draining',
         'groups',
         'lease',
+        'lease_watch',
         'now',
         'random',
         'refuses_new_requests',
@@ -55,6 +57,7 @@
         self.caller_limits = CallerLimits()
         self.control_view = ControlView()
         self.lease = LeaseHolder(configuration.drift_margin)
+        self.lease_watch = LeaseWatch()
         self.targets = TargetTable(configuration.target_expiry_s)
 
     @property
@@ -62,6 +65,11 @@
         """Whether this entry holds a valid lease, which it needs to use primaries."""
         return self.lease.is_valid(self.now)
 
+    @property
+    def state_age_s(self) -> float:
+        """Seconds since control confirmed that the applied state was current; infinite before."""
+        return self.lease.state_age(self.now)
+
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
         """Schedule a callback after a delay in seconds."""
         return self.timers.schedule(self.now + delay_s, callback)
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -85,8 +85,12 @@
         self._requested_at = now
         self._context.lease.record_request(now)
         request = self._build_request()
-        for name, address in self._recipients():
+        recipients = self._recipients()
+        self._context.lease_watch.record_request(recipients)
+        for name, address in recipients:
             self._context.send(name, address, request)
+        if not self._context.lease_valid:
+            self._context.lease_watch.report_missing_lease(now, self._publish_missing_lease)
         self._schedule_renewal(self._renew_after_s * _ANSWER_TIMEOUT_SHARE)
         self._on_lease_changed()
 
@@ -108,7 +112,9 @@
         """Process a grant of the leader."""
         view = self._context.control_view
         was_valid = self._context.lease_valid
-        if not self._context.lease.accept_grant(grant, view.control_term, view.applied_index):
+        accepted = self._context.lease.accept_grant(grant, view.control_term, view.applied_index)
+        self._context.lease_watch.record_grant(envelope.sender, accepted=accepted)
+        if not accepted:
             return
         self._leader = (envelope.sender, envelope.sender_address)
         self._renew_after_s = grant.renew_after_s
@@ -116,14 +122,17 @@
         if grant.echo_sent_at == self._requested_at:
             self._is_answered = True
             self._schedule_renewal(self._renew_after_s - (self._context.now - self._requested_at))
-        if not was_valid and self._context.lease_valid:
-            self._context.publish_decision('leases', 'hold', 'granted', detail=envelope.sender)
+        if self._context.lease_valid:
+            self._record_valid_lease(envelope.sender, was_valid=was_valid)
         self._on_lease_changed()
         self._on_lease_granted(grant)
 
     def receive_refusal(self, envelope: messages.Envelope, refusal: messages.LeaseRefusal) -> None:
         """Process a refusal; the member that sent it may name the leader or be the leader."""
-        if not self._context.lease.is_own_request(refusal.echo_sent_at) or refusal.leader is None:
+        if not self._context.lease.is_own_request(refusal.echo_sent_at):
+            return
+        self._context.lease_watch.record_refusal(envelope.sender, refusal)
+        if refusal.leader is None:
             return
         if refusal.leader == envelope.sender:
             # The leader sends the state once this entry may request its lease again.
@@ -167,6 +176,22 @@
             self._follow_leader(envelope)
             self._schedule_renewal(0)
 
+    def _record_valid_lease(self, leader: str, *, was_valid: bool) -> None:
+        missing_s = self._context.lease_watch.record_valid_lease(self._context.now)
+        if not was_valid:
+            detail = f'{leader}, after {missing_s:.1f} s without a lease' if missing_s else leader
+            self._context.publish_decision('leases', 'hold', 'granted', detail=detail)
+
+    def _publish_missing_lease(self, detail: str) -> None:
+        view = self._context.control_view
+        self._context.publish_decision(
+            'leases',
+            'lack',
+            'not_granted',
+            term=view.control_term,
+            detail=f'state index {view.applied_index}, {detail}',
+        )
+
     def _follow_leader(self, envelope: messages.Envelope) -> None:
         """Send the next request to the leader alone, which has just answered."""
         self._leader = (envelope.sender, envelope.sender_address)
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -118,6 +118,7 @@
             groups={name: row.phase.value for name, row in view.groups.items()},
             open_connections=self._components.limiters.open_connections,
             opened_connections=self._components.limiters.opened_connections,
+            state_age_s=context.lease.state_age(now),
         )
 
     def _start(self) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_lease.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lease.py
@@ -1,5 +1,6 @@
 """Lease that this entry holds."""
 
+import math
 from typing import Final
 
 from bergamotcart.messages import LeaseGrant, QuotaGrant
@@ -24,6 +25,7 @@
         '_valid_until',
         'is_state_acknowledged',
         'quotas',
+        'state_current_at',
     )
 
     def __init__(self, drift_margin: float) -> None:
@@ -34,6 +36,8 @@
         self._unanswered_since: float | None = None
         self._sent_requests: dict[float, None] = {}
         self.is_state_acknowledged = False
+        # Time in seconds at which the applied state was last known to be current.
+        self.state_current_at: float | None = None
         self.quotas: tuple[QuotaGrant, ...] = ()
 
     @property
@@ -45,6 +49,10 @@
         """Tell whether the lease is valid and control has acknowledged the applied state once."""
         return now < self._valid_until and self.is_state_acknowledged
 
+    def state_age(self, now: float) -> float:
+        """Return the seconds since the applied state was known to be current, or infinity."""
+        return math.inf if self.state_current_at is None else now - self.state_current_at
+
     def is_control_unreachable(self, now: float) -> bool:
         """Tell whether the lease is invalid and requests have been unanswered for too long."""
         if self._unanswered_since is None or self.is_valid(now):
@@ -85,4 +93,5 @@
         # trusted only once a grant has shown that it is not behind control.
         if applied_index > 0 and grant.current_index <= applied_index:
             self.is_state_acknowledged = True
+            self.state_current_at = max(self.state_current_at or 0, grant.echo_sent_at)
         return True
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -72,7 +72,7 @@
             'refuse' if refusal else 'open',
             refusal.reason.value if refusal else 'route_found',
             session=session.session_id,
-            detail=session.database or '',
+            detail=self._describe_answer(session, refusal),
         )
         self._context.actions.append(SessionAnswer(session.session_id, refusal))
         return refusal is None
@@ -132,6 +132,17 @@
             return NotRun(Reason.unknown_group, session.database or '')
         return None
 
+    def _describe_answer(self, session: Session, refusal: NotRun | None) -> str:
+        """Return the database name; for a refusal also the state that it relies on."""
+        database = session.database or ''
+        if refusal is None:
+            return database
+        asked = ', '.join(self._context.lease_watch.newest_asked) or 'no member'
+        return (
+            f'{database}; state index {self._context.control_view.applied_index},'
+            f' known to be current {self._context.state_age_s:.1f} s ago; asked {asked}'
+        )
+
     def _answer_locally(self, session: Session, statement: Statement) -> Outcome | None:
         """Return the outcome of a statement that needs no instance, or ``None`` for others."""
         kind = statement.kind
