Find lost messages also after the clock of a process went back

A control member keeps its incarnation over restarts, and its message numbers began at the time of day. After a restart on an earlier time, a peer kept the number from before and acknowledged it in each message. `min(acknowledged, last_sent)` then took every message as acknowledged, and a connection that delivers nothing was never dialled anew. The same held for a newcomer at an address whose former process had a clock that was ahead.

The numbers of a start now begin at a random number below the second of its start. An acknowledgement outside the range of this start counts for nothing, and a number far below the newest one begins a new count. The envelope is unchanged. Numbers exceed those of earlier versions, so these acknowledge them as before; only behind a clock that went back does an earlier version go on with its old number, and the connection to it is then dialled anew every 0.8 s instead of never.

Tests before: test_peer_keeps_numbers_from_before_clock_went_back and test_address_used_again_by_process_with_earlier_clock: 'assert False, where False = needs_reconnect('e:1', (1 + 0.8))'.

The new test of an unanswered dial passes on the old code too: the socket is dialled anew every 0.8 s as long as messages are sent.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_acknowledgements.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_acknowledgements.py
@@ -4,8 +4,12 @@
 socket does not detect this. Therefore each message to a peer is numbered, and each message from the
 peer acknowledges the newest number received; if messages stay unacknowledged, the process
 reconnects.
+
+An address may be used again by a restarted or by another process. The numbers of each start begin
+at a random number, so an acknowledgement outside the range of this start belongs to another one.
 """
 
+import random
 import time
 from typing import Final
 
@@ -15,7 +19,10 @@
 
 # Peers exchange messages several times a second, so acknowledgements normally come sooner.
 ACKNOWLEDGEMENT_TIMEOUT_S: Final = 0.8
-_NS_PER_MS: Final = 1_000_000
+_NS_PER_S: Final = 1_000_000_000
+_RANDOM_BITS: Final = 32
+# Messages of one start are not reordered by more than this, as send buffers are short.
+_MAX_REORDERING: Final = 65_536
 
 
 class _PeerNumbers(msgspec.Struct):
@@ -43,9 +50,12 @@
     def __init__(self) -> None:
         """Create a tracker without peers."""
         self._peers: dict[str, _PeerNumbers] = {}
-        # Numbers start at the current time in ms, so that an acknowledgement of a message from an
-        # earlier run of this process is not taken for one of a message from this run.
-        self._first_number = time.time_ns() // _NS_PER_MS
+        # Peers of earlier versions keep the greatest number of an incarnation, so the time of day
+        # comes first.
+        started_at = time.time_ns() // _NS_PER_S
+        self._first_number = (started_at << _RANDOM_BITS) + random.SystemRandom().getrandbits(
+            _RANDOM_BITS
+        )
 
     def assign_numbers(self, address: str, now: float) -> tuple[int, int]:
         """Assign the number of the next message to a peer.
@@ -65,13 +75,14 @@
         :param now: current time in seconds.
         """
         peer = self._get_or_create(envelope.sender_address)
-        if envelope.incarnation != peer.incarnation:
+        is_other_start = envelope.number + _MAX_REORDERING < peer.last_received
+        if envelope.incarnation != peer.incarnation or is_other_start:
             peer.incarnation = envelope.incarnation
             peer.last_received = 0
         peer.last_received = max(peer.last_received, envelope.number)
-        if envelope.acknowledged <= peer.acknowledged:
+        if not peer.acknowledged < envelope.acknowledged <= peer.last_sent:
             return
-        peer.acknowledged = min(envelope.acknowledged, peer.last_sent)
+        peer.acknowledged = envelope.acknowledged
         peer.waiting_since = None if peer.acknowledged == peer.last_sent else now
 
     def needs_reconnect(self, address: str, now: float) -> bool:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_acknowledgements.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_acknowledgements.py
@@ -1,5 +1,7 @@
 """Tests that connections without acknowledgements are detected."""
 
+import time
+
 from bergamotcart import messages
 from bergamotcart.actions import Send
 from bergamotcart_daemon.transport import Identity
@@ -9,6 +11,9 @@
 )
 
 _MESSAGE = messages.RelayPull(sent_at=1.0)
+_ENTRY = 'e'
+_CONTROL = 'c'
+_CLOCK_STEP_NS = 3_600_000_000_000
 
 
 class _Process:
@@ -57,3 +62,38 @@
 def test_unused_peer_needs_no_reconnect():
     """A peer that was sent no message has none to acknowledge."""
     assert not AcknowledgementTracker().needs_reconnect('c:1', 100)
+
+
+def test_peer_keeps_numbers_from_before_clock_went_back(monkeypatch):
+    """A restart on an earlier time of day must not hide that messages are lost."""
+    entry, control = _Process(_ENTRY), _Process(_CONTROL)
+    entry.tracker.record_received(control.send(_ENTRY, 0), 0)
+    _set_clock_back(monkeypatch)
+    restarted = _Process(_CONTROL)
+    lost = restarted.send(_ENTRY, 1)
+    restarted.tracker.record_received(entry.send(_CONTROL, 1.1), 1.1)
+    assert restarted.tracker.needs_reconnect(f'{_ENTRY}:1', 1 + ACKNOWLEDGEMENT_TIMEOUT_S)
+    entry.tracker.record_received(lost, 2)
+    restarted.tracker.record_received(entry.send(_CONTROL, 2), 2)
+    assert not restarted.tracker.needs_reconnect(f'{_ENTRY}:1', 2 + ACKNOWLEDGEMENT_TIMEOUT_S)
+
+
+def test_address_used_again_by_process_with_earlier_clock(monkeypatch):
+    """Acknowledgements for the former process at an address are not for the newcomer."""
+    entry, control = _Process(_ENTRY), _Process(_CONTROL)
+    entry.tracker.record_received(control.send(_ENTRY, 0), 0)
+    _set_clock_back(monkeypatch)
+    newcomer = _Process(_CONTROL, 'other')
+    newcomer.send(_ENTRY, 1)
+    newcomer.tracker.record_received(entry.send(_CONTROL, 1.1), 1.1)
+    assert newcomer.tracker.needs_reconnect(f'{_ENTRY}:1', 1 + ACKNOWLEDGEMENT_TIMEOUT_S)
+
+
+def test_numbers_exceed_those_of_earlier_versions():
+    """Peers of earlier versions keep the greatest number, which was the time in ms."""
+    assert _Process(_ENTRY).send(_CONTROL, 0).number > time.time_ns() // 1_000_000
+
+
+def _set_clock_back(monkeypatch) -> None:
+    earlier = time.time_ns() - _CLOCK_STEP_NS
+    monkeypatch.setattr(time, 'time_ns', lambda: earlier)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_silent_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_silent_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import Self
 
 from bergamotcart import messages
@@ -9,9 +10,13 @@
 from bergamotcart_daemon.addresses import Address, AddressTranslation
 from bergamotcart_daemon.metrics import Metrics
 from bergamotcart_daemon.transport import Identity, Transport
+from bergamotcart_daemon.transport._acknowledgements import ACKNOWLEDGEMENT_TIMEOUT_S
 
 _SEND_INTERVAL_S = 0.05
 _TEST_TIMEOUT_S = 20
+_SILENCE_S = 2.5
+# An unanswered dial takes 0.8 s at most, and the next one is answered at once.
+_MAX_DIAL_DELAY_S = 1.5
 _CHUNK_BYTES = 4096
 
 
@@ -89,3 +94,42 @@
             while not received.empty():
                 received.get_nowait()
             await received.get()
+
+
+class _SilentListener:
+    """Listening socket with a full queue, for which the kernel drops connection requests."""
+
+    def __init__(self, address: str) -> None:
+        parsed = Address.parse(address)
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((parsed.host, parsed.port))
+        self._listener.listen(0)
+        self._queued = [socket.socket() for _ in range(4)]
+        for queued in self._queued:
+            queued.setblocking(False)
+            queued.connect_ex((parsed.host, parsed.port))
+
+    def close(self) -> None:
+        """Release the address."""
+        for opened in (self._listener, *self._queued):
+            opened.close()
+
+
+async def test_unanswered_dial_is_repeated_while_messages_are_sent(addresses, caplog):
+    """The kernel repeats an unanswered dial after 1, 3 and 7 s, later than control may wait."""
+    entry, control = next(addresses), next(addresses)
+    received: asyncio.Queue[MessageReceived] = asyncio.Queue()
+    first = _build_transport('e', entry, {}, lambda _: None)
+    second = _build_transport('c', control, {}, received.put_nowait)
+    silent = _SilentListener(control)
+    caplog.set_level('INFO')
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(first)
+        stack.callback(asyncio.create_task(_send_continuously(first, 'c', control)).cancel)
+        await asyncio.sleep(_SILENCE_S)
+        silent.close()
+        assert caplog.text.count('reconnecting') >= int(_SILENCE_S / ACKNOWLEDGEMENT_TIMEOUT_S)
+        await stack.enter_async_context(second)
+        async with asyncio.timeout(_MAX_DIAL_DELAY_S):
+            await received.get()
