--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -41,6 +41,7 @@
         self._engine = entry.EntryEngine(configuration)
         self._metrics = Metrics(self._read_gauges)
         self._decision_log = DecisionLog()
+        self.exit_stack.callback(self._decision_log.flush)
         self._engine_loop = EngineLoop(self._engine, _TICK_SLACK_SHARE)
         translation = AddressTranslation(settings.address_translation)
         submit = self._engine_loop.submit
@@ -139,6 +140,7 @@
         return {
             'lease_left_s': status.lease_left_s,
             'applied_index': status.applied_index,
+            'state_age_seconds': status.state_age_s,
             'revision': status.revision,
             'sessions': status.sessions,
             'requests': status.requests,
