Ask for admission as soon as a member starts with an empty disk

Seen: a member that lost its disk spent most of the time until it had its vote again without doing anything.

Cause: the first request for admission waited for the random time of the first election, 0.4 to 0.8 s after the start. That wait is for a member with a log, which the leader may know. One without a log has no vote and no leader to wait for. A lost request, or one that no leader received, was repeated after 0.8 s.

A member without a log now asks at its first step, and repeats the request after the least election timeout.

The new test failed before: no member had received a request at the start.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_join_protocol.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_join_protocol.py
@@ -22,7 +22,7 @@
 
         :param state: state of this member.
         """
-        self.join_request_at = state.election_at
+        self.join_request_at = state.election_at if state.is_formed else state.now
         self._state = state
         self._echo = (0, float())
         self._newcomers: dict[str, tuple[messages.LogMember, float]] = {}
@@ -45,7 +45,7 @@
         the leader still sends because of the former incarnation.
         """
         state = self._state
-        self.join_request_at = state.now + state.configuration.election_timeout_s[1]
+        self.join_request_at = state.now + state.configuration.election_timeout_s[0]
         if state.has_recent_leader_contact and state.own_id in {
             member_id(member) for member in state.members
         }:
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bergamotcart import messages
 from bergamotcart.consensus import Role
 from bergamotcart.consensus.tests._cluster import Cluster, Server
 
@@ -143,6 +144,17 @@
     assert leader.node.propose_members(leader.now, without_old)
 
 
+def test_emptied_member_asks_for_admission_at_once():
+    """It waited for an election timeout first, though it has no vote and knows of no leader."""
+    cluster = _start_cluster()
+    name = next(name for name in 'abc' if name != cluster.find_leader().name)
+    cluster.mail.clear()
+    _empty_data_folder(cluster, name)
+    cluster.servers[name].tick()
+    requests = [sent for sent in cluster.mail if isinstance(sent.body, messages.JoinRequest)]
+    assert {sent.recipient for sent in requests} == set('abc') - {name}
+
+
 def test_new_leader_promotes_no_member_that_is_behind():
     """A leader that has just restarted knows of no committed record that a member could lack."""
     cluster = _start_cluster()
