--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
@@ -1,5 +1,6 @@
 """A simulated cluster in one process: members, network, disks, clock and a test oracle."""
 
+import itertools
 import random
 from dataclasses import dataclass, field
 
@@ -215,6 +216,14 @@
         assert is_majority(holders, voters), f'{entry} is committed, but synced only on {holders}'
 
 
+def _find_promotions(members: Members) -> list[Members]:
+    """Return the membership with each choice of its non-voters promoted, also with none."""
+    choices = [
+        (member,) if member.voter else (member, replace(member, voter=True)) for member in members
+    ]
+    return list(itertools.product(*choices))
+
+
 class Cluster:
     """Servers, the messages in flight between them, and the clock."""
 
@@ -229,6 +238,9 @@
         # Includes replaced disks, since records synced on them count for past commits.
         self.disks: dict[str, Disk] = {}
         self.cut: set[str] = set()
+        # Extra seconds that a message of or to a server takes, by name.
+        self.delays_s: dict[str, float] = {}
+        self._delayed: list[tuple[float, messages.Envelope]] = []
         self.servers = {name: Server(self, name) for name in names}
 
     def make_configuration(self, name: str) -> ConsensusConfiguration:
@@ -278,11 +290,17 @@
             server.drain()
 
     def deliver_all(self) -> None:
-        """Deliver the messages that are now in flight, in order."""
-        in_flight = self.mail.copy()
+        """Deliver the messages that are now in flight and not delayed further, in order."""
+        in_flight = self._delayed
+        for envelope in self.mail:
+            names = (envelope.sender, envelope.recipient)
+            delay_s = sum(self.delays_s.get(name, 0) for name in names)
+            in_flight.append((self.now + delay_s, envelope))
         self.mail.clear()
-        for envelope in in_flight:
-            self.deliver(envelope)
+        self._delayed = [waiting for waiting in in_flight if waiting[0] > self.now]
+        for due_at, envelope in in_flight:
+            if due_at <= self.now:
+                self.deliver(envelope)
 
     def request_vote(self, candidate: str, voter: str) -> None:
         """Deliver a vote request for the next term, without a pre-vote."""
@@ -356,11 +374,10 @@
         for envelope in self.mail:
             records = getattr(envelope.body, 'records', ())
             memberships.extend(entry.members for entry in records if entry.members)
-        # A non-voter may be promoted before the leader detects that its disk was lost.
-        promoted = [
-            tuple(replace(member, voter=True) for member in members) for members in memberships
+        # Any non-voters may be promoted before the leader detects that a disk was lost.
+        return [
+            promoted for members in memberships if members for promoted in _find_promotions(members)
         ]
-        return [members for members in (*memberships, *promoted) if members]
 
     def _are_all_voters(self) -> bool:
         return all(server.node and server.node.is_voter for server in self.servers.values())
