Control: bound the log in bytes, not only in records

Each change of the whole document is a record with the whole document, twice.

Both tests failed on the old code: "assert 8568806 <= (2 * 4194304)" (stored bytes) and "assert 5000 <= 1000" (trailing records).

--- a/packages/bergamotcart/src/bergamotcart/consensus/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_configuration.py
@@ -45,6 +45,7 @@
     :param seed: seed of the random election timeouts, together with name and incarnation.
     :param trailing_records: records kept in memory before the index of a snapshot, so that a
         member that is only slightly behind needs no snapshot.
+    :param trailing_bytes: maximum size in bytes of these records.
     :param part_bytes: maximum size in bytes of the records, or of the snapshot chunk, in one
         message. A single record may be larger.
     """
@@ -62,6 +63,7 @@
     tolerated_losses: int | None = None
     started_at: float | None = None
     trailing_records: int = 256
+    trailing_bytes: int = 4 * 1024 * 1024
     part_bytes: int = 256 * 1024
 
 
--- a/packages/bergamotcart/src/bergamotcart/consensus/_log.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_log.py
@@ -99,6 +99,21 @@
             chunk.append(entry)
         return tuple(chunk)
 
+    def find_compaction_index(self, index: int, max_records: int, max_bytes: int) -> int:
+        """Return the least index after which the records up to ``index`` are within both limits.
+
+        :param index: index of a record, or of the base.
+        :param max_records: maximum number of records to keep.
+        :param max_bytes: maximum size of these records in bytes.
+        """
+        first = max(index - max_records, self._base_index)
+        remaining_bytes = max_bytes
+        for entry in reversed(self.read(first + 1, index)):
+            remaining_bytes -= len(entry.command) + _RECORD_OVERHEAD_BYTES
+            if remaining_bytes < 0:
+                return entry.index
+        return first
+
     def append(self, records: Sequence[messages.LogEntry]) -> None:
         """Append records that continue the log."""
         self._records.extend(records)
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -255,7 +255,7 @@
             state=state,
         )
         member_state.save_snapshot(snapshot)
-        member_state.log.compact(index - member_state.configuration.trailing_records)
+        self._compact_log(index)
         return index
 
     def take_outputs(self) -> ConsensusOutputs:
@@ -278,6 +278,14 @@
             role_changes=role_changes,
         )
 
+    def _compact_log(self, index: int) -> None:
+        configuration, log = self._state.configuration, self._state.log
+        log.compact(
+            log.find_compaction_index(
+                index, configuration.trailing_records, configuration.trailing_bytes
+            )
+        )
+
     def _find_handler(self, body: messages.Body):
         if self._leadership:
             if isinstance(body, messages.AppendResponse):
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_replication.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_replication.py
@@ -145,6 +145,19 @@
     assert lagging.disk.state.snapshot == leader.disk.state.snapshot
 
 
+def test_large_records_before_snapshot_leave_memory():
+    """A few hundred records of half a megabyte would exceed the memory of a member."""
+    cluster = _start_cluster(trailing_records=100, trailing_bytes=1000)
+    for _ in range(50):
+        index = cluster.propose(b'x' * 100)
+    cluster.run(1)
+    leader = cluster.find_leader()
+    leader.snapshot()
+    log = leader.node._state.log
+    kept = log.read(log.base_index + 1, index)
+    assert 0 < sum(len(entry.command) for entry in kept) <= 1000
+
+
 def test_restart_loads_snapshot():
     """The snapshot must replace the records that it covers."""
     cluster = _start_cluster(trailing_records=0)
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -35,6 +35,10 @@
 
 # A snapshot is taken after this many records; replaying them at a start takes a few milliseconds.
 SNAPSHOT_RECORDS: Final = 300
+# A snapshot is also taken once the records since the last one exceed this size or that of the
+# snapshot, whichever is greater: so disk, memory and the time to catch up are bounded, and no more
+# bytes are written for snapshots than for records.
+SNAPSHOT_LOG_BYTES: Final = 4 * 1024 * 1024
 # Scanning the whole roster in each step would be too expensive in large deployments: each entry
 # lengthens the roster, and its messages cause more steps.
 CLEANUP_INTERVAL_S: Final = 1.0
@@ -55,8 +59,10 @@
         '_targets',
         '_document',
         '_local',
+        '_log_bytes',
         '_member_changes',
         '_node',
+        '_snapshot_bytes',
         '_snapshot_index',
         '_state',
     )
@@ -79,6 +85,8 @@
         )
         self._state = ReplicatedState()
         self._snapshot_index = 0
+        self._snapshot_bytes = 0
+        self._log_bytes = 0
         self._document = documents.Document({}, revision=0)
         self._local = LocalTables(Proposals(self._node.propose))
         self._member_changes = MemberChanges(self._node)
@@ -249,6 +257,7 @@
         context.actions.extend(outputs.sends)
         for record in outputs.committed:
             recorded = apply_record(self._state, record)
+            self._log_bytes += len(record.command)
             self._operator_requests.answer_committed(context, record.index, record.term, recorded)
         if outputs.committed:
             # Systems that have already run must see the new rows, so the next step is due at once.
@@ -259,7 +268,7 @@
 
     def _restore_snapshot(self, context: StepContext, snapshot: events.Snapshot) -> None:
         self._state = decode_state(snapshot.state)
-        self._snapshot_index = snapshot.last_index
+        self._record_snapshot(snapshot.last_index, len(snapshot.state))
         context.state = self._state
         context.publish_decision(
             Decision(
@@ -291,9 +300,19 @@
         )
 
     def _compact_log(self) -> None:
-        if self._state.applied_index - self._snapshot_index >= SNAPSHOT_RECORDS:
-            index = self._node.take_snapshot(encode_state(self._state))
-            self._snapshot_index = index or self._snapshot_index
+        record_count = self._state.applied_index - self._snapshot_index
+        max_log_bytes = max(SNAPSHOT_LOG_BYTES, self._snapshot_bytes)
+        if record_count < SNAPSHOT_RECORDS and self._log_bytes < max_log_bytes:
+            return
+        encoded = encode_state(self._state)
+        index = self._node.take_snapshot(encoded)
+        if index is not None:
+            self._record_snapshot(index, len(encoded))
+
+    def _record_snapshot(self, index: int, size_bytes: int) -> None:
+        self._snapshot_index = index
+        self._snapshot_bytes = size_bytes
+        self._log_bytes = 0
 
     def _refresh_context(self, context: StepContext) -> None:
         if self._document.revision != self._state.revision:
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
@@ -124,6 +124,11 @@
         rows = [row for update in updates for row in update.groups if row.name == GROUP]
         return max(rows, key=lambda row: row.modified_index)
 
+    @property
+    def stored_bytes(self) -> int:
+        """Bytes of the records and of the snapshot in the data folder."""
+        return self._disk.stored_bytes
+
     @property
     def grants(self) -> list[messages.LeaseGrant]:
         """Lease grants that were sent to the entry."""
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
@@ -42,6 +42,12 @@
             self.snapshot = batch.snapshot
             self.records = [row for row in self.records if row.index > batch.snapshot.last_index]
 
+    @property
+    def stored_bytes(self) -> int:
+        """Bytes of the commands and of the snapshot."""
+        snapshot_bytes = len(self.snapshot.state) if self.snapshot else 0
+        return snapshot_bytes + sum(len(row.command) for row in self.records)
+
     def load(self) -> control.DurableState:
         """Return the content that a member loads when it starts."""
         return control.DurableState(
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_log_compaction.py
@@ -0,0 +1,15 @@
+"""Tests that the size of the stored log is bounded."""
+
+from http import HTTPStatus
+
+from bergamotcart.control._runtime import SNAPSHOT_LOG_BYTES
+from bergamotcart.control.tests._authority_world import GROUP, AuthorityWorld, make_body
+
+
+def test_changes_of_large_document_do_not_fill_disk():
+    """Records of whole documents must be compacted by their size, not only by their number."""
+    world = AuthorityWorld()
+    body = make_body(**{f'database-{number}': GROUP for number in range(1000)})
+    for version in range(2, 62):
+        assert world.replace_document(version, body).status == HTTPStatus.OK
+        assert world.stored_bytes <= 2 * SNAPSHOT_LOG_BYTES
