--- a/packages/bergamotcart/src/bergamotcart/consensus/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_configuration.py
@@ -46,6 +46,10 @@
     :param trailing_records: records kept in memory before the index of a snapshot, so that a
         member that is only slightly behind needs no snapshot.
     :param trailing_bytes: maximum size in bytes of these records.
+    :param catch_up_bytes: maximum size in bytes of the records kept in memory for members that
+        respond but do not have them yet, so that a snapshot being sent is followed by records.
+    :param window_bytes: size in bytes of the unacknowledged records or snapshot chunks from which
+        a leader sends no more to a member.
     :param part_bytes: maximum size in bytes of the records, or of the snapshot chunk, in one
         message. A single record may be larger.
     """
@@ -64,6 +68,8 @@
     started_at: float | None = None
     trailing_records: int = 256
     trailing_bytes: int = 4 * 1024 * 1024
+    catch_up_bytes: int = 32 * 1024 * 1024
+    window_bytes: int = 2 * 1024 * 1024
     part_bytes: int = 256 * 1024
 
 
--- a/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
@@ -12,6 +12,7 @@
     voter_ids,
 )
 from bergamotcart.consensus._replication_progress import ReplicationProgress
+from bergamotcart.consensus._snapshot_transfer import SnapshotTransfer
 
 
 class Leadership:
@@ -111,17 +112,33 @@
             return 0
         return self._state.now - max(peer.newest_echo_sent_at, self._started_at)
 
+    def find_replicated_index(self) -> int:
+        """Return the index up to which all members that respond have the records."""
+        since = self._state.now - self._state.configuration.election_timeout_s[1]
+        indexes = [
+            peer.replicated_index
+            for peer in self._peers.values()
+            if peer.newest_echo_sent_at >= since
+        ]
+        return min(indexes, default=self._state.log.last_index)
+
     def send_heartbeats(self) -> None:
-        """Send an append to every other member."""
+        """Send an append or a snapshot chunk to every other member."""
         self._heartbeat_at = self._state.now + self._state.configuration.leader_heartbeat_interval_s
         for peer in self._peers.values():
-            self._send_append(peer)
+            if peer.transfer is None:
+                self._send_append(peer)
+            else:
+                # Asks for the number of bytes that the member has.
+                self._send_chunk(peer, peer.transfer.next_offset, 0)
 
     def send_new_records(self) -> None:
-        """Send each member the records that were not sent to it yet."""
+        """Send each member the records and snapshot chunks that were not sent to it yet."""
         for peer in self._peers.values():
-            if not peer.probing and peer.next_index <= self._state.log.last_index:
+            while self._may_send_records(peer):
                 self._send_append(peer)
+            if peer.transfer is not None:
+                self._send_chunks(peer)
 
     def on_append_response(self, envelope: messages.Envelope) -> None:
         """Update the progress of a member, and retry after a rejected append."""
@@ -145,13 +162,10 @@
         peer.record_response(response.echo_sent_at)
         if response.installed:
             peer.record_match(response.last_index)
-            peer.snapshot_index = 0
+            peer.transfer = None
             self.advance_commit()
-        elif response.last_index == peer.snapshot_index:
-            has_progressed = response.received_bytes > peer.snapshot_offset
-            peer.snapshot_offset = response.received_bytes
-            if has_progressed:
-                self._send_append(peer)
+        elif peer.transfer and response.last_index == peer.transfer.snapshot.last_index:
+            peer.transfer.record_response(response.received_bytes, response.echo_sent_at)
 
     def advance_commit(self) -> None:
         """Advance the commit index to the newest record of this term synced by a majority."""
@@ -225,16 +239,25 @@
             return None
         return peer if term == self._state.hard_state.term else None
 
+    def _may_send_records(self, peer: ReplicationProgress) -> bool:
+        return (
+            peer.transfer is None
+            and not peer.probing
+            and peer.next_index <= self._state.log.last_index
+            and peer.in_flight_bytes < self._state.configuration.window_bytes
+        )
+
     def _send_append(self, peer: ReplicationProgress) -> None:
         state = self._state
         previous = peer.next_index - 1
         previous_term = state.log.term_at(previous)
         if previous_term is None:
-            self._send_snapshot(peer)
+            peer.transfer = SnapshotTransfer(state.snapshot)
             return
-        records = state.log.read_chunk(peer.next_index, state.configuration.part_bytes)
-        if not peer.probing:
-            peer.next_index += len(records)
+        records: tuple[messages.LogEntry, ...] = ()
+        if self._may_send_records(peer):
+            records = state.log.read_chunk(peer.next_index, state.configuration.part_bytes)
+            peer.record_sent(records)
         request = messages.AppendRequest(
             term=state.hard_state.term,
             previous_index=previous,
@@ -245,22 +268,26 @@
         )
         state.send(peer.name, request)
 
-    def _send_snapshot(self, peer: ReplicationProgress) -> None:
+    def _send_chunks(self, peer: ReplicationProgress) -> None:
         state = self._state
-        snapshot = state.snapshot
-        if snapshot is None:
-            return
-        if peer.snapshot_index != snapshot.last_index:
-            peer.snapshot_index = snapshot.last_index
-            peer.snapshot_offset = 0
-        end = peer.snapshot_offset + state.configuration.part_bytes
+        if peer.transfer.is_at_start:
+            peer.transfer = SnapshotTransfer(state.snapshot)
+        configuration = state.configuration
+        offsets = peer.transfer.take_offsets(
+            state.now, configuration.part_bytes, configuration.window_bytes
+        )
+        for offset in offsets:
+            self._send_chunk(peer, offset, configuration.part_bytes)
+
+    def _send_chunk(self, peer: ReplicationProgress, offset: int, size_bytes: int) -> None:
+        state, snapshot = self._state, peer.transfer.snapshot
         request = messages.SnapshotRequest(
             term=state.hard_state.term,
             last_index=snapshot.last_index,
             last_term=snapshot.last_term,
             members=snapshot.members,
-            state=snapshot.state[peer.snapshot_offset : end],
-            offset=peer.snapshot_offset,
+            state=snapshot.state[offset : offset + size_bytes],
+            offset=offset,
             total_bytes=len(snapshot.state),
             sent_at=state.now,
         )
--- a/packages/bergamotcart/src/bergamotcart/consensus/_log.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_log.py
@@ -11,6 +11,11 @@
 _RECORD_OVERHEAD_BYTES: Final = 128
 
 
+def measure_record(entry: messages.LogEntry) -> int:
+    """Return the size of an encoded record in bytes, rounded up."""
+    return len(entry.command) + _RECORD_OVERHEAD_BYTES
+
+
 class Log:
     """Records after a base, of which only the index, term and membership are kept."""
 
@@ -93,7 +98,7 @@
         chunk: list[messages.LogEntry] = []
         remaining_bytes = max_bytes
         for entry in self._records[first - self._base_index - 1 :]:
-            remaining_bytes -= len(entry.command) + _RECORD_OVERHEAD_BYTES
+            remaining_bytes -= measure_record(entry)
             if chunk and remaining_bytes < 0:
                 break
             chunk.append(entry)
@@ -109,7 +114,7 @@
         first = max(index - max_records, self._base_index)
         remaining_bytes = max_bytes
         for entry in reversed(self.read(first + 1, index)):
-            remaining_bytes -= len(entry.command) + _RECORD_OVERHEAD_BYTES
+            remaining_bytes -= measure_record(entry)
             if remaining_bytes < 0:
                 return entry.index
         return first
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -280,11 +280,16 @@
 
     def _compact_log(self, index: int) -> None:
         configuration, log = self._state.configuration, self._state.log
-        log.compact(
-            log.find_compaction_index(
-                index, configuration.trailing_records, configuration.trailing_bytes
-            )
+        first = log.find_compaction_index(
+            index, configuration.trailing_records, configuration.trailing_bytes
         )
+        if self._leadership:
+            replicated = min(self._leadership.find_replicated_index(), index)
+            limit = log.find_compaction_index(
+                index, index - replicated, configuration.catch_up_bytes
+            )
+            first = min(first, limit)
+        log.compact(first)
 
     def _find_handler(self, body: messages.Body):
         if self._leadership:
