--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/_base.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/_base.py
@@ -9,6 +9,10 @@
     """The data folder cannot be used; the message names the path and the cause."""
 
 
+class StorageFullError(StorageError):
+    """The disk has no room for a batch. Nothing of it is stored, so it may be written again."""
+
+
 class StateStorage(abc.ABC):
     """Storage of durable state; one process owns it from creation to ``close``.
 
@@ -28,6 +32,7 @@
         """Write and sync a batch atomically: after a crash, all of it is stored or none.
 
         :param batch: next batch; batches are written in the order of their identifiers.
+        :raises StorageFullError: if the disk has no room for it.
         :raises StorageError: if it could not be written; the process must then stop.
         """
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/_sqlite.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/_sqlite.py
@@ -12,7 +12,7 @@
 
 from bergamotcart import messages
 from bergamotcart.consensus import DurableState, HardState, Snapshot, WriteBatch
-from bergamotcart_daemon.storage._base import StateStorage, StorageError
+from bergamotcart_daemon.storage._base import StateStorage, StorageError, StorageFullError
 
 FORMAT_VERSION: Final = 1
 
@@ -95,6 +95,8 @@
         self._execute('PRAGMA locking_mode = EXCLUSIVE')
         self._execute('PRAGMA journal_mode = DELETE')
         self._execute('PRAGMA synchronous = EXTRA')
+        # Some builds of SQLite overwrite what is deleted, and copy it to the journal before.
+        self._execute('PRAGMA secure_delete = OFF')
         with self._transaction():
             version = self._execute('PRAGMA user_version').fetchone()[0]
             if version == 0:
@@ -162,6 +164,8 @@
         )
 
     def _write_snapshot(self, snapshot: Snapshot) -> None:
+        # The snapshot takes the place of the records, so the file need not grow on a full disk.
+        self._execute('DELETE FROM records WHERE log_index <= ?', snapshot.last_index)
         self._execute(
             'REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?)',
             snapshot.last_index,
@@ -169,7 +173,6 @@
             msgspec.msgpack.encode(snapshot.members),
             snapshot.state,
         )
-        self._execute('DELETE FROM records WHERE log_index <= ?', snapshot.last_index)
 
     def _execute(self, statement: str, *parameters: object) -> sqlite3.Cursor:
         return self._connection.execute(statement, parameters)
@@ -179,18 +182,20 @@
         self._execute('BEGIN EXCLUSIVE')
         try:
             yield
+            self._execute('COMMIT')
         except BaseException:
             # After an error such as a full disk, SQLite has already rolled back the transaction.
             if self._connection.in_transaction:
                 self._execute('ROLLBACK')
             raise
-        self._execute('COMMIT')
 
     @contextlib.contextmanager
     def _convert_errors(self) -> Iterator[None]:
         try:
             yield
         except sqlite3.OperationalError as error:
+            if error.sqlite_errorcode == sqlite3.SQLITE_FULL:
+                raise StorageFullError(f'{self._path}: {error}') from error
             if error.sqlite_errorcode == sqlite3.SQLITE_BUSY:
                 raise StorageError(f'{self._path} is in use by another process') from error
             raise StorageError(f'{self._path}: {error}') from error
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/tests/test_sqlite_storage.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/storage/tests/test_sqlite_storage.py
@@ -10,7 +10,7 @@
 
 from bergamotcart.consensus import HardState, Snapshot, WriteBatch
 from bergamotcart.messages import LogEntry, LogMember
-from bergamotcart_daemon.storage import SqliteStorage, StorageError
+from bergamotcart_daemon.storage import SqliteStorage, StorageError, StorageFullError
 
 _MEMBER = LogMember(name='a', incarnation='i1', address='h:1', availability_zone='z', voter=True)
 
@@ -40,8 +40,10 @@
     opener.close()
 
 
-def _build_records(first: int, last: int, term: int = 1) -> tuple[LogEntry, ...]:
-    return tuple(LogEntry(index=index, term=term, command=b'x') for index in range(first, last))
+def _build_records(
+    first: int, last: int, term: int = 1, command: bytes = b'x'
+) -> tuple[LogEntry, ...]:
+    return tuple(LogEntry(index=index, term=term, command=command) for index in range(first, last))
 
 
 def test_empty_folder_keeps_its_incarnation(open_storage):
@@ -131,6 +133,41 @@
     assert storage.load().hard_state.term == 3
 
 
+def test_compaction_needs_no_more_room_than_the_snapshot(open_storage):
+    """Deleting the records of a nearly full disk failed for ever, as all of them were copied."""
+    storage = open_storage()
+    storage.write(WriteBatch(batch_id=1, records=_build_records(1, 100, command=b'x' * 50_000)))
+    before = _measure_folder(open_storage.path)
+    storage.write(WriteBatch(batch_id=2, snapshot=_build_snapshot(99)))
+    assert _measure_folder(open_storage.path) - before < 2 * len(_build_snapshot(99).state)
+
+
+def test_compaction_succeeds_on_a_file_that_cannot_grow(open_storage):
+    """Otherwise no change would be accepted any more, as only a compaction frees room."""
+    storage = open_storage()
+    storage.write(WriteBatch(batch_id=1, snapshot=_build_snapshot(0)))
+    storage._execute('PRAGMA max_page_count = 500')
+    with pytest.raises(StorageFullError, match='full'):
+        for index in range(1, 500):
+            records = _build_records(index, index + 1, command=b'x' * 50_000)
+            storage.write(WriteBatch(batch_id=index, records=records))
+    last = storage.load().records[-1].index
+    storage.write(WriteBatch(batch_id=501, snapshot=_build_snapshot(last)))
+    storage.write(WriteBatch(batch_id=502, records=records))
+    assert storage.load().records == records
+
+
+def _build_snapshot(index: int) -> Snapshot:
+    """Return a snapshot that grows with the index."""
+    return Snapshot(
+        last_index=index, last_term=1, members=(_MEMBER,), state=b'y' * (10_000 + 5000 * index)
+    )
+
+
+def _measure_folder(folder) -> int:
+    return sum(path.stat().st_size for path in folder.iterdir())
+
+
 @contextlib.contextmanager
 def _simulate_full_disk():
     """Limit the file size of this process, so that writes fail."""
