Keep the quorum of a leader while the disks of its followers are slow

Callers: entries lose their leases, sessions are refused, and no configuration can be read, although all control members run and reach each other.

Cause: a follower answered each append only after a sync, also a heartbeat, and the check-quorum counts answers. Each step of a member was a batch with a sync of its own, so a disk that needs longer than the pause between two steps fell behind without bound.

Now a heartbeat without unsynced records is answered at once. A response to records waits for the sync as before; if that takes longer than a heartbeat interval, what is synced is acknowledged meanwhile. This is safe: contact of a member that restarts counts from its start, so a lost term does not let it vote for another leader earlier, and only synced records are acknowledged. At most one batch is being written, and changes made meanwhile share the next one.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_follower.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_follower.py
@@ -1,5 +1,7 @@
 """Handling of appends and snapshots from a leader."""
 
+import msgspec
+
 from bergamotcart import messages
 from bergamotcart.consensus._configuration import Role
 from bergamotcart.consensus._durable_state import Snapshot
@@ -7,15 +9,16 @@
 
 
 class Follower:
-    """Replicates the leader's log; each response is sent once the change is synced."""
+    """Replicates the leader's log; a change is acknowledged once it is synced."""
 
-    __slots__ = ('_state', '_transfer_key', '_received_state')
+    __slots__ = ('_contact_confirmed_at', '_state', '_transfer_key', '_received_state')
 
     def __init__(self, state: MemberState) -> None:
         """Initialize without a partial snapshot.
 
         :param state: state of this member.
         """
+        self._contact_confirmed_at = float('-inf')
         self._state = state
         self._transfer_key: tuple[int, int] | None = None
         self._received_state = bytearray()
@@ -138,7 +141,28 @@
             match_index=index,
             echo_sent_at=envelope.body.sent_at,
         )
+        if not success or index <= self._state.output_buffer.durable_index:
+            self._contact_confirmed_at = self._state.now
+            self._state.reply(envelope, response)
+            return
         self._state.reply_when_synced(envelope, response)
+        self._confirm_contact(envelope, response)
+
+    def _confirm_contact(
+        self, envelope: messages.Envelope, response: messages.AppendResponse
+    ) -> None:
+        """Acknowledge the records that are synced, if the leader waits for a sign of this member.
+
+        Without it, a leader would lose its quorum while the disks of its followers are slow. Contact
+        needs no sync: a member that restarts counts its start as contact.
+        """
+        state = self._state
+        due_at = self._contact_confirmed_at + state.configuration.leader_heartbeat_interval_s
+        if state.output_buffer.is_synced or state.now < due_at:
+            return
+        self._contact_confirmed_at = state.now
+        synced = msgspec.structs.replace(response, match_index=state.output_buffer.durable_index)
+        state.reply(envelope, synced)
 
     def _reply_to_snapshot(
         self,
--- a/packages/bergamotcart/src/bergamotcart/consensus/_output_buffer.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_output_buffer.py
@@ -13,7 +13,8 @@
     """Collects durable changes into batches and holds the messages that depend on them.
 
     ``durable_index`` is the index of the newest synced record of the current log, and
-    ``synced_batch`` the identifier of the newest synced batch.
+    ``synced_batch`` the identifier of the newest synced batch. At most one batch is being written:
+    the changes made meanwhile share the next one, so that a slow disk does not fall behind.
     """
 
     __slots__ = (
@@ -24,7 +25,9 @@
         '_records',
         '_sends',
         '_snapshot',
+        '_sync_started_at',
         '_truncate_from',
+        '_last_sync_s',
         '_unsynced_batches',
         '_unsynced_since',
         'durable_index',
@@ -45,6 +48,8 @@
         # Last log index after each batch that is not yet synced, by batch identifier.
         self._unsynced_batches: dict[int, int] = {}
         self._unsynced_since = _NEVER_S
+        self._sync_started_at = _NEVER_S
+        self._last_sync_s = 0.0
         self._hard_state: HardState | None = None
         self._snapshot: Snapshot | None = None
         self._truncate_from: int | None = None
@@ -55,17 +60,21 @@
         """Identifier of the batch whose sync completes all changes made so far."""
         return self._next_batch if self._has_changes else self._next_batch - 1
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether all changes made so far are synced."""
+        return self.newest_batch <= self.synced_batch
+
     def send(self, message: Send) -> None:
         """Queue a message that does not depend on durable state."""
         self._sends.append(message)
 
     def send_when_synced(self, message: Send) -> None:
         """Queue a message, to be released once all changes made so far are synced."""
-        required_batch = self.newest_batch
-        if required_batch <= self.synced_batch:
+        if self.is_synced:
             self._sends.append(message)
         else:
-            self._waiting_sends.append((required_batch, message))
+            self._waiting_sends.append((self.newest_batch, message))
 
     def write_hard_state(self, hard_state: HardState) -> None:
         """Add a new hard state to the pending batch."""
@@ -92,6 +101,13 @@
         """Whether there are unsynced batches and none was synced since a time in seconds."""
         return self._unsynced_since < since
 
+    def estimate_sync_s(self, now: float) -> float:
+        """Return the seconds that a sync takes, from the newest one and from the one in progress.
+
+        :param now: current time in seconds.
+        """
+        return max(self._last_sync_s, now - self._sync_started_at)
+
     def mark_synced(self, now: float, batch_id: int) -> None:
         """Release the messages that depend on a batch or an earlier one.
 
@@ -103,6 +119,9 @@
         for synced_id in synced_ids:
             self.durable_index = max(self.durable_index, self._unsynced_batches.pop(synced_id))
         self._unsynced_since = now if self._unsynced_batches else _NEVER_S
+        if synced_ids:
+            self._last_sync_s = now - self._sync_started_at
+            self._sync_started_at = _NEVER_S
         ready = [
             message for required_batch, message in self._waiting_sends if required_batch <= batch_id
         ]
@@ -116,13 +135,14 @@
         return sends
 
     def take_batches(self, now: float, last_index: int) -> tuple[WriteBatch, ...]:
-        """Close the pending batch and return it, or nothing if it is empty.
+        """Close the pending batch and return it, unless it is empty or another is being written.
 
         :param now: current time in seconds.
         :param last_index: last index of the log.
         """
-        if not self._has_changes:
+        if self._unsynced_batches or not self._has_changes:
             return ()
+        self._sync_started_at = now
         batch = WriteBatch(
             batch_id=self._next_batch,
             hard_state=self._hard_state,
