Elect a leader while the disks of the voters are slow

Callers: after the loss of a leader, control has no other one, although a majority of the members runs, and nothing that needs control is served.

Cause: a vote request was sent only after the candidate had synced its own vote, and the voters sync theirs after that, each behind a sync that has already started. The candidate started its next election after 0.4 to 0.8 s, in a new term, so it never received the votes of a term in time.

Evidence: simulated cluster, leader stopped, ten seconds: test_leader_is_elected_while_all_disks_are_slow failed for 0.45 and 0.9 s a sync ('assert None is not None') and passed for 0.2 s; all pass now.

A vote request no longer waits for the own vote, which still counts only once it is synced. The election timer is extended by the time of two syncs, as measured on the own disk, up to four election timeouts; on a disk of 2 ms that is 4 ms.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_election.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_election.py
@@ -158,7 +158,8 @@
         )
         for recipient in recipients:
             if recipient.name != state.configuration.name:
-                state.send_when_synced(recipient.name, request)
+                # The own vote counts only once it is synced, so the request need not wait for that.
+                state.send(recipient.name, request)
 
     def _delay_own_candidacy(self, candidate: str) -> None:
         """Delay the own candidacy after granting a pre-vote, to avoid a split vote.
--- a/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
@@ -120,9 +120,14 @@
         return self.now < self.leader_contact_at + self.configuration.election_timeout_s[0]
 
     def restart_election_timer(self) -> None:
-        """Choose a random time for the next election."""
+        """Choose a random time for the next election.
+
+        An election takes longer on slow disks: before a vote is synced, a sync that has already
+        started must end. A candidate that gave up before its votes arrive would never be elected.
+        """
         least, greatest = self.configuration.election_timeout_s
-        self.election_at = self.now + self._random.uniform(least, greatest)
+        sync_s = min(self.output_buffer.estimate_sync_s(self.now), 2 * greatest)
+        self.election_at = self.now + self._random.uniform(least, greatest) + 2 * sync_s
 
     def record_sender_address(self, envelope: messages.Envelope) -> None:
         """Record the address of a sender; it may differ from the one in the membership."""
@@ -144,12 +149,6 @@
         if message:
             self.output_buffer.send(message)
 
-    def send_when_synced(self, recipient: str, body: messages.Body) -> None:
-        """Send a message once all changes made so far are synced."""
-        message = self._make_send(recipient, body)
-        if message:
-            self.output_buffer.send_when_synced(message)
-
     def send_to_address(self, recipient: str, address: str, body: messages.Body) -> None:
         """Send a message that does not depend on durable state to a given address."""
         self.output_buffer.send(Send(recipient, address, body))
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_slow_disks.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_slow_disks.py
@@ -65,3 +65,13 @@
     disks.run(3 * sync_s)
     committed = [entry.command for entry in cluster.oracle.committed if entry.command]
     assert len(committed) == proposals
+
+
+@pytest.mark.parametrize('sync_s', (0.2, 0.45, 0.9))
+def test_leader_is_elected_while_all_disks_are_slow(sync_s):
+    """Each candidate gave up before its votes were synced."""
+    cluster = _start_cluster()
+    disks = _SlowDisks(cluster, sync_s)
+    cluster.find_leader().stop()
+    disks.run(10)
+    assert cluster.find_leader() is not None
