Keep message numbers within 63 bits after 2038

With 32 random bits below the seconds since 1970, numbers would leave the range that the message format allows in 2038; 30 bits are as good at telling starts apart.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_acknowledgements.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_acknowledgements.py
@@ -20,7 +20,8 @@
 # Peers exchange messages several times a second, so acknowledgements normally come sooner.
 ACKNOWLEDGEMENT_TIMEOUT_S: Final = 0.8
 _NS_PER_S: Final = 1_000_000_000
-_RANDOM_BITS: Final = 32
+# With the seconds since 1970 above them, the numbers fit into 63 bits for two centuries.
+_RANDOM_BITS: Final = 30
 # Messages of one start are not reordered by more than this, as send buffers are short.
 _MAX_REORDERING: Final = 65_536
 
