Readmit an emptied member whose settings name only former members

Seen: in a simulated sequence of losses, a member came back with an empty disk after the other two machines of its settings had been replaced. It was never admitted again, and the next loss left one voter of three and no leader.

Cause: a member that starts without a log asks the members in its settings for admission. These are as old as the settings file. The leader does send to it, on behalf of its former incarnation, but the newcomer did not ask that leader.

The leader that a member has heard of is now among those it asks. The new test failed before: "assert 'a/a2' in {'a/a1', 'b/b1', 'c/c1'}".

In the simulated cluster, a server keeps the settings of the time when it was added, and servers have zones; both were the same for all.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_join_protocol.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_join_protocol.py
@@ -42,7 +42,8 @@
         """Report the own incarnation to all known members, unless the leader knows it.
 
         Contact with the leader alone does not show that: to a member that lost its data folder,
-        the leader still sends because of the former incarnation.
+        the leader still sends because of the former incarnation. It may be the only member that
+        such a member can reach, as all those in its settings may have been replaced.
         """
         state = self._state
         self.join_request_at = state.now + state.configuration.election_timeout_s[0]
@@ -51,6 +52,8 @@
         }:
             return
         names = {member.name for member in state.members}.union(state.contact_points)
+        if state.leader:
+            names.add(state.leader)
         names.discard(state.configuration.name)
         for name in sorted(names):
             state.send(name, self._make_join_request())
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
@@ -114,6 +115,9 @@
         """Create a stopped member with an empty data folder."""
         self.cluster = cluster
         self.name = name
+        self.availability_zone = f'zone-{name[0]}'
+        # The members that the settings named when this server was added.
+        self.seeds = tuple(cluster.initial_names)
         self.folder_count = 0
         self.disk = self.empty_disk()
         self.node: ConsensusNode | None = None
@@ -232,7 +236,7 @@
         self.now = 0.0
         self.random = random.Random(seed)
         self.settings = settings
-        self.initial_names = names
+        self.initial_names: Iterable[str] = names
         self.oracle = Oracle()
         self.mail: list[messages.Envelope] = []
         # Includes replaced disks, since records synced on them count for past commits.
@@ -245,14 +249,19 @@
 
     def make_configuration(self, name: str) -> ConsensusConfiguration:
         """Return the configuration of one member."""
+        server = self.servers[name]
         initial = tuple(
-            InitialMember(name=member, address=f'addr-{member}', availability_zone='zone')
-            for member in self.initial_names
+            InitialMember(
+                name=member,
+                address=f'addr-{member}',
+                availability_zone=self.servers[member].availability_zone,
+            )
+            for member in server.seeds
         )
         return ConsensusConfiguration(
             name=name,
             address=f'addr-{name}',
-            availability_zone='zone',
+            availability_zone=server.availability_zone,
             initial_members=initial,
             **self.settings,
         )
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
@@ -4,6 +4,7 @@
 
 from bergamotcart import messages
 from bergamotcart.consensus import Role
+from bergamotcart.consensus._membership import member_id
 from bergamotcart.consensus.tests._cluster import Cluster, Server
 
 
@@ -155,6 +156,20 @@
     assert {sent.recipient for sent in requests} == set('abc') - {name}
 
 
+def test_emptied_member_whose_settings_are_old_is_readmitted():
+    """It asked only members that had been replaced, and never the leader that wrote to it."""
+    cluster = _start_cluster()
+    cluster.add_server('former')
+    name = next(name for name in 'abc' if name != cluster.find_leader().name)
+    cluster.servers[name].seeds = ('former',)
+    _empty_data_folder(cluster, name)
+    cluster.run(1)
+    cluster.propose_readmission()
+    cluster.run(1)
+    members = cluster.find_leader().node.members
+    assert cluster.servers[name].identity in {member_id(member) for member in members}
+
+
 def test_new_leader_promotes_no_member_that_is_behind():
     """A leader that has just restarted knows of no committed record that a member could lack."""
     cluster = _start_cluster()
