--- /dev/null
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control member process."""
--- a/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
@@ -70,7 +70,13 @@
     Role,
     RoleChange,
 )
-from bergamotcart.consensus._durable_state import DurableState, HardState, Snapshot, WriteBatch
+from bergamotcart.consensus._durable_state import (
+    DurableState,
+    HardState,
+    Snapshot,
+    WriteBatch,
+    merge_batches,
+)
 from bergamotcart.consensus._node import MAX_COMMAND_BYTES, ConsensusNode
 
 __all__ = (
@@ -85,4 +91,5 @@
     'RoleChange',
     'Snapshot',
     'WriteBatch',
+    'merge_batches',
 )
--- a/packages/bergamotcart/src/bergamotcart/consensus/_durable_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_durable_state.py
@@ -1,5 +1,7 @@
 """Durable state of the replicated log, and the batches of changes to it."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from bergamotcart import messages
@@ -53,3 +55,30 @@
     snapshot: Snapshot | None = None
     truncate_from: int | None = None
     records: tuple[messages.LogEntry, ...] = ()
+
+
+def merge_batches(batches: Sequence[WriteBatch]) -> WriteBatch:
+    """Return one batch with the effect of several, in order.
+
+    :param batches: successive batches, at least one.
+    :returns: a batch with the identifier of the last one. It stores no records that one of the
+        batches deletes.
+    """
+    hard_state, snapshot, truncate_from = None, None, None
+    records: list[messages.LogEntry] = []
+    for batch in batches:
+        hard_state = batch.hard_state or hard_state
+        snapshot = batch.snapshot or snapshot
+        if batch.truncate_from is not None:
+            first = batch.truncate_from
+            truncate_from = first if truncate_from is None else min(first, truncate_from)
+            records = [entry for entry in records if entry.index < first]
+        records.extend(batch.records)
+    covered_index = snapshot.last_index if snapshot else 0
+    return WriteBatch(
+        batch_id=batches[-1].batch_id,
+        hard_state=hard_state,
+        snapshot=snapshot,
+        truncate_from=truncate_from,
+        records=tuple(entry for entry in records if entry.index > covered_index),
+    )
--- a/packages/bergamotcart/src/bergamotcart/control/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/control/__init__.py
@@ -22,6 +22,7 @@
     OrderFinished,
     OrderKind,
     Snapshot,
+    StorageFull,
     WriteBatch,
 )
 
@@ -45,5 +46,6 @@
     'OrderFinished',
     'OrderKind',
     'Snapshot',
+    'StorageFull',
     'WriteBatch',
 )
--- a/packages/bergamotcart/src/bergamotcart/control/_events.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_events.py
@@ -25,6 +25,7 @@
     'OrderFinished',
     'OrderKind',
     'Snapshot',
+    'StorageFull',
     'WriteBatch',
 )
 
@@ -35,6 +36,10 @@
     batch_id: int
 
 
+class StorageFull(msgspec.Struct, frozen=True):
+    """The disk has no room for the oldest unsynced batch, which will be written again."""
+
+
 @enum.unique
 class OrderKind(enum.StrEnum):
     """Kinds of orders to the administration address of a target."""
@@ -116,6 +121,7 @@
 ControlInput = (
     MessageReceived
     | BatchPersisted
+    | StorageFull
     | OrderFinished
     | OperatorRequest
     | AnnouncementReceived
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -148,6 +148,8 @@
         match control_input:
             case MessageReceived(envelope):
                 self._handle_message(context, envelope)
+            case events.StorageFull():
+                self._take_snapshot()
             case events.OrderFinished():
                 self._handle_finished_order(context, control_input)
             case events.OperatorRequest():
@@ -302,7 +304,11 @@
     def _compact_log(self) -> None:
         record_count = self._state.applied_index - self._snapshot_index
         max_log_bytes = max(SNAPSHOT_LOG_BYTES, self._snapshot_bytes)
-        if record_count < SNAPSHOT_RECORDS and self._log_bytes < max_log_bytes:
+        if record_count >= SNAPSHOT_RECORDS or self._log_bytes >= max_log_bytes:
+            self._take_snapshot()
+
+    def _take_snapshot(self) -> None:
+        if self._state.applied_index <= self._snapshot_index:
             return
         encoded = encode_state(self._state)
         index = self._node.take_snapshot(encoded)
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
@@ -129,6 +129,11 @@
         """Bytes of the records and of the snapshot in the data folder."""
         return self._disk.stored_bytes
 
+    @property
+    def stored_records(self) -> int:
+        """Number of records in the data folder."""
+        return len(self._disk.records)
+
     @property
     def grants(self) -> list[messages.LeaseGrant]:
         """Lease grants that were sent to the entry."""
@@ -187,6 +192,11 @@
             token,
         )
 
+    def submit(self, control_input: control.ControlInput) -> None:
+        """Pass an input to the engine, and let it act on it."""
+        self._inputs.append(control_input)
+        self.run(0.1)
+
     def read_document(self) -> dict[str, object]:
         """Return the document as operators read it."""
         return self._request(control.OperatorCommand.get_document, {}, '').body
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_log_compaction.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_log_compaction.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 
+from bergamotcart import control
 from bergamotcart.control._runtime import SNAPSHOT_LOG_BYTES
 from bergamotcart.control.tests._authority_world import GROUP, AuthorityWorld, make_body
 
@@ -13,3 +14,11 @@
     for version in range(2, 62):
         assert world.replace_document(version, body).status == HTTPStatus.OK
         assert world.stored_bytes <= 2 * SNAPSHOT_LOG_BYTES
+
+
+def test_full_disk_is_compacted_at_once():
+    """The records since the last snapshot may be what fills the disk."""
+    world = AuthorityWorld()
+    assert world.stored_records
+    world.submit(control.StorageFull())
+    assert not world.stored_records
