--- a/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/__init__.py
@@ -71,7 +71,13 @@
     RoleChange,
 )
 from bergamotcart.consensus._contacts import MemberContact
-from bergamotcart.consensus._durable_state import DurableState, HardState, Snapshot, WriteBatch
+from bergamotcart.consensus._durable_state import (
+    DurableState,
+    HardState,
+    Snapshot,
+    WriteBatch,
+    merge_batches,
+)
 from bergamotcart.consensus._node import MAX_COMMAND_BYTES, ConsensusNode
 
 __all__ = (
@@ -87,4 +93,5 @@
     'RoleChange',
     'Snapshot',
     'WriteBatch',
+    'merge_batches',
 )
