--- a/packages/bergamotcart/src/bergamotcart/consensus/_output_buffer.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_output_buffer.py
@@ -13,8 +13,7 @@
     """Collects durable changes into batches and holds the messages that depend on them.
 
     ``durable_index`` is the index of the newest synced record of the current log, and
-    ``synced_batch`` the identifier of the newest synced batch. At most one batch is being written:
-    the changes made meanwhile share the next one, so that a slow disk does not fall behind.
+    ``synced_batch`` the identifier of the newest synced batch.
     """
 
     __slots__ = (
@@ -25,7 +24,6 @@
         '_records',
         '_sends',
         '_snapshot',
-        '_sync_started_at',
         '_truncate_from',
         '_last_sync_s',
         '_unsynced_batches',
@@ -48,7 +46,6 @@
         # Last log index after each batch that is not yet synced, by batch identifier.
         self._unsynced_batches: dict[int, int] = {}
         self._unsynced_since = _NEVER_S
-        self._sync_started_at = _NEVER_S
         self._last_sync_s = 0.0
         self._hard_state: HardState | None = None
         self._snapshot: Snapshot | None = None
@@ -106,7 +103,7 @@
 
         :param now: current time in seconds.
         """
-        return max(self._last_sync_s, now - self._sync_started_at)
+        return max(self._last_sync_s, now - self._unsynced_since)
 
     def mark_synced(self, now: float, batch_id: int) -> None:
         """Release the messages that depend on a batch or an earlier one.
@@ -118,10 +115,9 @@
         synced_ids = [known_id for known_id in self._unsynced_batches if known_id <= batch_id]
         for synced_id in synced_ids:
             self.durable_index = max(self.durable_index, self._unsynced_batches.pop(synced_id))
-        self._unsynced_since = now if self._unsynced_batches else _NEVER_S
         if synced_ids:
-            self._last_sync_s = now - self._sync_started_at
-            self._sync_started_at = _NEVER_S
+            self._last_sync_s = now - self._unsynced_since
+        self._unsynced_since = now if self._unsynced_batches else _NEVER_S
         ready = [
             message for required_batch, message in self._waiting_sends if required_batch <= batch_id
         ]
@@ -135,14 +131,13 @@
         return sends
 
     def take_batches(self, now: float, last_index: int) -> tuple[WriteBatch, ...]:
-        """Close the pending batch and return it, unless it is empty or another is being written.
+        """Close the pending batch and return it, or nothing if it is empty.
 
         :param now: current time in seconds.
         :param last_index: last index of the log.
         """
-        if self._unsynced_batches or not self._has_changes:
+        if not self._has_changes:
             return ()
-        self._sync_started_at = now
         batch = WriteBatch(
             batch_id=self._next_batch,
             hard_state=self._hard_state,
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_slow_disks.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_slow_disks.py
@@ -10,7 +10,9 @@
 
 
 class _SlowDisks:
-    """Syncs one batch of each server at a time, after a delay.
+    """Syncs the batches of each server after a delay.
+
+    As in ``BatchWriter``, batches that arrive during a sync share the next one.
 
     :param sync_s: seconds that each sync takes.
     """
@@ -19,7 +21,7 @@
         """Take over the syncs of all servers."""
         self._cluster = cluster
         self._sync_s = sync_s
-        self._synced_at: dict[str, float] = {}
+        self._syncs: dict[str, tuple[float, int]] = {}
         for server in cluster.servers.values():
             server.auto_sync = False
 
@@ -34,10 +36,14 @@
     def _sync_if_due(self, server) -> None:
         if not server.disk.pending:
             return
-        synced_at = self._synced_at.setdefault(server.name, self._cluster.now + self._sync_s)
+        started = (self._cluster.now + self._sync_s, len(server.disk.pending))
+        synced_at, batches = self._syncs.setdefault(server.name, started)
         if self._cluster.now >= synced_at:
-            server.sync()
-            self._synced_at.pop(server.name)
+            self._syncs.pop(server.name)
+            batch_ids = [server.disk.sync() for _ in range(batches)]
+            if server.node:
+                server.node.persisted(server.now, batch_ids[-1])
+                server.drain()
 
 
 def _start_cluster() -> Cluster:
