Refuse a section with an unreadable scalar instead of ending the leader

A change of a section with a date such as 2001-99-99, an integer of 5000 digits or a tag that does not fit (`!!int x`) ended the leader of control: the constructors of the YAML parser let ValueError, KeyError, AttributeError and IndexError through, which the engine's step does not expect. The client repeats the change at the next leader.

All errors of the parser are now a problem of the section, so the change gets 422.

Tests before: 'ValueError: month must be in 1..12', 'Exceeds the limit (4300 digits)', 'invalid literal for int()', KeyError 'x', AttributeError 'groupdict'. The deeply nested body of the same test was refused before, too: libyaml limits the depth.

--- a/packages/bergamotcart/src/bergamotcart/documents/_document.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_document.py
@@ -216,7 +216,8 @@
     loader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
     try:
         return yaml.load(body, Loader=loader)
-    except yaml.YAMLError as error:
+    # The parser lets errors of many types through from scalars that match no value of their tag.
+    except Exception as error:
         raise DocumentError((Problem(prefix, f'malformed YAML: {error}'),)) from error
 
 
--- a/packages/bergamotcart/src/bergamotcart/documents/tests/test_documents.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/tests/test_documents.py
@@ -45,6 +45,23 @@
     assert caught.value.problems[0].path == path
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        'groups: 2001-99-99',
+        f'groups: {"9" * 5000}',
+        'groups: !!int x',
+        'groups: !!bool x',
+        'groups: !!timestamp x',
+        '[' * 5000,
+    ],
+)
+def test_scalar_that_cannot_be_read_is_a_problem(body):
+    """Such a change ended the leader that checked it, and the next one when it was repeated."""
+    with pytest.raises(documents.DocumentError, match='malformed YAML'):
+        documents.Document.from_sections([_row('databases', 'groups', body)], revision=1)
+
+
 def test_first_matching_policy_applies():
     """The default policy, which applies to callers without a policy, tolerates no age."""
     body = 'policies: [{callers: [guides], groups: [tickets], max_age_s: 5}, {max_age_s: 9}]'
