Refuse deeply nested input as malformed

msgspec raises RecursionError, which is no ValueError, for a deeply nested value, also one in an unknown field that it only skips. Heartbeats, configurations and bodies of operators' requests were answered with 500, a message between processes raised in the reader of the transport without being counted, and the answer of an instance to an order ended the task that sends it, so the engine never got a result.

`messages.decode_external` turns it into a DecodeError, and all decoders of bytes from outside use it: peers, heartbeats, announcements, configurations, operators, orders. Each of these already logs or counts a malformed input.

The announcement endpoint of the MySQL path refused such a body before, since it allows no unknown fields.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/announcements/_api.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/announcements/_api.py
@@ -56,7 +56,7 @@
     decoder: msgspec.json.Decoder[_StrictAnnouncement],
     body: bytes,
 ) -> messages.Announcement:
-    announcement = decoder.decode(body)
+    announcement = messages.decode_external(decoder, body)
     for text in (announcement.group, announcement.instance, announcement.availability_zone):
         if not text:
             raise ValueError(
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
@@ -91,6 +91,18 @@
     assert ('echo' in answer) == bool(received)
 
 
+async def test_deeply_nested_bodies_are_rejected(addresses):
+    """They must not be answered as a fault of this process."""
+    announcements = AnnouncementApi(Metrics(dict), lambda: 12.5, list().append)
+    operators = _Member('c1', 'c1', {}).api
+    body = f'{{"unknown": {"[" * 99_999}'
+    routes = (*announcements.build_routes(), *operators.build_routes())
+    async with operators, _serve(next(addresses), routes) as session:
+        for path in ('/announcements', '/v1/changes'):
+            async with session.post(path, data=body) as response:
+                assert response.status == 400
+
+
 async def test_health_is_unavailable_while_draining(addresses):
     """The platform must stop routing callers to a process that shuts down."""
     health = Health(serving=False, details={'state': 'draining'})
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http_admin/_http_target_admin.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http_admin/_http_target_admin.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bergamotcart.control import InstanceStatus, Order, OrderKind
+from bergamotcart.messages import decode_external
 from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.orders import TargetAdmin
 
@@ -14,6 +15,7 @@
 _STATUS_OK: Final = 200
 _STATUS_CONFLICT: Final = 409
 _MAX_ANSWER_BYTES: Final = 65536
+_STATUS_DECODER: Final = msgspec.json.Decoder(InstanceStatus)
 
 _logger = logging.getLogger(__name__)
 
@@ -63,7 +65,7 @@
             body = await response.content.read(_MAX_ANSWER_BYTES)
             if response.status not in {_STATUS_OK, _STATUS_CONFLICT}:
                 raise ValueError(f'unexpected HTTP status {response.status}')
-            instance_status = msgspec.json.decode(body, type=InstanceStatus)
+            instance_status = decode_external(_STATUS_DECODER, body)
             accepted = response.status == _STATUS_OK and instance_status.accepted
             return msgspec.structs.replace(instance_status, accepted=accepted)
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http_admin/tests/test_http_target_admin.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http_admin/tests/test_http_target_admin.py
@@ -18,6 +18,10 @@
     return web.Response(text='not JSON')
 
 
+async def _respond_deeply_nested(request: web.Request) -> web.Response:
+    return web.Response(text=f'{{"unknown": {"[" * 9999}')
+
+
 async def _send_status_order(address: str) -> object:
     order = Order(
         order_id=1,
@@ -39,7 +43,9 @@
     assert f'order status to instance db-1 at {address} failed' in caplog.text
 
 
-@pytest.mark.parametrize('respond', [_respond_unavailable, _respond_malformed])
+@pytest.mark.parametrize(
+    'respond', [_respond_unavailable, _respond_malformed, _respond_deeply_nested]
+)
 async def test_malformed_answer_is_logged(respond, addresses, caplog):
     """A proxy in front of the target may answer in its place."""
     caplog.set_level(logging.INFO)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/operator_api/_api.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/operator_api/_api.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from bergamotcart.control import OperatorCommand
+from bergamotcart.messages import decode_external
 from bergamotcart_daemon.http import respond_json
 from bergamotcart_daemon.operators import REPLY_TIMEOUT_S, OperatorGateway
 
@@ -19,6 +20,7 @@
 _MISDIRECTED_REQUEST: Final = 421
 _UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
+_BODY_DECODER: Final = msgspec.json.Decoder(dict[str, object])
 
 
 class OperatorApi(Service):
@@ -80,7 +82,7 @@
 
     async def _process_body(self, request: web.Request, command: OperatorCommand) -> web.Response:
         try:
-            body = msgspec.json.decode(await request.read(), type=dict[str, object])
+            body = decode_external(_BODY_DECODER, await request.read())
         except ValueError as error:
             return respond_json(_BAD_REQUEST, {'error': f'malformed body: {error}'})
         return await self._process_command(request, command, body)
--- a/packages/bergamotcart/src/bergamotcart/messages/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/__init__.py
@@ -46,6 +46,7 @@
     TargetRole,
 )
 from bergamotcart.messages._envelope import Body, Envelope
+from bergamotcart.messages._external import decode_external
 from bergamotcart.messages._integers import MAX_INTEGER, Count, PositiveCount
 
 __all__ = (
@@ -90,5 +91,6 @@
     'VoteRequest',
     'VoteResponse',
     'decode',
+    'decode_external',
     'encode',
 )
--- a/packages/bergamotcart/src/bergamotcart/messages/_codec.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_codec.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bergamotcart.messages._envelope import Envelope
+from bergamotcart.messages._external import decode_external
 
 FORMAT_VERSION: Final = 1
 MAX_MESSAGE_BYTES: Final = 1024 * 1024
@@ -45,7 +46,7 @@
     if len(encoded) > MAX_MESSAGE_BYTES:
         raise DecodeError(f'message of {len(encoded)} bytes exceeds {MAX_MESSAGE_BYTES} bytes')
     try:
-        envelope = _DECODER.decode(encoded)
+        envelope = decode_external(_DECODER, encoded)
     except msgspec.MsgspecError as error:
         raise DecodeError(f'malformed message: {error}') from error
     if envelope.version != FORMAT_VERSION:
