Drop messages to an address that cannot be dialled

A process ended when it answered a message whose sender address, or an address in it, has a NUL or a slash in its host: the dial raises AddressInvalid, which the handler of the engine's actions does not expect. Hosts that no name has were also accepted from heartbeats, stored and relayed, and each connect to them failed with a ValueError.

Addresses with such hosts are malformed now, as those with ports out of range were before, and an error of a dial drops the message with a log line and a count. A port out of range was never passed to a connect: each address is parsed before.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/addresses/_addresses.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/addresses/_addresses.py
@@ -1,11 +1,17 @@
 """Network addresses written as ``host:port``."""
 
 import functools
+import re
 from collections.abc import Mapping
 
 import msgspec
 
 _MAX_PORT = 65535
+_MAX_LABEL_CHARS = 63
+# Connecting to a host with other characters fails with errors that are not those of a network.
+_LABEL = rf'[\w-]{{1,{_MAX_LABEL_CHARS}}}'
+_IPV6 = r'[0-9a-fA-F]*:[0-9a-fA-F:.]*(?:%\w+)?'
+_HOST = re.compile(rf'{_LABEL}(?:\.{_LABEL})*\.?|{_IPV6}', re.ASCII)
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -19,12 +25,15 @@
         """Parse ``host:port``; an IPv6 host is enclosed in brackets.
 
         :param text: address as ``host:port``.
-        :raises ValueError: if the form differs or the port is not within 1 to 65535.
+        :raises ValueError: if the form differs, the host contains characters that no name or IP
+            address has, or the port is not within 1 to 65535.
         """
         host, _, port_text = text.rpartition(':')
         bare_host = host.removeprefix('[').removesuffix(']')
         if not bare_host or not port_text.isascii() or not port_text.isdigit():
             raise ValueError(f'address {text!r} is not of the form host:port')
+        if not _HOST.fullmatch(bare_host):
+            raise ValueError(f'host of address {text!r} is neither a name nor an IP address')
         port = int(port_text)
         if not 1 <= port <= _MAX_PORT:
             raise ValueError(f'port {port} of address {text!r} is not within 1 to {_MAX_PORT}')
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_sockets.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_sockets.py
@@ -36,6 +36,7 @@
         :param address: address to connect to, as ``host:port``.
         :param now: current time in seconds, used to find idle sockets.
         :returns: false if the message was dropped.
+        :raises ValueError: if the address cannot be dialled.
         """
         peer = self._peers.get(address) or self._open_socket(address, now)
         peer.last_used = now
@@ -68,7 +69,11 @@
             reconnect_time_min=_RECONNECT_MIN_MS,
             reconnect_time_max=_RECONNECT_MAX_MS,
         )
-        socket.dial(f'tcp://{address}', block=False)
+        try:
+            socket.dial(f'tcp://{address}', block=False)
+        except pynng.exceptions.NNGException as error:
+            socket.close()
+            raise ValueError(f'{address} cannot be dialled: {error}') from error
         peer = _PeerSocket(socket, now)
         self._peers[address] = peer
         _logger.debug('opened a socket to peer %s', address)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
@@ -100,7 +100,12 @@
                 ACKNOWLEDGEMENT_TIMEOUT_S,
             )
             self._peer_sockets.close_peer(address)
-        if not self._peer_sockets.send(address, encoded, now):
+        try:
+            is_queued = self._peer_sockets.send(address, encoded, now)
+        except ValueError as error:
+            self._report_event('message_not_sent', f'{action.recipient}: {error}')
+            return
+        if not is_queued:
             self._metrics.count_event('message_dropped')
             return
         self._metrics.count_sent_message(type(action.body).__name__, len(encoded))
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_transport.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_transport.py
@@ -4,6 +4,7 @@
 import zlib
 
 import pynng
+import pytest
 
 from bergamotcart import messages
 from bergamotcart.actions import MessageReceived, Send
@@ -43,6 +44,19 @@
     assert arrived.envelope.body == messages.RelayPull(sent_at=2.0)
 
 
+@pytest.mark.parametrize('address', ['a\0b:80', '127.0.0.1/x:80', '127.0.0.1:65536', 'nowhere'])
+async def test_message_to_unusable_address_is_dropped(address, addresses):
+    """Peers name addresses in their messages; an odd one must not end this process."""
+    metrics = Metrics(dict)
+    identity = Identity('default', 'c1', 'c1-1', next(addresses))
+    transport = Transport(
+        identity.address, identity, AddressTranslation({}), metrics, list().append
+    )
+    async with transport:
+        transport.send(Send('e1', address, messages.RelayPull(sent_at=1.0)))
+    assert b'message_not_sent' in metrics.render('text/plain').body
+
+
 async def test_messages_to_unreachable_peer_are_dropped(addresses):
     """A process that waits for an unreachable peer cannot serve the others."""
     address, unreachable = (next(addresses) for _ in range(2))
