Refuse announcements whose texts cannot be stored

A heartbeat with a zone of 800 kB ended the leader: the address of a new instance is proposed for the replicated state, and a record is limited to 768 KiB ('ValueError: command of 800142 bytes exceeds 786432 bytes', in the step of the engine). Members relay announcements to each other, so each next leader ended, too. A text of 1 MB also made every relayed batch that lists it longer than a message may be, which hid all others.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/announcements/_api.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/announcements/_api.py
@@ -16,7 +16,15 @@
 
 
 class _StrictAnnouncement(messages.Announcement, frozen=True, forbid_unknown_fields=True):
-    """Announcement whose decoding rejects unknown fields."""
+    """Announcement whose decoding rejects unknown fields and too long texts."""
+
+    group: messages.NonEmptyName
+    instance: messages.NonEmptyName
+    availability_zone: messages.NonEmptyName
+    address: messages.Name
+    admin_address: messages.Name
+    incarnation: messages.Name
+    following: messages.Name | None = None
 
 
 class AnnouncementApi:
@@ -57,12 +65,6 @@
     body: bytes,
 ) -> messages.Announcement:
     announcement = messages.decode_external(decoder, body)
-    for text in (announcement.group, announcement.instance, announcement.availability_zone):
-        if not text:
-            raise ValueError(
-                f'group, instance and availability_zone must not be empty: {announcement.group!r}, '
-                f'{announcement.instance!r}, {announcement.availability_zone!r}'
-            )
     Address.parse(announcement.address)
     Address.parse(announcement.admin_address)
     if min(announcement.slots, announcement.connection_limit) < 1:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/tests/test_http.py
@@ -76,6 +76,9 @@
         ({'address': 'nowhere'}, 400),
         ({'role': 'leader'}, 400),
         ({'group': ''}, 400),
+        ({'group': 'g' * 800_000}, 400),
+        ({'incarnation': 'i' * 800_000}, 400),
+        ({'following': 'f' * 800_000}, 400),
     ],
 )
 async def test_invalid_announcements_are_rejected(change, status, addresses):
--- a/packages/bergamotcart/src/bergamotcart/messages/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/__init__.py
@@ -48,9 +48,12 @@
 from bergamotcart.messages._envelope import Body, Envelope
 from bergamotcart.messages._external import decode_external
 from bergamotcart.messages._integers import MAX_INTEGER, Count, PositiveCount
+from bergamotcart.messages._names import Name, NonEmptyName
 
 __all__ = (
     'MAX_INTEGER',
+    'Name',
+    'NonEmptyName',
     'Count',
     'PositiveCount',
     'FORMAT_VERSION',
