Refuse a change that fits into no record instead of ending the leader

An operator's change with a body, name, kind or identifier of 800 kB ended the leader: a change that is invalid is proposed as well, so that its outcome is recorded, and the proposal raised 'ValueError: command of 800211 bytes exceeds 786432 bytes' in the step of the engine. The client repeats the change at the next leader.

Names are limited to 255 characters (400), and a body that fits into no document is answered with its problem at once (422) without being recorded.

Test before: that ValueError for each of the four fields.

--- a/packages/bergamotcart/src/bergamotcart/control/_operator_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_operator_requests.py
@@ -30,11 +30,11 @@
 class _ChangeBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Body of a change request; ``kind`` may be left out for an existing section."""
 
-    section: str
+    section: messages.Name
     base_version: messages.Count
-    change_id: str
+    change_id: messages.Name
     body: str
-    kind: str = ''
+    kind: messages.Name = ''
     dry_run: bool = False
 
 
@@ -155,7 +155,8 @@
         )
         recorded = context.state.changes.get(change.change_id)
         outcome = section_changes.evaluate_change(context.state, command)
-        if isinstance(outcome, documents.Forbidden) or change.dry_run or not change.change_id:
+        is_recordable = change.change_id and section_changes.fits_into_document(change)
+        if isinstance(outcome, documents.Forbidden) or change.dry_run or not is_recordable:
             recorded = section_changes.make_recorded_change(outcome, change, 0)
         if recorded is None:
             index = context.local.proposals.submit(
--- a/packages/bergamotcart/src/bergamotcart/control/_section_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_section_changes.py
@@ -50,6 +50,11 @@
     return outcome
 
 
+def fits_into_document(change: documents.Change) -> bool:
+    """Return whether the new text of a section is short enough for any document."""
+    return len(change.body.encode()) <= MAX_DOCUMENT_BYTES
+
+
 def apply_change(state: ReplicatedState, command: ChangeSection, index: int) -> RecordedChange:
     """Apply a committed change, or record why it is not applied.
 
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_operators.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_operators.py
@@ -1,5 +1,7 @@
 """Tests that operators' changes are not lost, applied twice or made without permission."""
 
+import pytest
+
 from bergamotcart import control, messages
 from bergamotcart.control.tests._world import World
 from bergamotcart.control.tests.test_engine import DOCUMENT, request_change, start_world
@@ -152,3 +154,20 @@
     world.run_until(lambda: world.leader is not None)
     assert request_reply(world, 'get_document').body['sections'][0]['version'] == 320
     assert world.group.phase == messages.GroupPhase.open
+
+
+@pytest.mark.parametrize(
+    ('field', 'status'), [('section', 400), ('change_id', 400), ('kind', 400), ('body', 422)]
+)
+def test_change_that_fits_into_no_record_is_refused(field, status):
+    """Such a change ended the leader that proposed it."""
+    world = start_world()
+    change = {
+        'section': 'more',
+        'kind': 'groups',
+        'base_version': 0,
+        'change_id': 'c2',
+        'body': 'groups: {}',
+    }
+    reply = request_reply(world, 'change', **(change | {field: f'# {"x" * 800_000}'}))
+    assert reply.status == status
