--- a/packages/bergamotcart/src/bergamotcart/messages/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/__init__.py
@@ -46,10 +46,14 @@
     TargetRole,
 )
 from bergamotcart.messages._envelope import Body, Envelope
+from bergamotcart.messages._external import decode_external
 from bergamotcart.messages._integers import MAX_INTEGER, Count, PositiveCount
+from bergamotcart.messages._names import Name, NonEmptyName
 
 __all__ = (
     'MAX_INTEGER',
+    'Name',
+    'NonEmptyName',
     'Count',
     'PositiveCount',
     'FORMAT_VERSION',
@@ -90,5 +94,6 @@
     'VoteRequest',
     'VoteResponse',
     'decode',
+    'decode_external',
     'encode',
 )
