Do not report a database as unknown from an unconfirmed configuration

Cause: an entry answered "no such database" from a state whose age it did not know. `is_state_acknowledged` is set once in the life of a process and never falls back, and a grant that shows a newer index than the applied one changed nothing.

Each grant tells which index was current when its request was sent. The lease now remembers the newest index shown and the time until which the applied state is confirmed. A name is unknown only with a confirmation that is not older than three renewals (0.75 s, or 3 s with a renewal of 1 s). Without it the answer is NotRun with the new reason `configuration_unconfirmed` and a time to come back (code RETRY): at once for statements, or if control has not answered for 2 s; a new session first waits for the confirmation, as it did for the first state. The MySQL path (USE, group of the session) does the same. Known routes are served as before, also by an entry that is cut off.

An update that brings the state to an index that a grant has shown now confirms it, without waiting for another grant.

--- a/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
@@ -29,9 +29,8 @@
         '_had_valid_lease',
         '_limiters',
         '_monitor',
-        '_on_state_acknowledged',
+        '_on_state_confirmed',
         '_usable_targets',
-        '_was_state_acknowledged',
         '_context',
     )
 
@@ -43,11 +42,11 @@
         primary_dispatcher: PrimaryDispatcher,
         acknowledgements: ReplicationAcknowledgements,
         executions: Executions,
-        on_state_acknowledged: Callable[[], None],
+        on_state_confirmed: Callable[[], None],
     ) -> None:
         """Create the handlers.
 
-        :param on_state_acknowledged: called once control has acknowledged the first state.
+        :param on_state_confirmed: called whenever control may have confirmed the applied state.
         """
         self._context = context
         self._limiters = limiters
@@ -57,8 +56,7 @@
         self._executions = executions
         self._usable_targets: set[TargetKey] = set()
         self._had_valid_lease = False
-        self._was_state_acknowledged = False
-        self._on_state_acknowledged = on_state_acknowledged
+        self._on_state_confirmed = on_state_confirmed
 
     def on_probe_report(self, monitored: MonitoredTarget, sent_at: float) -> None:
         """Handle a report: record the position of a primary, acknowledge writes, and resume reads.
@@ -163,9 +161,7 @@
 
     def on_lease_changed(self) -> None:
         """Handle a gained or lost lease; refuse waiting requests if control is unreachable."""
-        if self._context.lease.is_state_acknowledged and not self._was_state_acknowledged:
-            self._was_state_acknowledged = True
-            self._on_state_acknowledged()
+        self._on_state_confirmed()
         was_valid = self._had_valid_lease
         self._had_valid_lease = self._context.lease_valid
         if self._had_valid_lease and not was_valid:
--- a/packages/bergamotcart/src/bergamotcart/entry/_components.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_components.py
@@ -86,8 +86,8 @@
                 self._replies.refuse(request, Reason.connection_lost, 'the session was closed')
 
     def _answer_waiting_sessions(self) -> None:
-        for session in self.sessions:
-            self.routed_request_dispatcher.answer_waiting_session(session)
+        # The dispatcher is created after the change handler that calls this.
+        self.routed_request_dispatcher.answer_waiting_sessions()
 
     def _create_dependent_components(self) -> None:
         context, monitor, replies = self.context, self.monitor, self._replies
--- a/packages/bergamotcart/src/bergamotcart/entry/_context.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_context.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Final
 
 from bergamotcart import messages
 from bergamotcart.actions import Decision, Send
@@ -13,6 +14,9 @@
 from bergamotcart.entry._group_state import GroupTable
 from bergamotcart.entry._lease import LeaseHolder
 from bergamotcart.entry._timers import Timer, Timers
+from bergamotcart.outcomes import NotRun, Reason
+
+_CONTROL_RETRY_AFTER_S: Final = 1.0
 
 
 class EngineContext:
@@ -62,6 +66,19 @@
         """Whether this entry holds a valid lease, which it needs to use primaries."""
         return self.lease.is_valid(self.now)
 
+    def refuse_unknown_name(self, name: str) -> NotRun:
+        """Return the refusal of a name that the applied configuration does not have.
+
+        Without a recent confirmation that this configuration is current, the name may have been
+        added, so the caller should try again.
+        """
+        if self.lease.is_state_current(self.now):
+            return NotRun(Reason.unknown_group, name)
+        retry_after = self.lease.renewal_interval_s
+        if self.lease.is_control_unreachable(self.now):
+            retry_after = _CONTROL_RETRY_AFTER_S
+        return NotRun(Reason.configuration_unconfirmed, name, retry_after=retry_after)
+
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
         """Schedule a callback after a delay in seconds."""
         return self.timers.schedule(self.now + delay_s, callback)
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -162,6 +162,8 @@
             )
             self._limiters.update_limits()
             self._on_state_update(changed)
+            self._context.lease.confirm_state(view.applied_index)
+            self._on_lease_changed()
         self._context.send(envelope.sender, envelope.sender_address, ack)
         if applied and not self._context.lease_valid:
             self._follow_leader(envelope)
--- a/packages/bergamotcart/src/bergamotcart/entry/_lease.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lease.py
@@ -8,6 +8,9 @@
 # Control counts as unreachable if requests have been unanswered for this time, and requests that
 # need the lease are refused at once. It is longer than the lease and an election.
 _CONTROL_LOST_AFTER_S: Final = 2.0
+_DEFAULT_RENEWAL_INTERVAL_S: Final = 0.25
+# Age of the newest confirmation, in renewals, from which the applied state may be outdated.
+_MAX_CONFIRMATION_AGE_RENEWALS: Final = 3
 
 
 class LeaseHolder:
@@ -18,12 +21,16 @@
 
     __slots__ = (
         '_unanswered_since',
+        '_confirmed_at',
         '_control_term',
+        '_current_index',
         '_drift_margin',
+        '_granted_request_at',
         '_sent_requests',
         '_valid_until',
         'is_state_acknowledged',
         'quotas',
+        'renewal_interval_s',
     )
 
     def __init__(self, drift_margin: float) -> None:
@@ -33,6 +40,10 @@
         self._control_term = 0
         self._unanswered_since: float | None = None
         self._sent_requests: dict[float, None] = {}
+        self._granted_request_at = float('-inf')
+        self._current_index = 0
+        self._confirmed_at = float('-inf')
+        self.renewal_interval_s = _DEFAULT_RENEWAL_INTERVAL_S
         self.is_state_acknowledged = False
         self.quotas: tuple[QuotaGrant, ...] = ()
 
@@ -41,6 +52,15 @@
         """Time at which the lease ends, in seconds."""
         return self._valid_until
 
+    @property
+    def confirmed_at(self) -> float:
+        """Time until which control has confirmed that the applied state was current, in seconds."""
+        return self._confirmed_at
+
+    def is_state_current(self, now: float) -> bool:
+        """Tell whether control has lately confirmed that the applied state is current."""
+        return now - self._confirmed_at < self.renewal_interval_s * _MAX_CONFIRMATION_AGE_RENEWALS
+
     def is_valid(self, now: float) -> bool:
         """Tell whether the lease is valid and control has acknowledged the applied state once."""
         return now < self._valid_until and self.is_state_acknowledged
@@ -81,8 +101,19 @@
         if valid_until > self._valid_until:
             self._valid_until = valid_until
             self.quotas = grant.quotas
-        # A delayed update can leave a restarted entry with an old state, so the state is
-        # trusted only once a grant has shown that it is not behind control.
-        if applied_index > 0 and grant.current_index <= applied_index:
-            self.is_state_acknowledged = True
+        if grant.echo_sent_at >= self._granted_request_at:
+            self._granted_request_at = grant.echo_sent_at
+            self.renewal_interval_s = grant.renew_after_s
+        self._current_index = max(self._current_index, grant.current_index)
+        self.confirm_state(applied_index)
         return True
+
+    def confirm_state(self, applied_index: int) -> None:
+        """Compare the applied state with the newest index that a grant has shown.
+
+        A delayed update can leave a restarted entry with an old state, so the state is trusted
+        only once a grant has shown that it is not behind control.
+        """
+        if self._control_term > 0 and applied_index >= max(self._current_index, 1):
+            self.is_state_acknowledged = True
+            self._confirmed_at = self._granted_request_at
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
@@ -146,7 +146,7 @@
                     Reason.unsupported_statement, f'USE {statement.detail} inside a transaction'
                 )
             if not self._is_known_group(statement.detail):
-                return NotRun(Reason.unknown_group, statement.detail)
+                return self._context.refuse_unknown_name(statement.detail)
             session.group = statement.detail
         return Ran()
 
@@ -156,8 +156,10 @@
             return NotRun(Reason.not_configured, retry_after=1.0)
         if statement.kind in _TRANSACTION_END_KINDS or statement.kind is StatementKind.show_session:
             return None
-        if session.group is None or not self._is_known_group(session.group):
-            return NotRun(Reason.unknown_group, session.group or 'no group is selected')
+        if session.group is None:
+            return NotRun(Reason.unknown_group, 'no group is selected')
+        if not self._is_known_group(session.group):
+            return self._context.refuse_unknown_name(session.group)
         if session.rolled_back and statement.kind is not StatementKind.begin:
             return NotRun(Reason.rolled_back, 'the transaction was rolled back')
         if session.transaction is None and self._context.draining:
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -22,6 +22,7 @@
 # Callers give up opening a connection after 2 s. A started entry finds control within 0.5 s.
 _CONFIGURATION_WAIT_S: Final = 1.2
 _NO_DIRECTIVES: Final = Directives()
+_UNCONFIRMED_REASONS: Final = frozenset((Reason.not_configured, Reason.configuration_unconfirmed))
 
 
 class RoutedRequestDispatcher:
@@ -50,37 +51,28 @@
         self._replies = replies
         self._retries = retries
         self._request_handlers = request_handlers
-        self._waiting_sessions: set[int] = set()
+        self._waiting_sessions: dict[int, Session] = {}
 
     def open_session(self, session: Session) -> bool:
         """Accept or refuse a session by its database name.
 
-        The answer to a session that is opened before the configuration has arrived is delayed.
+        The answer is delayed if it depends on a configuration that control may confirm shortly.
 
         :returns: ``False`` if the session was refused.
         """
-        if (
-            not self._context.lease.is_state_acknowledged
-            and session.session_id not in self._waiting_sessions
-        ):
+        refusal = self._find_refusal(session)
+        if refusal is not None and self._may_be_confirmed(refusal):
             self._wait_for_configuration(session)
             return True
-        self._waiting_sessions.discard(session.session_id)
-        refusal = self._find_refusal(session)
-        self._context.publish_decision(
-            'sessions',
-            'refuse' if refusal else 'open',
-            refusal.reason.value if refusal else 'route_found',
-            session=session.session_id,
-            detail=session.database or '',
-        )
-        self._context.actions.append(SessionAnswer(session.session_id, refusal))
+        self._answer_session(session, refusal)
         return refusal is None
 
-    def answer_waiting_session(self, session: Session) -> None:
-        """Accept or refuse a session that waits for the configuration; ignore any other session."""
-        if session.session_id in self._waiting_sessions:
-            self.open_session(session)
+    def answer_waiting_sessions(self) -> None:
+        """Answer the waiting sessions that the confirmed configuration decides."""
+        for session in tuple(self._waiting_sessions.values()):
+            refusal = self._find_refusal(session)
+            if refusal is None or refusal.reason not in _UNCONFIRMED_REASONS:
+                self._answer_session(session, refusal)
 
     def handle_statement(
         self, session: Session, arrived: RequestArrived, statement: Statement
@@ -114,24 +106,49 @@
         return True
 
     def _wait_for_configuration(self, session: Session) -> None:
-        """Delay the answer to a session until this entry has received its first control state."""
-        self._waiting_sessions.add(session.session_id)
+        """Delay the answer to a session until control has confirmed the applied state."""
+        self._waiting_sessions[session.session_id] = session
         self._context.call_later(
             _CONFIGURATION_WAIT_S, lambda: self._end_configuration_wait(session)
         )
 
     def _end_configuration_wait(self, session: Session) -> None:
-        if session.session_id in self._waiting_sessions and not session.closed:
-            self.open_session(session)
-        self._waiting_sessions.discard(session.session_id)
+        if session.session_id in self._waiting_sessions:
+            self._answer_session(session, self._find_refusal(session))
+
+    def _answer_session(self, session: Session, refusal: NotRun | None) -> None:
+        self._waiting_sessions.pop(session.session_id, None)
+        if session.closed:
+            return
+        self._context.publish_decision(
+            'sessions',
+            'refuse' if refusal else 'open',
+            refusal.reason.value if refusal else 'route_found',
+            session=session.session_id,
+            detail=self._describe_refusal(session) if refusal else session.database or '',
+        )
+        self._context.actions.append(SessionAnswer(session.session_id, refusal))
+
+    def _describe_refusal(self, session: Session) -> str:
+        age_s = self._context.now - self._context.lease.confirmed_at
+        index = self._context.control_view.applied_index
+        return f'{session.database}; state {index} confirmed {age_s:.2f} s ago'
 
     def _find_refusal(self, session: Session) -> NotRun | None:
         if not self._context.lease.is_state_acknowledged:
             return NotRun(Reason.not_configured, retry_after=_NOT_CONFIGURED_RETRY_AFTER_S)
-        if self._context.control_view.document.route(session.database or '') is None:
-            return NotRun(Reason.unknown_group, session.database or '')
+        database = session.database or ''
+        if self._context.control_view.document.route(database) is None:
+            return self._context.refuse_unknown_name(database)
         return None
 
+    def _may_be_confirmed(self, refusal: NotRun) -> bool:
+        """Tell whether a refusal depends on a configuration that control may confirm shortly."""
+        if refusal.reason is Reason.not_configured:
+            return True
+        is_unconfirmed = refusal.reason is Reason.configuration_unconfirmed
+        return is_unconfirmed and not self._context.lease.is_control_unreachable(self._context.now)
+
     def _answer_locally(self, session: Session, statement: Statement) -> Outcome | None:
         """Return the outcome of a statement that needs no instance, or ``None`` for others."""
         kind = statement.kind
@@ -174,7 +191,7 @@
             return NotRun(Reason.draining, retry_after=_DRAINING_RETRY_AFTER_S)
         resolved = self._context.control_view.document.route(session.database or '')
         if resolved is None:
-            return NotRun(Reason.unknown_group, session.database or '')
+            return self._context.refuse_unknown_name(session.database or '')
         session.resolved_route = resolved
         return resolved
 
--- a/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
+++ b/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
@@ -21,6 +21,7 @@
     identifier_expired = 'identifier_expired'
     no_lease = 'no_lease'
     not_configured = 'not_configured'
+    configuration_unconfirmed = 'configuration_unconfirmed'
     group_not_open = 'group_not_open'
     no_eligible_target = 'no_eligible_target'
     floor_unknown = 'floor_unknown'
