Keep a leader whose answers take longer than the repetition of a request

Callers saw nothing of it: the lease was held all the time. But an answer that came later than 0.6 of the renewal interval (0.15 s) counted as none, the entry forgot the leader and asked three other members, each of which refused (`refuse_lease`, `not_leader`), with every renewal.

Cause: only a grant that echoed the newest request counted as an answer, and the time-out of a request did not know the round trip.

The time-out is now 1.5 times the last round trip, within 0.6 and 2 renewal intervals, and a grant for an earlier request keeps the leader, too. The leader is forgotten once the oldest unanswered request is due, so frequent reports of changed targets cannot defer that either (by reading, no test).

--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -11,8 +11,11 @@
 from bergamotcart.entry._timers import Timer
 
 _DEFAULT_RENEWAL_INTERVAL_S: Final = 0.25
-# Share of the renewal interval after which an unanswered request is repeated to other members.
-_ANSWER_TIMEOUT_SHARE: Final = 0.6
+# An unanswered request is repeated to other members after a multiple of the last round trip, within
+# these shares of the renewal interval.
+_ANSWER_TIMEOUT_ROUND_TRIPS: Final = 1.5
+_MIN_ANSWER_TIMEOUT_SHARE: Final = 0.6
+_MAX_ANSWER_TIMEOUT_SHARE: Final = 2.0
 _MIN_REQUEST_INTERVAL_S: Final = 0.02
 # Members that are asked at once while the leader is not known; each of them names it. After a loss
 # of power, all entries ask at the same time, and answering them would delay the election.
@@ -32,7 +35,8 @@
     """
 
     __slots__ = (
-        '_is_answered',
+        '_answer_due_at',
+        '_granted_request_at',
         '_limiters',
         '_leader',
         '_monitor',
@@ -41,6 +45,7 @@
         '_on_lease_changed',
         '_on_state_update',
         '_renew_after_s',
+        '_round_trip_s',
         '_delivered_reports',
         '_change_reported_at',
         '_requested_at',
@@ -67,7 +72,9 @@
         self._leader: tuple[str, str] | None = None
         self._renew_after_s = _DEFAULT_RENEWAL_INTERVAL_S
         self._requested_at = float('-inf')
-        self._is_answered = False
+        self._granted_request_at = float('-inf')
+        self._answer_due_at: float | None = None
+        self._round_trip_s = 0.0
         self._delivered_reports: tuple[str, int] | None = None
         self._change_reported_at = float('-inf')
         self._renewal_timer: Timer | None = None
@@ -79,15 +86,17 @@
         now = self._context.now
         if now <= self._requested_at:
             return
-        if not self._is_answered:
+        if self._answer_due_at is not None and now >= self._answer_due_at:
             self._leader = None
-        self._is_answered = False
+            self._answer_due_at = None
+        if self._answer_due_at is None:
+            self._answer_due_at = now + self._answer_timeout_s
         self._requested_at = now
         self._context.lease.record_request(now)
         request = self._build_request()
         for name, address in self._recipients():
             self._context.send(name, address, request)
-        self._schedule_renewal(self._renew_after_s * _ANSWER_TIMEOUT_SHARE)
+        self._schedule_renewal(self._answer_due_at - now)
         self._on_lease_changed()
 
     def report_change(self) -> None:
@@ -100,8 +109,6 @@
             self._schedule_renewal(max(_MIN_REQUEST_INTERVAL_S, earliest - self._context.now))
             return
         self._change_reported_at = self._context.now
-        # The leader stays known although the previous request may still be unanswered.
-        self._is_answered = True
         self.request_renewal()
 
     def receive_grant(self, envelope: messages.Envelope, grant: messages.LeaseGrant) -> None:
@@ -110,12 +117,15 @@
         was_valid = self._context.lease_valid
         if not self._context.lease.accept_grant(grant, view.control_term, view.applied_index):
             return
-        self._leader = (envelope.sender, envelope.sender_address)
         self._renew_after_s = grant.renew_after_s
         self._delivered_reports = (envelope.sender, grant.reports_version)
-        if grant.echo_sent_at == self._requested_at:
-            self._is_answered = True
-            self._schedule_renewal(self._renew_after_s - (self._context.now - self._requested_at))
+        if grant.echo_sent_at > self._granted_request_at:
+            self._granted_request_at = grant.echo_sent_at
+            self._round_trip_s = self._context.now - grant.echo_sent_at
+            self._follow_leader(envelope)
+            is_newest = grant.echo_sent_at == self._requested_at
+            delay_s = self._renew_after_s if is_newest else self._answer_timeout_s
+            self._schedule_renewal(self._requested_at + delay_s - self._context.now)
         if not was_valid and self._context.lease_valid:
             self._context.publish_decision('leases', 'hold', 'granted', detail=envelope.sender)
         self._on_lease_changed()
@@ -123,7 +133,11 @@
 
     def receive_refusal(self, envelope: messages.Envelope, refusal: messages.LeaseRefusal) -> None:
         """Process a refusal; the member that sent it may name the leader or be the leader."""
-        if not self._context.lease.is_own_request(refusal.echo_sent_at) or refusal.leader is None:
+        is_outdated = refusal.echo_sent_at <= self._granted_request_at
+        if is_outdated or not self._context.lease.is_own_request(refusal.echo_sent_at):
+            return
+        self._round_trip_s = self._context.now - refusal.echo_sent_at
+        if refusal.leader is None:
             return
         if refusal.leader == envelope.sender:
             # The leader sends the state once this entry may request its lease again.
@@ -131,12 +145,11 @@
             self._schedule_renewal(self._renew_after_s)
             return
         address = refusal.leader_address or dict(self._known_members()).get(refusal.leader)
-        if not address or self._is_answered:
+        if not address or self._answer_due_at is None:
             return
         if self._leader is None or self._leader[0] != refusal.leader:
             self._leader = (refusal.leader, address)
-            # The delay limits the requests if two members with outdated state name each other.
-            self._is_answered = True
+            self._answer_due_at = None
             self._schedule_renewal(_MIN_REQUEST_INTERVAL_S)
 
     def receive_update(self, envelope: messages.Envelope, update: messages.StateUpdate) -> None:
@@ -169,10 +182,18 @@
             self._follow_leader(envelope)
             self._schedule_renewal(0)
 
+    @property
+    def _answer_timeout_s(self) -> float:
+        timeout_s = max(
+            self._round_trip_s * _ANSWER_TIMEOUT_ROUND_TRIPS,
+            self._renew_after_s * _MIN_ANSWER_TIMEOUT_SHARE,
+        )
+        return min(timeout_s, self._renew_after_s * _MAX_ANSWER_TIMEOUT_SHARE)
+
     def _follow_leader(self, envelope: messages.Envelope) -> None:
         """Send the next request to the leader alone, which has just answered."""
         self._leader = (envelope.sender, envelope.sender_address)
-        self._is_answered = True
+        self._answer_due_at = None
 
     def _build_request(self) -> messages.LeaseRequest:
         configuration, version = self._context.configuration, self._monitor.reports_version
