Ask further members if two of them name each other as the leader

Callers would see: an entry without a lease and without updates, although control has a leader.

Cause: an entry that followed a refusal asked the named member alone. If that one named the first one in turn, both were asked for ever, and no third. It needs more than three known members (up to three are asked at once): the settings and the control state together have four once a member has been replaced under another name.

After one such redirect, the next members in turn are asked together with the named one, until a leader answers. Requests before the first redirect are as before.

--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -20,6 +20,8 @@
 # Members that are asked at once while the leader is not known; each of them names it. After a loss
 # of power, all entries ask at the same time, and answering them would delay the election.
 _MAX_ASKED_MEMBERS: Final = 3
+# Refusals in a row after which a member that they name is not asked alone any more.
+_MAX_REDIRECTS: Final = 1
 _MAX_ROTATION: Final = 1000
 # Limits the requests that a target with unstable reachability causes. With more of them, the
 # leader would answer lease requests so late that no lease could be renewed in time.
@@ -44,6 +46,7 @@
         '_on_lease_granted',
         '_on_lease_changed',
         '_on_state_update',
+        '_redirects',
         '_renew_after_s',
         '_round_trip_s',
         '_delivered_reports',
@@ -75,6 +78,7 @@
         self._granted_request_at = float('-inf')
         self._answer_due_at: float | None = None
         self._round_trip_s = 0.0
+        self._redirects = 0
         self._delivered_reports: tuple[str, int] | None = None
         self._change_reported_at = float('-inf')
         self._renewal_timer: Timer | None = None
@@ -149,6 +153,7 @@
             return
         if self._leader is None or self._leader[0] != refusal.leader:
             self._leader = (refusal.leader, address)
+            self._redirects += 1
             self._answer_due_at = None
             self._schedule_renewal(_MIN_REQUEST_INTERVAL_S)
 
@@ -194,6 +199,7 @@
         """Send the next request to the leader alone, which has just answered."""
         self._leader = (envelope.sender, envelope.sender_address)
         self._answer_due_at = None
+        self._redirects = 0
 
     def _build_request(self) -> messages.LeaseRequest:
         configuration, version = self._context.configuration, self._monitor.reports_version
@@ -220,8 +226,14 @@
         return tuple(known.items())
 
     def _recipients(self) -> tuple[tuple[str, str], ...]:
-        if self._leader is not None:
+        if self._leader is None:
+            return self._next_members()
+        if self._redirects <= _MAX_REDIRECTS:
             return (self._leader,)
+        # Members with outdated state may name each other or a member that is gone.
+        return tuple(dict.fromkeys((self._leader, *self._next_members())))
+
+    def _next_members(self) -> tuple[tuple[str, str], ...]:
         members = self._known_members()
         if len(members) <= _MAX_ASKED_MEMBERS:
             return members
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_leader_search.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_leader_search.py
@@ -146,6 +146,15 @@
     assert others <= 4, network.requests
 
 
+@pytest.mark.parametrize('seed', range(6))
+def test_members_that_name_each_other_do_not_hide_the_leader(seed):
+    """Both have an old view; the third member is asked although they answer."""
+    named = {'m0': 'm1', 'm1': 'm0', 'm2': 'm2'}
+    _Network(named, members=('m0', 'm1', 'm2'), seed=seed).find_leader()
+    named = {'m0': 'm1', 'm1': 'm0', 'm5': 'm5'}
+    _Network(named, seed=seed).find_leader()
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_members_that_name_a_gone_member_do_not_hide_the_leader(seed):
     """The members that have not heard of the election yet name the former leader."""
