Ask a control member at both of its known addresses

Callers would see: an entry without a lease after a control member was replaced under its name at another address.

Cause: the address in the control state replaced the one in the settings of the entry. An entry that had not received the change of the members went on asking the former address, also after its settings had changed.

Both are asked now, as two members. The leader is asked at the address from which it answers, as before.

test_member_is_asked_at_both_addresses on the old code: "no lease within 1.0 s: Counter({'former': 12, 'm0': 2})".

--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -219,11 +219,11 @@
         )
 
     def _known_members(self) -> tuple[tuple[str, str], ...]:
-        # The members in the control state may all have been replaced, so those of the settings are
-        # included.
-        known = dict(self._context.contact_points)
-        known.update((row.name, row.address) for row in self._context.control_view.members.values())
-        return tuple(known.items())
+        # The members in the control state may all have been replaced, also under their names, so
+        # those of the settings are included.
+        rows = self._context.control_view.members.values()
+        known = (*self._context.contact_points, *((row.name, row.address) for row in rows))
+        return tuple(dict.fromkeys(known))
 
     def _recipients(self) -> tuple[tuple[str, str], ...]:
         if self._leader is None:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_leader_search.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_leader_search.py
@@ -171,3 +171,12 @@
     network.named = dict.fromkeys(_MEMBERS[1:], 'm5')
     network.run(_LEASE_S)
     network.find_leader()
+
+
+def test_member_is_asked_at_both_addresses():
+    """A member replaced under its name has its new address in the settings only."""
+    network = _Network({}, members=('m0',))
+    network.update_members({'m0': 'former'})
+    network.run(_LEASE_S)
+    network.named = {'m0': 'm0'}
+    network.find_leader()
