Send the whole state to an entry that cannot apply changed rows

Callers would see: an entry that serves an old configuration for ever, while the leader goes on granting it leases.

Cause: an entry that refused an update, since its document could not be read (`refuse_update`, `bad_document`), got the same rows again with each renewal. An update that began after the applied index was dropped without a log line, and acknowledged with the index that the leader already ignored.

The next lease request now asks for the whole state (`needs_whole_state`), at most every 2 s if that one can't be read either, and the leader sends all rows instead of the changed ones. Both say so in the log: `refuse_update` with `bad_document` or `gap`, and `send_whole_state`. Processes of the former version ignore the new field.

The harness keeps whole lease requests in place of their times, so two tests read `lease_requests[...].sent_at`.

--- a/packages/bergamotcart/src/bergamotcart/control/_entry_table.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_entry_table.py
@@ -37,6 +37,7 @@
         Requests that it sent before do not change the observations any more.
     :param reports_version: version of the reports that the observations come from.
     :param suspect_groups: groups with an instance that the entry cannot reach.
+    :param needs_whole_state: whether the entry could not apply an update with changed rows only.
     """
 
     key: EntryKey
@@ -55,6 +56,7 @@
     newest_sent_at: float = float('-inf')
     reports_version: int = 0
     suspect_groups: frozenset[str] = frozenset()
+    needs_whole_state: bool = False
 
 
 class EntryTable:
@@ -112,6 +114,7 @@
         entry_status.draining = request.draining
         entry_status.last_request_at = now
         entry_status.quota_use = request.quota_use
+        entry_status.needs_whole_state = request.needs_whole_state
         if request.sent_at >= entry_status.newest_sent_at:
             entry_status.newest_sent_at = request.sent_at
             self._store_reports(entry_status, request, now)
--- a/packages/bergamotcart/src/bergamotcart/control/_state_updates.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_state_updates.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from bergamotcart import messages
+from bergamotcart.actions import Decision
 from bergamotcart.control._entry_table import EntryStatus, raise_applied_index
 from bergamotcart.control._state import ReplicatedState
 from bergamotcart.control._step_context import StepContext
@@ -12,8 +13,23 @@
 
 
 def push_state_update(context: StepContext, entry_status: EntryStatus) -> None:
-    """Send an entry the rows that changed after the state index that it has acknowledged."""
-    update = _make_state_update(context, entry_status.applied_index)
+    """Send an entry the rows that changed after the state index that it has acknowledged.
+
+    An entry that could not apply such an update gets all rows.
+    """
+    from_index = entry_status.applied_index
+    if entry_status.needs_whole_state:
+        from_index = 0
+        entry_status.needs_whole_state = False
+        context.publish_decision(
+            Decision(
+                system='state',
+                action='send_whole_state',
+                reason='requested',
+                detail=entry_status.key.name,
+            )
+        )
+    update = _make_state_update(context, from_index)
     entry_status.pushed_index = context.state.index
     entry_status.pushed_at = context.now
     context.send(entry_status.key.name, entry_status.address, update)
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_fakes.py
@@ -175,6 +175,7 @@
 
     :param unreachable_targets: targets that it observes as silent.
     :param lease_end: time on its own clock at which its lease ends.
+    :param needs_whole_state: whether it asks for all rows.
     :param granted_index: state index of the newest grant.
     :param request_times: times on its own clock at which it sent lease requests.
     :param observations: reachability of each target, and the time since which it is observed.
@@ -187,6 +188,7 @@
     unreachable_targets: frozenset[str] = frozenset()
     applied_index: int = 0
     revision: int = 0
+    needs_whole_state: bool = False
     lease_end: float = 0
     granted_index: int = 0
     groups: dict[str, messages.GroupRow] = field(default_factory=dict)
@@ -234,6 +236,7 @@
             availability_zone=self.name,
             applied_index=self.applied_index,
             revision=self.revision,
+            needs_whole_state=self.needs_whole_state,
             reports=tuple(
                 messages.TargetReport(
                     group=GROUP,
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -26,6 +26,8 @@
 # Limits the requests that a target with unstable reachability causes. With more of them, the
 # leader would answer lease requests so late that no lease could be renewed in time.
 _MAX_CHANGE_REPORTS_PER_S: Final = 10.0
+# Least time between requests for the whole state, which may be refused as well.
+_WHOLE_STATE_INTERVAL_S: Final = 2.0
 
 
 class ControlLink:
@@ -42,6 +44,7 @@
         '_limiters',
         '_leader',
         '_monitor',
+        '_needs_whole_state',
         '_next_asked',
         '_on_lease_granted',
         '_on_lease_changed',
@@ -53,6 +56,7 @@
         '_change_reported_at',
         '_requested_at',
         '_renewal_timer',
+        '_whole_state_due_at',
         '_context',
     )
 
@@ -82,6 +86,8 @@
         self._delivered_reports: tuple[str, int] | None = None
         self._change_reported_at = float('-inf')
         self._renewal_timer: Timer | None = None
+        self._needs_whole_state = False
+        self._whole_state_due_at = float('-inf')
         # The first member that is asked differs between entries.
         self._next_asked = context.random.randrange(_MAX_ROTATION)
 
@@ -161,27 +167,22 @@
         """Apply a state update and acknowledge the applied state at once."""
         view = self._context.control_view
         before = dict(view.groups)
+        if update.from_index == 0:
+            self._needs_whole_state = False
+        if update.from_index > view.applied_index and update.control_term >= view.control_term:
+            self._refuse_update(update, 'gap', f'{update.from_index} after {view.applied_index}')
+            return
         try:
             applied = view.apply(update)
         except DocumentError as error:
-            self._context.publish_decision(
-                'state', 'refuse_update', 'bad_document', detail=str(error)
-            )
+            self._refuse_update(update, 'bad_document', str(error))
             return
         ack = messages.StateAck(
             applied_index=view.applied_index,
             revision=view.document.revision,
         )
         if applied:
-            changed = [name for name, row in view.groups.items() if before.get(name) != row]
-            changed.extend(name for name in before if name not in view.groups)
-            self._context.publish_decision(
-                'state', 'apply', 'update', detail=str(view.applied_index)
-            )
-            self._limiters.update_limits()
-            self._on_state_update(changed)
-            self._context.lease.confirm_state(view.applied_index)
-            self._on_lease_changed()
+            self._use_applied_state(before)
         self._context.send(envelope.sender, envelope.sender_address, ack)
         if applied and not self._context.lease_valid:
             self._follow_leader(envelope)
@@ -195,6 +196,23 @@
         )
         return min(timeout_s, self._renew_after_s * _MAX_ANSWER_TIMEOUT_SHARE)
 
+    def _use_applied_state(self, before: dict[str, messages.GroupRow]) -> None:
+        view = self._context.control_view
+        changed = [name for name, row in view.groups.items() if before.get(name) != row]
+        changed.extend(name for name in before if name not in view.groups)
+        self._context.publish_decision('state', 'apply', 'update', detail=str(view.applied_index))
+        self._limiters.update_limits()
+        self._on_state_update(changed)
+        self._context.lease.confirm_state(view.applied_index)
+        self._on_lease_changed()
+
+    def _refuse_update(self, update: messages.StateUpdate, reason: str, detail: str) -> None:
+        """Request the whole state with the next renewal if an update had only changed rows."""
+        self._context.publish_decision('state', 'refuse_update', reason, detail=detail)
+        if update.from_index > 0 and self._context.now >= self._whole_state_due_at:
+            self._needs_whole_state = True
+            self._whole_state_due_at = self._context.now + _WHOLE_STATE_INTERVAL_S
+
     def _follow_leader(self, envelope: messages.Envelope) -> None:
         """Send the next request to the leader alone, which has just answered."""
         self._leader = (envelope.sender, envelope.sender_address)
@@ -216,6 +234,7 @@
             reports=None if is_held else self._monitor.reachability_reports(),
             reports_version=version,
             quota_use=self._limiters.quota_use(),
+            needs_whole_state=self._needs_whole_state,
         )
 
     def _known_members(self) -> tuple[tuple[str, str], ...]:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
@@ -70,7 +70,7 @@
 
     :ivar executions: executions without an answer, oldest first.
     :ivar probes: probes without an answer, with the time of each in seconds.
-    :ivar lease_requested_at: times of the lease requests in seconds.
+    :ivar lease_requests: lease requests, oldest first.
     :ivar reported: reachability last reported to control, by instance.
     """
 
@@ -98,7 +98,7 @@
         self.decisions: list[Decision] = []
         self._requests = 0
         self._sessions = 0
-        self.lease_requested_at: list[float] = []
+        self.lease_requests: list[messages.LeaseRequest] = []
         self.reported: dict[str, messages.Reachability] = {}
         self._pull_sent_at: list[float] = []
         self._announcement_sequence = 0
@@ -186,7 +186,9 @@
         """
         self.advance(0.3)
         self.receive(
-            self.build_grant(self.lease_requested_at[-1], duration_s, primary_position, suspects)
+            self.build_grant(
+                self.lease_requests[-1].sent_at, duration_s, primary_position, suspects
+            )
         )
 
     def build_grant(
@@ -355,7 +357,7 @@
 
     def _on_send(self, action: Send) -> None:
         if isinstance(action.body, messages.LeaseRequest):
-            self.lease_requested_at.append(action.body.sent_at)
+            self.lease_requests.append(action.body)
             for report in action.body.reports or ():
                 self.reported[report.instance] = report.reachability
         elif isinstance(action.body, messages.RelayPull):
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_updates.py
@@ -0,0 +1,50 @@
+"""Tests that an entry that cannot apply an update of its state does not stay behind."""
+
+import msgspec
+import pytest
+
+from bergamotcart import messages
+from bergamotcart.entry.tests.routed_entry_harness import RoutedEntryHarness
+
+
+def _receive_partial_update(harness: RoutedEntryHarness, gap: int, body: str | None) -> None:
+    """Deliver an update that starts some records after the applied state."""
+    section = harness.section
+    if body is not None:
+        section = msgspec.structs.replace(section, body=body)
+    from_index = harness.index + gap
+    harness.index = from_index + 1
+    harness.receive(
+        messages.StateUpdate(
+            control_term=1,
+            from_index=from_index,
+            to_index=harness.index,
+            revision=harness.index,
+            entries_limit=1,
+            sections=(section,),
+        )
+    )
+
+
+@pytest.mark.parametrize(('gap', 'body'), [(0, '{"routes": 1}'), (1, None)])
+def test_refused_update_is_replaced_by_the_whole_state(gap, body):
+    """The leader would send the same rows again with each renewal, and none would be applied."""
+    harness = RoutedEntryHarness()
+    _receive_partial_update(harness, gap, body)
+    harness.grant_lease()
+    assert harness.lease_requests[-1].needs_whole_state
+    harness.update()
+    harness.grant_lease()
+    assert not harness.lease_requests[-1].needs_whole_state
+
+
+def test_whole_state_is_requested_sparingly():
+    """A state that this version cannot read must not be sent with each renewal."""
+    harness = RoutedEntryHarness()
+    harness.section = msgspec.structs.replace(harness.section, body='{"routes": 1}')
+    for _ in range(10):
+        _receive_partial_update(harness, 0, None)
+        harness.grant_lease()
+        harness.update()
+    requests = [request.needs_whole_state for request in harness.lease_requests]
+    assert 1 <= requests.count(True) <= 3
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_shared_positions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_shared_positions.py
@@ -26,7 +26,7 @@
     harness = RoutedEntryHarness()
     harness.advance(0.3)
     harness.update(phase=GroupPhase.open, term=2)
-    requested_earlier = harness.lease_requested_at[0]
+    requested_earlier = harness.lease_requests[0].sent_at
     harness.receive(harness.build_grant(requested_earlier, primary_position=40))
     harness.send_statement(harness.open_session('aged'), routed.READ)
     assert not harness.executions
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_target_limits.py
@@ -136,7 +136,9 @@
     for _ in range(rounds):
         harness.advance(0.26)
         grant = harness.build_grant(
-            harness.lease_requested_at[-1], primary_position=1, open_connections=open_connections
+            harness.lease_requests[-1].sent_at,
+            primary_position=1,
+            open_connections=open_connections,
         )
         harness.receive(grant)
 
--- a/packages/bergamotcart/src/bergamotcart/messages/_control.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_control.py
@@ -123,6 +123,7 @@
     :param revision: revision of the operator document in force at the entry.
     :param reports: reachability of all targets, or ``None`` if control has this version.
     :param reports_version: version of the reports; the entry raises it with each change.
+    :param needs_whole_state: whether the entry could not apply an update with changed rows only.
     """
 
     sent_at: float
@@ -134,6 +135,7 @@
     reports: tuple[TargetReport, ...] | None = ()
     reports_version: int = 0
     quota_use: tuple[QuotaUse, ...] = ()
+    needs_whole_state: bool = False
 
 
 class PrimaryPosition(msgspec.Struct, frozen=True, kw_only=True):
