Refuse new work at an entry that control reaches but that stays behind

Callers would see: statements run with a dropped route, and confirmed routes missing, at an entry that answered its health check as ready, for as long as its updates were refused or could not be sent.

Cause: a lease was valid and the entry was ready however long the grants had shown a newer index than the applied one.

If grants arrive and the update that they have shown has not been applied for eight renewals (2 s; the leader repeats it with each renewal), the entry is not ready, and refuses new sessions, statements and transactions at once with `configuration_unconfirmed` and a time to come back. Open transactions go on. Updates and grants share one ordered connection, so this is no sign of a slow link. An entry that gets no grants is cut off and serves what it knows. The log has `refuse_requests`, `behind` and `serve_requests`, `caught_up`, with the index.

Tests on the old code: "assert <EntryHealth.serving> is <EntryHealth.not_ready>" after 3 s of grants with a newer index, and no decision `behind` ("assert 0 == 1").

--- a/packages/bergamotcart/src/bergamotcart/entry/_context.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_context.py
@@ -66,6 +66,18 @@
         """Whether this entry holds a valid lease, which it needs to use primaries."""
         return self.lease.is_valid(self.now)
 
+    def find_state_refusal(self) -> NotRun | None:
+        """Return the refusal of all new work while the applied state must not be used."""
+        if not self.lease.is_state_acknowledged:
+            return NotRun(Reason.not_configured, retry_after=_CONTROL_RETRY_AFTER_S)
+        if self.lease.is_state_behind(self.now):
+            return NotRun(
+                Reason.configuration_unconfirmed,
+                'the state of this entry is behind',
+                retry_after=_CONTROL_RETRY_AFTER_S,
+            )
+        return None
+
     def refuse_unknown_name(self, name: str) -> NotRun:
         """Return the refusal of a name that the applied configuration does not have.
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -41,6 +41,7 @@
     __slots__ = (
         '_answer_due_at',
         '_granted_request_at',
+        '_is_behind',
         '_limiters',
         '_leader',
         '_monitor',
@@ -86,6 +87,7 @@
         self._delivered_reports: tuple[str, int] | None = None
         self._change_reported_at = float('-inf')
         self._renewal_timer: Timer | None = None
+        self._is_behind = False
         self._needs_whole_state = False
         self._whole_state_due_at = float('-inf')
         # The first member that is asked differs between entries.
@@ -138,6 +140,7 @@
             self._schedule_renewal(self._requested_at + delay_s - self._context.now)
         if not was_valid and self._context.lease_valid:
             self._context.publish_decision('leases', 'hold', 'granted', detail=envelope.sender)
+        self._report_delay()
         self._on_lease_changed()
         self._on_lease_granted(grant)
 
@@ -204,6 +207,7 @@
         self._limiters.update_limits()
         self._on_state_update(changed)
         self._context.lease.confirm_state(view.applied_index)
+        self._report_delay()
         self._on_lease_changed()
 
     def _refuse_update(self, update: messages.StateUpdate, reason: str, detail: str) -> None:
@@ -213,6 +217,17 @@
             self._needs_whole_state = True
             self._whole_state_due_at = self._context.now + _WHOLE_STATE_INTERVAL_S
 
+    def _report_delay(self) -> None:
+        is_behind = self._context.lease.is_state_behind(self._context.now)
+        if is_behind == self._is_behind:
+            return
+        self._is_behind = is_behind
+        detail = f'state {self._context.control_view.applied_index}'
+        if is_behind:
+            self._context.publish_decision('state', 'refuse_requests', 'behind', detail=detail)
+        else:
+            self._context.publish_decision('state', 'serve_requests', 'caught_up', detail=detail)
+
     def _follow_leader(self, envelope: messages.Envelope) -> None:
         """Send the next request to the leader alone, which has just answered."""
         self._leader = (envelope.sender, envelope.sender_address)
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -104,7 +104,8 @@
         if context.draining:
             health = EntryHealth.draining
         else:
-            ready = context.lease.is_state_acknowledged
+            is_behind = context.lease.is_state_behind(now)
+            ready = context.lease.is_state_acknowledged and not is_behind
             health = EntryHealth.serving if ready else EntryHealth.not_ready
         return EntryStatus(
             health=health,
--- a/packages/bergamotcart/src/bergamotcart/entry/_lease.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lease.py
@@ -11,6 +11,8 @@
 _DEFAULT_RENEWAL_INTERVAL_S: Final = 0.25
 # Age of the newest confirmation, in renewals, from which the applied state may be outdated.
 _MAX_CONFIRMATION_AGE_RENEWALS: Final = 3
+# Renewals without the update that a grant has shown, from which this entry counts as behind.
+_MAX_UPDATE_DELAY_RENEWALS: Final = 8
 
 
 class LeaseHolder:
@@ -26,6 +28,7 @@
         '_current_index',
         '_drift_margin',
         '_granted_request_at',
+        '_outdated_since',
         '_sent_requests',
         '_valid_until',
         'is_state_acknowledged',
@@ -42,6 +45,7 @@
         self._sent_requests: dict[float, None] = {}
         self._granted_request_at = float('-inf')
         self._current_index = 0
+        self._outdated_since: float | None = None
         self._confirmed_at = float('-inf')
         self.renewal_interval_s = _DEFAULT_RENEWAL_INTERVAL_S
         self.is_state_acknowledged = False
@@ -59,12 +63,22 @@
 
     def is_state_current(self, now: float) -> bool:
         """Tell whether control has lately confirmed that the applied state is current."""
-        return now - self._confirmed_at < self.renewal_interval_s * _MAX_CONFIRMATION_AGE_RENEWALS
+        return now - self._confirmed_at < self._max_confirmation_age_s
 
     def is_valid(self, now: float) -> bool:
         """Tell whether the lease is valid and control has acknowledged the applied state once."""
         return now < self._valid_until and self.is_state_acknowledged
 
+    def is_state_behind(self, now: float) -> bool:
+        """Tell whether control answers, but its updates have not been applied for too long.
+
+        An entry that control has stopped to answer is not behind, but cut off.
+        """
+        if self._outdated_since is None:
+            return False
+        is_late = now - self._outdated_since > self.renewal_interval_s * _MAX_UPDATE_DELAY_RENEWALS
+        return is_late and now - self._granted_request_at < self._max_confirmation_age_s
+
     def is_control_unreachable(self, now: float) -> bool:
         """Tell whether the lease is invalid and requests have been unanswered for too long."""
         if self._unanswered_since is None or self.is_valid(now):
@@ -117,3 +131,10 @@
         if self._control_term > 0 and applied_index >= max(self._current_index, 1):
             self.is_state_acknowledged = True
             self._confirmed_at = self._granted_request_at
+            self._outdated_since = None
+        elif self._outdated_since is None:
+            self._outdated_since = self._granted_request_at
+
+    @property
+    def _max_confirmation_age_s(self) -> float:
+        return self.renewal_interval_s * _MAX_CONFIRMATION_AGE_RENEWALS
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
@@ -152,8 +152,9 @@
 
     def _find_refusal(self, session: Session, statement: Statement) -> NotRun | None:
         """Return the refusal of a request that must not start at all, or ``None``."""
-        if not self._context.lease.is_state_acknowledged:
-            return NotRun(Reason.not_configured, retry_after=1.0)
+        refusal = self._context.find_state_refusal()
+        if refusal is not None and session.transaction is None:
+            return refusal
         if statement.kind in _TRANSACTION_END_KINDS or statement.kind is StatementKind.show_session:
             return None
         if session.group is None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -17,7 +17,6 @@
 from bergamotcart.statements import Directives, Statement, StatementKind
 
 _SHAPE_DIGEST_BYTES: Final = 8
-_NOT_CONFIGURED_RETRY_AFTER_S: Final = 1.0
 _DRAINING_RETRY_AFTER_S: Final = 0.1
 # Callers give up opening a connection after 2 s. A started entry finds control within 0.5 s.
 _CONFIGURATION_WAIT_S: Final = 1.2
@@ -135,19 +134,20 @@
         return f'{session.database}; state {index} confirmed {age_s:.2f} s ago'
 
     def _find_refusal(self, session: Session) -> NotRun | None:
-        if not self._context.lease.is_state_acknowledged:
-            return NotRun(Reason.not_configured, retry_after=_NOT_CONFIGURED_RETRY_AFTER_S)
+        refusal = self._context.find_state_refusal()
         database = session.database or ''
-        if self._context.control_view.document.route(database) is None:
-            return self._context.refuse_unknown_name(database)
-        return None
+        if refusal is None and self._context.control_view.document.route(database) is None:
+            refusal = self._context.refuse_unknown_name(database)
+        return refusal
 
     def _may_be_confirmed(self, refusal: NotRun) -> bool:
         """Tell whether a refusal depends on a configuration that control may confirm shortly."""
         if refusal.reason is Reason.not_configured:
             return True
-        is_unconfirmed = refusal.reason is Reason.configuration_unconfirmed
-        return is_unconfirmed and not self._context.lease.is_control_unreachable(self._context.now)
+        lease, now = self._context.lease, self._context.now
+        if lease.is_state_behind(now) or lease.is_control_unreachable(now):
+            return False
+        return refusal.reason is Reason.configuration_unconfirmed
 
     def _answer_locally(self, session: Session, statement: Statement) -> Outcome | None:
         """Return the outcome of a statement that needs no instance, or ``None`` for others."""
@@ -189,6 +189,9 @@
                 return resolved
         if self._context.refuses_new_requests:
             return NotRun(Reason.draining, retry_after=_DRAINING_RETRY_AFTER_S)
+        refusal = self._context.find_state_refusal()
+        if refusal is not None:
+            return refusal
         resolved = self._context.control_view.document.route(session.database or '')
         if resolved is None:
             return self._context.refuse_unknown_name(session.database or '')
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_updates.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_updates.py
@@ -4,7 +4,10 @@
 import pytest
 
 from bergamotcart import messages
-from bergamotcart.entry.tests.routed_entry_harness import RoutedEntryHarness
+from bergamotcart.entry import EntryHealth
+from bergamotcart.entry.tests import routed_entry_harness as routed
+from bergamotcart.entry.tests.routed_entry_harness import RoutedEntryHarness, open_strict_session
+from bergamotcart.outcomes import Reason
 
 
 def _receive_partial_update(harness: RoutedEntryHarness, gap: int, body: str | None) -> None:
@@ -26,6 +29,12 @@
     )
 
 
+def _assert_refused(harness: RoutedEntryHarness, session: int) -> None:
+    refusal = harness.session_answers[session].refusal
+    assert refusal.reason is Reason.configuration_unconfirmed
+    assert refusal.retry_after
+
+
 @pytest.mark.parametrize(('gap', 'body'), [(0, '{"routes": 1}'), (1, None)])
 def test_refused_update_is_replaced_by_the_whole_state(gap, body):
     """The leader would send the same rows again with each renewal, and none would be applied."""
@@ -48,3 +57,36 @@
         harness.update()
     requests = [request.needs_whole_state for request in harness.lease_requests]
     assert 1 <= requests.count(True) <= 3
+
+
+def test_entry_that_stays_behind_serves_only_while_cut_off():
+    """A route may have been dropped by the update that a reachable entry fails to apply."""
+    harness = RoutedEntryHarness()
+    harness.index += 1
+    for _ in range(10):
+        harness.grant_lease()
+    assert harness.engine.status(harness.now).health is EntryHealth.not_ready
+    _assert_refused(harness, open_strict_session(harness))
+    harness.advance(1.3)
+    assert harness.engine.status(harness.now).health is EntryHealth.serving
+    session = open_strict_session(harness)
+    assert harness.session_answers[session].refusal is None
+    harness.grant_lease()
+    _assert_refused(harness, open_strict_session(harness))
+    read = harness.send_statement(session, routed.READ)
+    assert harness.replies[read].outcome.reason is Reason.configuration_unconfirmed
+    harness.update()
+    assert harness.engine.status(harness.now).health is EntryHealth.serving
+
+
+def test_entry_that_stays_behind_says_so():
+    """The log tells since which index the entry is behind, once."""
+    harness = RoutedEntryHarness()
+    harness.index += 1
+    for _ in range(12):
+        harness.grant_lease()
+    harness.update()
+    decisions = [decision for decision in harness.decisions if decision.system == 'state']
+    reasons = [decision.reason for decision in decisions]
+    assert reasons.count('behind') == 1
+    assert reasons.index('caught_up') > reasons.index('behind')
