--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -11,16 +11,23 @@
 from bergamotcart.entry._timers import Timer
 
 _DEFAULT_RENEWAL_INTERVAL_S: Final = 0.25
-# Share of the renewal interval after which an unanswered request is repeated to other members.
-_ANSWER_TIMEOUT_SHARE: Final = 0.6
+# An unanswered request is repeated to other members after a multiple of the last round trip, within
+# these shares of the renewal interval.
+_ANSWER_TIMEOUT_ROUND_TRIPS: Final = 1.5
+_MIN_ANSWER_TIMEOUT_SHARE: Final = 0.6
+_MAX_ANSWER_TIMEOUT_SHARE: Final = 2.0
 _MIN_REQUEST_INTERVAL_S: Final = 0.02
 # Members that are asked at once while the leader is not known; each of them names it. After a loss
 # of power, all entries ask at the same time, and answering them would delay the election.
 _MAX_ASKED_MEMBERS: Final = 3
+# Refusals in a row after which a member that they name is not asked alone any more.
+_MAX_REDIRECTS: Final = 1
 _MAX_ROTATION: Final = 1000
 # Limits the requests that a target with unstable reachability causes. With more of them, the
 # leader would answer lease requests so late that no lease could be renewed in time.
 _MAX_CHANGE_REPORTS_PER_S: Final = 10.0
+# Least time between requests for the whole state, which may be refused as well.
+_WHOLE_STATE_INTERVAL_S: Final = 2.0
 
 
 class ControlLink:
@@ -32,19 +39,25 @@
     """
 
     __slots__ = (
-        '_is_answered',
+        '_answer_due_at',
+        '_granted_request_at',
+        '_is_behind',
         '_limiters',
         '_leader',
         '_monitor',
+        '_needs_whole_state',
         '_next_asked',
         '_on_lease_granted',
         '_on_lease_changed',
         '_on_state_update',
+        '_redirects',
         '_renew_after_s',
+        '_round_trip_s',
         '_delivered_reports',
         '_change_reported_at',
         '_requested_at',
         '_renewal_timer',
+        '_whole_state_due_at',
         '_context',
     )
 
@@ -67,10 +80,16 @@
         self._leader: tuple[str, str] | None = None
         self._renew_after_s = _DEFAULT_RENEWAL_INTERVAL_S
         self._requested_at = float('-inf')
-        self._is_answered = False
+        self._granted_request_at = float('-inf')
+        self._answer_due_at: float | None = None
+        self._round_trip_s = 0.0
+        self._redirects = 0
         self._delivered_reports: tuple[str, int] | None = None
         self._change_reported_at = float('-inf')
         self._renewal_timer: Timer | None = None
+        self._is_behind = False
+        self._needs_whole_state = False
+        self._whole_state_due_at = float('-inf')
         # The first member that is asked differs between entries.
         self._next_asked = context.random.randrange(_MAX_ROTATION)
 
@@ -79,9 +98,11 @@
         now = self._context.now
         if now <= self._requested_at:
             return
-        if not self._is_answered:
+        if self._answer_due_at is not None and now >= self._answer_due_at:
             self._leader = None
-        self._is_answered = False
+            self._answer_due_at = None
+        if self._answer_due_at is None:
+            self._answer_due_at = now + self._answer_timeout_s
         self._requested_at = now
         self._context.lease.record_request(now)
         request = self._build_request()
@@ -91,7 +112,7 @@
             self._context.send(name, address, request)
         if not self._context.lease_valid:
             self._context.lease_watch.report_missing_lease(now, self._publish_missing_lease)
-        self._schedule_renewal(self._renew_after_s * _ANSWER_TIMEOUT_SHARE)
+        self._schedule_renewal(self._answer_due_at - now)
         self._on_lease_changed()
 
     def report_change(self) -> None:
@@ -104,8 +125,6 @@
             self._schedule_renewal(max(_MIN_REQUEST_INTERVAL_S, earliest - self._context.now))
             return
         self._change_reported_at = self._context.now
-        # The leader stays known although the previous request may still be unanswered.
-        self._is_answered = True
         self.request_renewal()
 
     def receive_grant(self, envelope: messages.Envelope, grant: messages.LeaseGrant) -> None:
@@ -116,14 +135,18 @@
         self._context.lease_watch.record_grant(envelope.sender, accepted=accepted)
         if not accepted:
             return
-        self._leader = (envelope.sender, envelope.sender_address)
         self._renew_after_s = grant.renew_after_s
         self._delivered_reports = (envelope.sender, grant.reports_version)
-        if grant.echo_sent_at == self._requested_at:
-            self._is_answered = True
-            self._schedule_renewal(self._renew_after_s - (self._context.now - self._requested_at))
+        if grant.echo_sent_at > self._granted_request_at:
+            self._granted_request_at = grant.echo_sent_at
+            self._round_trip_s = self._context.now - grant.echo_sent_at
+            self._follow_leader(envelope)
+            is_newest = grant.echo_sent_at == self._requested_at
+            delay_s = self._renew_after_s if is_newest else self._answer_timeout_s
+            self._schedule_renewal(self._requested_at + delay_s - self._context.now)
         if self._context.lease_valid:
             self._record_valid_lease(envelope.sender, was_valid=was_valid)
+        self._report_delay()
         self._on_lease_changed()
         self._on_lease_granted(grant)
 
@@ -132,6 +155,9 @@
         if not self._context.lease.is_own_request(refusal.echo_sent_at):
             return
         self._context.lease_watch.record_refusal(envelope.sender, refusal)
+        if refusal.echo_sent_at <= self._granted_request_at:
+            return
+        self._round_trip_s = self._context.now - refusal.echo_sent_at
         if refusal.leader is None:
             return
         if refusal.leader == envelope.sender:
@@ -140,42 +166,47 @@
             self._schedule_renewal(self._renew_after_s)
             return
         address = refusal.leader_address or dict(self._known_members()).get(refusal.leader)
-        if not address or self._is_answered:
+        if not address or self._answer_due_at is None:
             return
         if self._leader is None or self._leader[0] != refusal.leader:
             self._leader = (refusal.leader, address)
-            # The delay limits the requests if two members with outdated state name each other.
-            self._is_answered = True
+            self._redirects += 1
+            self._answer_due_at = None
             self._schedule_renewal(_MIN_REQUEST_INTERVAL_S)
 
     def receive_update(self, envelope: messages.Envelope, update: messages.StateUpdate) -> None:
         """Apply a state update and acknowledge the applied state at once."""
         view = self._context.control_view
         before = dict(view.groups)
+        if update.from_index == 0:
+            self._needs_whole_state = False
+        if update.from_index > view.applied_index and update.control_term >= view.control_term:
+            self._refuse_update(update, 'gap', f'{update.from_index} after {view.applied_index}')
+            return
         try:
             applied = view.apply(update)
         except DocumentError as error:
-            self._context.publish_decision(
-                'state', 'refuse_update', 'bad_document', detail=str(error)
-            )
+            self._refuse_update(update, 'bad_document', str(error))
             return
         ack = messages.StateAck(
             applied_index=view.applied_index,
             revision=view.document.revision,
         )
         if applied:
-            changed = [name for name, row in view.groups.items() if before.get(name) != row]
-            changed.extend(name for name in before if name not in view.groups)
-            self._context.publish_decision(
-                'state', 'apply', 'update', detail=str(view.applied_index)
-            )
-            self._limiters.update_limits()
-            self._on_state_update(changed)
+            self._use_applied_state(before)
         self._context.send(envelope.sender, envelope.sender_address, ack)
         if applied and not self._context.lease_valid:
             self._follow_leader(envelope)
             self._schedule_renewal(0)
 
+    @property
+    def _answer_timeout_s(self) -> float:
+        timeout_s = max(
+            self._round_trip_s * _ANSWER_TIMEOUT_ROUND_TRIPS,
+            self._renew_after_s * _MIN_ANSWER_TIMEOUT_SHARE,
+        )
+        return min(timeout_s, self._renew_after_s * _MAX_ANSWER_TIMEOUT_SHARE)
+
     def _record_valid_lease(self, leader: str, *, was_valid: bool) -> None:
         missing_s = self._context.lease_watch.record_valid_lease(self._context.now)
         if not was_valid:
@@ -192,10 +223,40 @@
             detail=f'state index {view.applied_index}, {detail}',
         )
 
+    def _use_applied_state(self, before: dict[str, messages.GroupRow]) -> None:
+        view = self._context.control_view
+        changed = [name for name, row in view.groups.items() if before.get(name) != row]
+        changed.extend(name for name in before if name not in view.groups)
+        self._context.publish_decision('state', 'apply', 'update', detail=str(view.applied_index))
+        self._limiters.update_limits()
+        self._on_state_update(changed)
+        self._context.lease.confirm_state(view.applied_index)
+        self._report_delay()
+        self._on_lease_changed()
+
+    def _refuse_update(self, update: messages.StateUpdate, reason: str, detail: str) -> None:
+        """Request the whole state with the next renewal if an update had only changed rows."""
+        self._context.publish_decision('state', 'refuse_update', reason, detail=detail)
+        if update.from_index > 0 and self._context.now >= self._whole_state_due_at:
+            self._needs_whole_state = True
+            self._whole_state_due_at = self._context.now + _WHOLE_STATE_INTERVAL_S
+
+    def _report_delay(self) -> None:
+        is_behind = self._context.lease.is_state_behind(self._context.now)
+        if is_behind == self._is_behind:
+            return
+        self._is_behind = is_behind
+        detail = f'state {self._context.control_view.applied_index}'
+        if is_behind:
+            self._context.publish_decision('state', 'refuse_requests', 'behind', detail=detail)
+        else:
+            self._context.publish_decision('state', 'serve_requests', 'caught_up', detail=detail)
+
     def _follow_leader(self, envelope: messages.Envelope) -> None:
         """Send the next request to the leader alone, which has just answered."""
         self._leader = (envelope.sender, envelope.sender_address)
-        self._is_answered = True
+        self._answer_due_at = None
+        self._redirects = 0
 
     def _build_request(self) -> messages.LeaseRequest:
         configuration, version = self._context.configuration, self._monitor.reports_version
@@ -212,18 +273,25 @@
             reports=None if is_held else self._monitor.reachability_reports(),
             reports_version=version,
             quota_use=self._limiters.quota_use(),
+            needs_whole_state=self._needs_whole_state,
         )
 
     def _known_members(self) -> tuple[tuple[str, str], ...]:
-        # The members in the control state may all have been replaced, so those of the settings are
-        # included.
-        known = dict(self._context.contact_points)
-        known.update((row.name, row.address) for row in self._context.control_view.members.values())
-        return tuple(known.items())
+        # The members in the control state may all have been replaced, also under their names, so
+        # those of the settings are included.
+        rows = self._context.control_view.members.values()
+        known = (*self._context.contact_points, *((row.name, row.address) for row in rows))
+        return tuple(dict.fromkeys(known))
 
     def _recipients(self) -> tuple[tuple[str, str], ...]:
-        if self._leader is not None:
+        if self._leader is None:
+            return self._next_members()
+        if self._redirects <= _MAX_REDIRECTS:
             return (self._leader,)
+        # Members with outdated state may name each other or a member that is gone.
+        return tuple(dict.fromkeys((self._leader, *self._next_members())))
+
+    def _next_members(self) -> tuple[tuple[str, str], ...]:
         members = self._known_members()
         if len(members) <= _MAX_ASKED_MEMBERS:
             return members
--- a/packages/bergamotcart/src/bergamotcart/entry/_lease.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lease.py
@@ -1,6 +1,5 @@
 """Lease that this entry holds."""
 
-import math
 from typing import Final
 
 from bergamotcart.messages import LeaseGrant, QuotaGrant
@@ -9,6 +8,11 @@
 # Control counts as unreachable if requests have been unanswered for this time, and requests that
 # need the lease are refused at once. It is longer than the lease and an election.
 _CONTROL_LOST_AFTER_S: Final = 2.0
+_DEFAULT_RENEWAL_INTERVAL_S: Final = 0.25
+# Age of the newest confirmation, in renewals, from which the applied state may be outdated.
+_MAX_CONFIRMATION_AGE_RENEWALS: Final = 3
+# Renewals without the update that a grant has shown, from which this entry counts as behind.
+_MAX_UPDATE_DELAY_RENEWALS: Final = 8
 
 
 class LeaseHolder:
@@ -19,13 +23,17 @@
 
     __slots__ = (
         '_unanswered_since',
+        '_confirmed_at',
         '_control_term',
+        '_current_index',
         '_drift_margin',
+        '_granted_request_at',
+        '_outdated_since',
         '_sent_requests',
         '_valid_until',
         'is_state_acknowledged',
         'quotas',
-        'state_current_at',
+        'renewal_interval_s',
     )
 
     def __init__(self, drift_margin: float) -> None:
@@ -35,9 +43,12 @@
         self._control_term = 0
         self._unanswered_since: float | None = None
         self._sent_requests: dict[float, None] = {}
+        self._granted_request_at = float('-inf')
+        self._current_index = 0
+        self._outdated_since: float | None = None
+        self._confirmed_at = float('-inf')
+        self.renewal_interval_s = _DEFAULT_RENEWAL_INTERVAL_S
         self.is_state_acknowledged = False
-        # Time in seconds at which the applied state was last known to be current.
-        self.state_current_at: float | None = None
         self.quotas: tuple[QuotaGrant, ...] = ()
 
     @property
@@ -45,13 +56,27 @@
         """Time at which the lease ends, in seconds."""
         return self._valid_until
 
+    def is_state_current(self, now: float) -> bool:
+        """Tell whether control has lately confirmed that the applied state is current."""
+        return self.state_age(now) < self._max_confirmation_age_s
+
     def is_valid(self, now: float) -> bool:
         """Tell whether the lease is valid and control has acknowledged the applied state once."""
         return now < self._valid_until and self.is_state_acknowledged
 
     def state_age(self, now: float) -> float:
-        """Return the seconds since the applied state was known to be current, or infinity."""
-        return math.inf if self.state_current_at is None else now - self.state_current_at
+        """Return the seconds since control confirmed that the applied state was current."""
+        return now - self._confirmed_at
+
+    def is_state_behind(self, now: float) -> bool:
+        """Tell whether control answers, but its updates have not been applied for too long.
+
+        An entry that control has stopped to answer is not behind, but cut off.
+        """
+        if self._outdated_since is None:
+            return False
+        is_late = now - self._outdated_since > self.renewal_interval_s * _MAX_UPDATE_DELAY_RENEWALS
+        return is_late and now - self._granted_request_at < self._max_confirmation_age_s
 
     def is_control_unreachable(self, now: float) -> bool:
         """Tell whether the lease is invalid and requests have been unanswered for too long."""
@@ -89,9 +114,26 @@
         if valid_until > self._valid_until:
             self._valid_until = valid_until
             self.quotas = grant.quotas
-        # A delayed update can leave a restarted entry with an old state, so the state is
-        # trusted only once a grant has shown that it is not behind control.
-        if applied_index > 0 and grant.current_index <= applied_index:
-            self.is_state_acknowledged = True
-            self.state_current_at = max(self.state_current_at or 0, grant.echo_sent_at)
+        if grant.echo_sent_at >= self._granted_request_at:
+            self._granted_request_at = grant.echo_sent_at
+            self.renewal_interval_s = grant.renew_after_s
+        self._current_index = max(self._current_index, grant.current_index)
+        self.confirm_state(applied_index)
         return True
+
+    def confirm_state(self, applied_index: int) -> None:
+        """Compare the applied state with the newest index that a grant has shown.
+
+        A delayed update can leave a restarted entry with an old state, so the state is trusted
+        only once a grant has shown that it is not behind control.
+        """
+        if self._control_term > 0 and applied_index >= max(self._current_index, 1):
+            self.is_state_acknowledged = True
+            self._confirmed_at = self._granted_request_at
+            self._outdated_since = None
+        elif self._outdated_since is None:
+            self._outdated_since = self._granted_request_at
+
+    @property
+    def _max_confirmation_age_s(self) -> float:
+        return self.renewal_interval_s * _MAX_CONFIRMATION_AGE_RENEWALS
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
@@ -146,18 +146,21 @@
                     Reason.unsupported_statement, f'USE {statement.detail} inside a transaction'
                 )
             if not self._is_known_group(statement.detail):
-                return NotRun(Reason.unknown_group, statement.detail)
+                return self._context.refuse_unknown_name(statement.detail)
             session.group = statement.detail
         return Ran()
 
     def _find_refusal(self, session: Session, statement: Statement) -> NotRun | None:
         """Return the refusal of a request that must not start at all, or ``None``."""
-        if not self._context.lease.is_state_acknowledged:
-            return NotRun(Reason.not_configured, retry_after=1.0)
+        refusal = self._context.find_state_refusal()
+        if refusal is not None and session.transaction is None:
+            return refusal
         if statement.kind in _TRANSACTION_END_KINDS or statement.kind is StatementKind.show_session:
             return None
-        if session.group is None or not self._is_known_group(session.group):
-            return NotRun(Reason.unknown_group, session.group or 'no group is selected')
+        if session.group is None:
+            return NotRun(Reason.unknown_group, 'no group is selected')
+        if not self._is_known_group(session.group):
+            return self._context.refuse_unknown_name(session.group)
         if session.rolled_back and statement.kind is not StatementKind.begin:
             return NotRun(Reason.rolled_back, 'the transaction was rolled back')
         if session.transaction is None and self._context.draining:
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -17,11 +17,11 @@
 from bergamotcart.statements import Directives, Statement, StatementKind
 
 _SHAPE_DIGEST_BYTES: Final = 8
-_NOT_CONFIGURED_RETRY_AFTER_S: Final = 1.0
 _DRAINING_RETRY_AFTER_S: Final = 0.1
 # Callers give up opening a connection after 2 s. A started entry finds control within 0.5 s.
 _CONFIGURATION_WAIT_S: Final = 1.2
 _NO_DIRECTIVES: Final = Directives()
+_UNCONFIRMED_REASONS: Final = frozenset((Reason.not_configured, Reason.configuration_unconfirmed))
 
 
 class RoutedRequestDispatcher:
@@ -50,37 +50,28 @@
         self._replies = replies
         self._retries = retries
         self._request_handlers = request_handlers
-        self._waiting_sessions: set[int] = set()
+        self._waiting_sessions: dict[int, Session] = {}
 
     def open_session(self, session: Session) -> bool:
         """Accept or refuse a session by its database name.
 
-        The answer to a session that is opened before the configuration has arrived is delayed.
+        The answer is delayed if it depends on a configuration that control may confirm shortly.
 
         :returns: ``False`` if the session was refused.
         """
-        if (
-            not self._context.lease.is_state_acknowledged
-            and session.session_id not in self._waiting_sessions
-        ):
+        refusal = self._find_refusal(session)
+        if refusal is not None and self._may_be_confirmed(refusal):
             self._wait_for_configuration(session)
             return True
-        self._waiting_sessions.discard(session.session_id)
-        refusal = self._find_refusal(session)
-        self._context.publish_decision(
-            'sessions',
-            'refuse' if refusal else 'open',
-            refusal.reason.value if refusal else 'route_found',
-            session=session.session_id,
-            detail=self._describe_answer(session, refusal),
-        )
-        self._context.actions.append(SessionAnswer(session.session_id, refusal))
+        self._answer_session(session, refusal)
         return refusal is None
 
-    def answer_waiting_session(self, session: Session) -> None:
-        """Accept or refuse a session that waits for the configuration; ignore any other session."""
-        if session.session_id in self._waiting_sessions:
-            self.open_session(session)
+    def answer_waiting_sessions(self) -> None:
+        """Answer the waiting sessions that the confirmed configuration decides."""
+        for session in tuple(self._waiting_sessions.values()):
+            refusal = self._find_refusal(session)
+            if refusal is None or refusal.reason not in _UNCONFIRMED_REASONS:
+                self._answer_session(session, refusal)
 
     def handle_statement(
         self, session: Session, arrived: RequestArrived, statement: Statement
@@ -114,23 +105,44 @@
         return True
 
     def _wait_for_configuration(self, session: Session) -> None:
-        """Delay the answer to a session until this entry has received its first control state."""
-        self._waiting_sessions.add(session.session_id)
+        """Delay the answer to a session until control has confirmed the applied state."""
+        self._waiting_sessions[session.session_id] = session
         self._context.call_later(
             _CONFIGURATION_WAIT_S, lambda: self._end_configuration_wait(session)
         )
 
     def _end_configuration_wait(self, session: Session) -> None:
-        if session.session_id in self._waiting_sessions and not session.closed:
-            self.open_session(session)
-        self._waiting_sessions.discard(session.session_id)
+        if session.session_id in self._waiting_sessions:
+            self._answer_session(session, self._find_refusal(session))
+
+    def _answer_session(self, session: Session, refusal: NotRun | None) -> None:
+        self._waiting_sessions.pop(session.session_id, None)
+        if session.closed:
+            return
+        self._context.publish_decision(
+            'sessions',
+            'refuse' if refusal else 'open',
+            refusal.reason.value if refusal else 'route_found',
+            session=session.session_id,
+            detail=self._describe_answer(session, refusal),
+        )
+        self._context.actions.append(SessionAnswer(session.session_id, refusal))
 
     def _find_refusal(self, session: Session) -> NotRun | None:
-        if not self._context.lease.is_state_acknowledged:
-            return NotRun(Reason.not_configured, retry_after=_NOT_CONFIGURED_RETRY_AFTER_S)
-        if self._context.control_view.document.route(session.database or '') is None:
-            return NotRun(Reason.unknown_group, session.database or '')
-        return None
+        refusal = self._context.find_state_refusal()
+        database = session.database or ''
+        if refusal is None and self._context.control_view.document.route(database) is None:
+            refusal = self._context.refuse_unknown_name(database)
+        return refusal
+
+    def _may_be_confirmed(self, refusal: NotRun) -> bool:
+        """Tell whether a refusal depends on a configuration that control may confirm shortly."""
+        if refusal.reason is Reason.not_configured:
+            return True
+        lease, now = self._context.lease, self._context.now
+        if lease.is_state_behind(now) or lease.is_control_unreachable(now):
+            return False
+        return refusal.reason is Reason.configuration_unconfirmed
 
     def _describe_answer(self, session: Session, refusal: NotRun | None) -> str:
         """Return the database name; for a refusal also the state that it relies on."""
@@ -183,9 +195,12 @@
                 return resolved
         if self._context.refuses_new_requests:
             return NotRun(Reason.draining, retry_after=_DRAINING_RETRY_AFTER_S)
+        refusal = self._context.find_state_refusal()
+        if refusal is not None:
+            return refusal
         resolved = self._context.control_view.document.route(session.database or '')
         if resolved is None:
-            return NotRun(Reason.unknown_group, session.database or '')
+            return self._context.refuse_unknown_name(session.database or '')
         session.resolved_route = resolved
         return resolved
 
