Serve while each change reaches an entry shortly after the grant that shows it

Trial reading of the new rule that an entry which stays behind refuses new work: during a series of changes, each grant may show a newer index than the one applied, so an entry that applies each change within a renewal counted as behind after 2 s, and refused everything. test_entry_serves_while_each_change_arrives_shortly_after_its_grant failed ('not_ready is serving').

Behind is now whoever lacks, after 2 s, an index that a grant has shown; applying it also proves that the state was current when that grant was requested.

--- a/packages/bergamotcart/src/bergamotcart/entry/_lease.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lease.py
@@ -23,6 +23,7 @@
 
     __slots__ = (
         '_unanswered_since',
+        '_awaited_index',
         '_confirmed_at',
         '_control_term',
         '_current_index',
@@ -45,6 +46,8 @@
         self._sent_requests: dict[float, None] = {}
         self._granted_request_at = float('-inf')
         self._current_index = 0
+        # Index that this entry lacks, and since when a grant has shown it.
+        self._awaited_index = 0
         self._outdated_since: float | None = None
         self._confirmed_at = float('-inf')
         self.renewal_interval_s = _DEFAULT_RENEWAL_INTERVAL_S
@@ -132,8 +135,16 @@
             self._confirmed_at = self._granted_request_at
             self._outdated_since = None
         elif self._outdated_since is None:
-            self._outdated_since = self._granted_request_at
+            self._await_index()
+        elif applied_index >= self._awaited_index:
+            # The awaited changes are applied, but control has shown further ones meanwhile.
+            self._confirmed_at = max(self._confirmed_at, self._outdated_since)
+            self._await_index()
 
     @property
     def _max_confirmation_age_s(self) -> float:
         return self.renewal_interval_s * _MAX_CONFIRMATION_AGE_RENEWALS
+
+    def _await_index(self) -> None:
+        self._awaited_index = self._current_index
+        self._outdated_since = self._granted_request_at
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_updates.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_updates.py
@@ -79,6 +79,17 @@
     assert harness.engine.status(harness.now).health is EntryHealth.serving
 
 
+def test_entry_serves_while_each_change_arrives_shortly_after_its_grant():
+    """During a series of changes, an entry that applied all but the newest one counted as behind."""
+    harness = RoutedEntryHarness()
+    for _ in range(12):
+        harness.index += 2
+        harness.grant_lease()
+        harness.index -= 2
+        harness.update()
+        assert harness.engine.status(harness.now).health is EntryHealth.serving
+
+
 def test_entry_that_stays_behind_says_so():
     """The log tells since which index the entry is behind, once."""
     harness = RoutedEntryHarness()
