--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -81,10 +81,7 @@
         'bergamotcart/consensus/_election.py',
         # Either check alone keeps the tests passing, so the fault removes both.
         (
-            Replacement(
-                'listed_voters or state.own_id not in state.voters | listed_voters:',
-                'listed_voters:',
-            ),
+            Replacement('if state.own_id not in state.voters | listed_voters:', 'if False:'),
             Replacement(
                 'return is_majority(ids, state.voters)',
                 'return len(ids) * 2 > len(state.voters)',
