Renew a lease on time while an answer is late

The repetition of an unanswered request waited for up to two renewals, so with round trips of more than a renewal the lease could end between two answers. The leader is now forgotten after at most three renewals, and the next request goes out after one.

--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -11,11 +11,11 @@
 from bergamotcart.entry._timers import Timer
 
 _DEFAULT_RENEWAL_INTERVAL_S: Final = 0.25
-# An unanswered request is repeated to other members after a multiple of the last round trip, within
-# these shares of the renewal interval.
+# The leader is forgotten if it leaves a request unanswered for a multiple of the last round trip,
+# within these shares of the renewal interval.
 _ANSWER_TIMEOUT_ROUND_TRIPS: Final = 1.5
 _MIN_ANSWER_TIMEOUT_SHARE: Final = 0.6
-_MAX_ANSWER_TIMEOUT_SHARE: Final = 2.0
+_MAX_ANSWER_TIMEOUT_SHARE: Final = 3.0
 _MIN_REQUEST_INTERVAL_S: Final = 0.02
 # Members that are asked at once while the leader is not known; each of them names it. After a loss
 # of power, all entries ask at the same time, and answering them would delay the election.
@@ -112,7 +112,7 @@
             self._context.send(name, address, request)
         if not self._context.lease_valid:
             self._context.lease_watch.report_missing_lease(now, self._publish_missing_lease)
-        self._schedule_renewal(self._answer_due_at - now)
+        self._schedule_renewal(min(self._answer_due_at - now, self._renew_after_s))
         self._on_lease_changed()
 
     def report_change(self) -> None:
@@ -142,7 +142,8 @@
             self._round_trip_s = self._context.now - grant.echo_sent_at
             self._follow_leader(envelope)
             is_newest = grant.echo_sent_at == self._requested_at
-            delay_s = self._renew_after_s if is_newest else self._answer_timeout_s
+            repeat_after_s = self._renew_after_s if is_newest else self._answer_timeout_s
+            delay_s = min(repeat_after_s, self._renew_after_s)
             self._schedule_renewal(self._requested_at + delay_s - self._context.now)
         if self._context.lease_valid:
             self._record_valid_lease(envelope.sender, was_valid=was_valid)
