Hand the vote of a replaced machine over before the machine is removed

Seen: a machine of control is replaced as planned: the new one starts, has had its 4 s, and the old one is removed for good. If another machine then lost its disk, there was never a leader again, although three of four machines had been there when it happened.

Cause: the newcomer had no vote as long as all voters responded. DEPLOY.md counts the removed machine as no loss at all once its successor has had its time.

A member of the same availability zone that was admitted later, a successor, now gets the vote as soon as it has caught up. It becomes a voter first; with four voters of which three are needed, one may still be lost, and the former voter is demoted after that. At no step are fewer voters there that respond. A leader gives up its own vote in the same way and goes on leading, so that a handover needs no election; it does so only while all other voters respond, as they may have to elect one of them without it. If the old voter is gone before the handover, its vote is replaced after the greatest election timeout.

A successor, a leaving machine or another one may lose its disk at each 10 ms step of the handover.

The test whose name says that a newcomer gets no vote keeps its check, for another zone.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
@@ -82,8 +82,9 @@
     def propose_members(self, members: Members) -> int | None:
         """Append a membership record, if the previous change and this term are committed.
 
-        A leader does not remove itself: if the record reached no other member, the others could
-        not be elected because their logs are shorter, nor could this member without a vote.
+        A leader does not remove itself. It may give up its vote and continue to lead while all
+        other voters respond: if the record then reaches none of them, they can elect one of them
+        without this member, which grants no vote to a shorter log.
 
         :param members: complete new membership.
         :returns: the index of the record, or ``None`` if it is refused.
@@ -94,7 +95,7 @@
         )
         if not is_previous_committed or find_change_violation(state.members, members):
             return None
-        keeps_leader = state.own_id in voter_ids(members)
+        keeps_leader = state.own_id in {member_id(member) for member in members}
         if not (keeps_leader and self._can_commit(members)):
             return None
         if any(not self._may_be_voter(member) for member in members):
@@ -108,6 +109,8 @@
         steady writes, a distant member never holds all that the leader has committed. It holds
         the first record of the term, as an earlier commit index of a new leader may be too low.
         """
+        if member_id(member) == self._state.own_id:
+            return True
         peer = self._peers.get(member_id(member))
         if peer is None or peer.newest_echo_sent_at < self._state.now - self._quorum_window_s:
             return False
@@ -116,6 +119,8 @@
 
     def has_recent_response(self, member: messages.LogMember) -> bool:
         """Whether a member responded to an append sent within the greatest election timeout."""
+        if member_id(member) == self._state.own_id:
+            return True
         peer = self._peers.get(member_id(member))
         since = self._state.now - self._state.configuration.election_timeout_s[1]
         return peer is not None and peer.newest_echo_sent_at >= since
@@ -237,9 +242,12 @@
         return None
 
     def _can_commit(self, members: Members) -> bool:
-        """Whether a majority of the new voters responds; else the change could not be committed."""
+        """Whether enough of the new voters respond; else the change could not be committed."""
         responding = self._find_responding_since(self._state.now - self._quorum_window_s)
-        return is_majority(responding, voter_ids(members))
+        new_voters = voter_ids(members)
+        if self._state.own_id in self._state.voters - new_voters:
+            return new_voters.issubset(responding)
+        return is_majority(responding, new_voters)
 
     def _find_responding_since(self, since: float) -> list[str]:
         responding = [key for key, peer in self._peers.items() if peer.newest_echo_sent_at >= since]
--- a/packages/bergamotcart/src/bergamotcart/consensus/_membership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_membership.py
@@ -34,6 +34,23 @@
     return next((member for member in members if member.name == name), None)
 
 
+def find_predecessor(members: Members, successor: LogMember) -> LogMember | None:
+    """Return the last voter of the same availability zone that was admitted before a member.
+
+    :param members: all members in the order of their admission.
+    :param successor: one of them.
+    """
+    earlier = members[: members.index(successor)]
+    return next(
+        (
+            member
+            for member in reversed(earlier)
+            if member.voter and member.availability_zone == successor.availability_zone
+        ),
+        None,
+    )
+
+
 def find_change_violation(old: Members, new: Members) -> str | None:
     """Return the rule that a change of the membership violates.
 
--- a/packages/bergamotcart/src/bergamotcart/consensus/_membership_planner.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_membership_planner.py
@@ -1,8 +1,18 @@
 """Automatic membership changes of a leader: admission, promotion, demotion and removal.
 
-Each call returns one change. Voters are added up to the number that the tolerated losses need. A
-voter that does not respond is demoted only once another member has caught up to replace it, so
-that no change leaves fewer copies of the committed state than before.
+Each call returns one change of at most one voter, so every majority before it overlaps every
+majority after it. Voters are added up to the number that the tolerated losses need. No change
+leaves fewer voters that respond, or fewer copies of the committed state, than before:
+
+- A newcomer has no vote before it has caught up, so it neither blocks commits nor elections.
+- A voter that lost its disk never responds again, so without it, as many voters must respond as
+  before.
+- A voter that does not respond is demoted only once another member has caught up, which then
+  becomes a voter. Between the two changes, the same voters must respond as before them.
+- A voter that responds hands its vote over to a successor, a member of its availability zone that
+  was admitted later and has caught up. The successor becomes a voter first. With one voter more
+  than needed, as many losses are tolerated as before, so the voter is demoted after it. A machine
+  that is replaced by another one has thus lost its vote before it is removed.
 """
 
 from typing import Final
@@ -12,11 +22,18 @@
 from bergamotcart.consensus._join_protocol import JoinProtocol
 from bergamotcart.consensus._leadership import Leadership
 from bergamotcart.consensus._member_state import MemberState
-from bergamotcart.consensus._membership import Members, find_member, member_id, voter_ids
+from bergamotcart.consensus._membership import (
+    Members,
+    find_member,
+    find_predecessor,
+    member_id,
+    voter_ids,
+)
 from bergamotcart.messages import LogMember
 
 # Seconds without a response after which a voter may be replaced. A voter that restarts, hangs or is
-# isolated for a shorter time returns with its disk, which is better than making a new copy.
+# isolated for a shorter time returns with its disk, which is better than making a new copy. The
+# limit is the greatest election timeout for a voter whose successor has caught up.
 DEMOTE_VOTER_AFTER_S: Final = 2.0
 # Seconds without a response after which a non-voter is removed. A non-voter costs little, so this
 # is longer.
@@ -46,12 +63,17 @@
 
     def find_next_membership(self, leadership: Leadership) -> Members | None:
         """Return the membership to propose next, or ``None`` if no change is due."""
-        step = self._admit_newcomer(leadership) or self._promote_non_voter(leadership)
-        return (
-            step
-            or self._demote_silent_voter(leadership)
-            or self._remove_silent_non_voter(leadership)
-        )
+        for find_change in (
+            self._admit_newcomer,
+            self._promote_non_voter,
+            self._demote_silent_voter,
+            self._hand_vote_over,
+            self._remove_silent_non_voter,
+        ):
+            change = find_change(leadership)
+            if change is not None:
+                return change
+        return None
 
     def _admit_newcomer(self, leadership: Leadership) -> Members | None:
         """Admit a newcomer as a non-voter, also in place of a silent member of its name."""
@@ -68,19 +90,40 @@
     def _promote_non_voter(self, leadership: Leadership) -> Members | None:
         if len(voter_ids(self._state.members)) >= self._target_voter_count:
             return None
-        promoted = self._find_caught_up_non_voter(leadership)
-        return None if promoted is None else self._set_voter(promoted, voter=True)
+        spares = self._find_caught_up_non_voters(leadership)
+        return self._set_voter(spares[0], voter=True) if spares else None
 
     def _demote_silent_voter(self, leadership: Leadership) -> Members | None:
         """Demote a voter that does not respond, if another member has caught up to replace it."""
-        if self._find_caught_up_non_voter(leadership) is None:
+        spares = self._find_caught_up_non_voters(leadership)
+        if not (spares or self._find_surplus_pair()):
             return None
+        replaced = [find_predecessor(self._state.members, spare) for spare in spares]
         for member in self._state.members:
-            silent_s = leadership.seconds_since_response(member)
-            if member.voter and silent_s >= DEMOTE_VOTER_AFTER_S:
+            limit_s = DEMOTE_VOTER_AFTER_S
+            if member in replaced:
+                limit_s = self._state.configuration.election_timeout_s[1]
+            if member.voter and leadership.seconds_since_response(member) >= limit_s:
                 return self._set_voter(member, voter=False)
         return None
 
+    def _hand_vote_over(self, leadership: Leadership) -> Members | None:
+        """Let a successor become a voter, then demote its predecessor, while all voters respond."""
+        members = self._state.members
+        if not all(leadership.has_recent_response(member) for member in members if member.voter):
+            return None
+        pair = self._find_surplus_pair()
+        if pair is not None:
+            predecessor, successor = pair
+            has_caught_up = leadership.is_caught_up(successor)
+            return self._set_voter(predecessor, voter=False) if has_caught_up else None
+        if len(voter_ids(members)) != self._target_voter_count:
+            return None
+        for spare in self._find_caught_up_non_voters(leadership):
+            if find_predecessor(members, spare):
+                return self._set_voter(spare, voter=True)
+        return None
+
     def _remove_silent_non_voter(self, leadership: Leadership) -> Members | None:
         """Remove a non-voter that does not respond."""
         members = self._state.members
@@ -92,12 +135,24 @@
                 return tuple(other for other in members if other is not member)
         return None
 
-    def _find_caught_up_non_voter(self, leadership: Leadership) -> LogMember | None:
-        for member in self._state.members:
-            if not member.voter and leadership.is_caught_up(member):
-                return member
+    def _find_surplus_pair(self) -> tuple[LogMember, LogMember] | None:
+        """Return a voter and its successor if a handover has made one voter more than needed."""
+        members = self._state.members
+        if len(voter_ids(members)) != self._target_voter_count + 1:
+            return None
+        for member in members:
+            predecessor = find_predecessor(members, member) if member.voter else None
+            if predecessor is not None:
+                return predecessor, member
         return None
 
+    def _find_caught_up_non_voters(self, leadership: Leadership) -> Members:
+        return tuple(
+            member
+            for member in self._state.members
+            if not member.voter and leadership.is_caught_up(member)
+        )
+
     def _set_voter(self, changed: LogMember, *, voter: bool) -> Members:
         return tuple(
             replace(member, voter=voter) if member_id(member) == member_id(changed) else member
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
@@ -115,7 +115,8 @@
         """Create a stopped member with an empty data folder."""
         self.cluster = cluster
         self.name = name
-        self.availability_zone = f'zone-{name[0]}'
+        # The zones of a, b and c differ; d is in the zone of a.
+        self.availability_zone = f'zone-{ord(name[0]) % 3}'
         # The members that the settings named when this server was added.
         self.seeds = tuple(cluster.initial_names)
         self.folder_count = 0
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership.py
@@ -131,6 +131,29 @@
     assert leader.node.propose_members(leader.now, members) is None
 
 
+def test_leader_gives_up_its_vote_only_while_all_other_voters_respond():
+    """If the record reached none of them, one voter too few could elect the next leader."""
+    cluster = _start_cluster()
+    leader = cluster.find_leader()
+    members = tuple(
+        msgspec.structs.replace(member, voter=member.name != leader.name)
+        for member in leader.node.members
+    )
+    silent = next(server for server in cluster.servers.values() if server is not leader)
+    silent.stop()
+    cluster.run(0.6)
+    assert leader.node.propose_members(leader.now, members) is None
+    silent.start()
+    cluster.run(1)
+    assert leader.node.propose_members(leader.now, members)
+    leader.drain()
+    cluster.run(5)
+    assert cluster.find_leader() is leader
+    leader.stop()
+    cluster.run(2)
+    cluster.propose(b'two')
+
+
 def test_membership_change_requires_commit_in_own_term():
     """A change on top of an uncommitted one of an earlier leader could split the group."""
     cluster = _start_cluster()
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership_planner.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership_planner.py
@@ -7,6 +7,8 @@
 from bergamotcart.consensus.tests._cluster import Cluster, Server
 
 _SETTLE_S = 3.0
+# Bound of the deployments: a machine counts as lost until this time after its start.
+_CATCH_UP_S = 4.0
 
 
 def _start_cluster(tolerated_losses: int = 1) -> Cluster:
@@ -43,8 +45,15 @@
 
 
 def _start_newcomer(cluster: Cluster, name: str) -> Server:
-    cluster.add_server(name)
-    server = cluster.servers[name]
+    """Start a member in a zone of its own."""
+    server = cluster.add_server(name)
+    server.availability_zone = f'zone-{name}'
+    server.start()
+    return server
+
+
+def _start_successor(cluster: Cluster, predecessor: str) -> Server:
+    server = cluster.add_server(f'{predecessor}1')
     server.start()
     return server
 
@@ -133,6 +142,48 @@
     assert not cluster.oracle.committed
 
 
+@pytest.mark.parametrize('leads', [True, False])
+def test_replaced_machine_has_no_vote_when_it_is_removed(leads):
+    """No leader for good: a disk was lost right after a planned replacement."""
+    cluster = _start_cluster()
+    old = next(name for name in 'abc' if (name == cluster.find_leader().name) == leads)
+    _start_successor(cluster, old)
+    _run_with_proposals(cluster, _CATCH_UP_S)
+    assert _voter_names(cluster) == set('abc') - {old} | {f'{old}1'}
+    assert (cluster.find_leader().name == old) == leads
+    cluster.servers[old].stop()
+    emptied = cluster.servers[next(name for name in 'abc' if name != old)]
+    emptied.stop()
+    emptied.empty_disk()
+    _run_with_proposals(cluster, 1)
+    emptied.start()
+    _run_with_proposals(cluster, _CATCH_UP_S)
+    assert emptied.node.is_voter
+
+
+@pytest.mark.parametrize('step', range(8))
+@pytest.mark.parametrize('leads', [True, False])
+@pytest.mark.parametrize('victim', ['leaving', 'successor', 'other'])
+def test_handover_survives_lost_disk(victim, leads, step):
+    """One loss more voters than needed must not cost, at whatever step of the handover."""
+    cluster = _start_cluster()
+    leaving = next(name for name in 'abc' if (name == cluster.find_leader().name) == leads)
+    other = next(name for name in 'abc' if name != leaving)
+    names = {'leaving': leaving, 'successor': f'{leaving}1', 'other': other}
+    _start_successor(cluster, leaving)
+    for _ in range(4 + step):
+        cluster.propose_readmission()
+        cluster.run(0.01)
+    lost = cluster.servers[names[victim]]
+    lost.stop()
+    lost.empty_disk()
+    _run_with_proposals(cluster, 1)
+    lost.start()
+    _run_with_proposals(cluster, _CATCH_UP_S)
+    assert len(_voter_names(cluster)) == 3
+    assert voter_ids(cluster.find_leader().node.members).issubset(cluster.find_present())
+
+
 @pytest.mark.parametrize('kill_step', range(24))
 def test_replacement_survives_kill_of_all_members(kill_step):
     """A restart of all members at any step of a replacement must not prevent an election."""
