Correct the address and zone of a member as the member reports them

Seen: on a platform whose settings do not name the zones of the other members, all initial members are recorded in the zone of the member that formed the group. A machine in that zone then looks like the successor of any of them, and one in another zone like the successor of none.

Cause: a member of the initial group reported itself only by its name and incarnation; the rest of its record came from the settings of one member.

A member now repeats its join request until the record matches what it reports, and the leader proposes the corrected record, which changes no vote. As before, a report counts only with a recent echo of the leader's clock. The same corrects the address of a member that has moved with its disk. Control publishes the decision `change_member` with the reason `corrected`.

The new test failed before: "assert {'zone-0', 'zone-1', 'zone-2'} == {'zone-of-a',..., 'zone-of-c'}".

--- a/packages/bergamotcart/src/bergamotcart/consensus/_join_protocol.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_join_protocol.py
@@ -1,4 +1,4 @@
-"""Join requests, by which a process reports its incarnation to the leader."""
+"""Join requests, by which a process reports its incarnation, address and zone to the leader."""
 
 from msgspec.structs import replace
 
@@ -15,7 +15,7 @@
 class JoinProtocol:
     """Sends the join requests of this member, and tracks newcomers as leader."""
 
-    __slots__ = ('_state', '_echo', '_newcomers', 'join_request_at')
+    __slots__ = ('_state', '_echo', '_reports', 'join_request_at')
 
     def __init__(self, state: MemberState) -> None:
         """Initialize without newcomers.
@@ -25,21 +25,35 @@
         self.join_request_at = state.election_at if state.is_formed else state.now
         self._state = state
         self._echo = (0, float())
-        self._newcomers: dict[str, tuple[messages.LogMember, float]] = {}
+        self._reports: dict[str, tuple[messages.LogMember, float]] = {}
 
     @property
     def newcomers(self) -> Members:
         """Processes outside the membership that recently repeated the clock of this leader."""
-        since = self._state.now - self._newcomer_retention_s
         known_ids = {member_id(member) for member in self._state.members}
         return tuple(
-            member
-            for member, proved_at in self._newcomers.values()
-            if proved_at >= since and member_id(member) not in known_ids
+            member for member in self._recent_reports if member_id(member) not in known_ids
         )
 
+    def find_correction(self) -> Members | None:
+        """Return the membership with an address and a zone as the member itself reports them.
+
+        Whoever forms the group may not know the zones of the other members, and a member may move
+        to another address with its disk.
+
+        :returns: the membership to propose, or ``None`` if no report differs.
+        """
+        members = self._state.members
+        reported = {member_id(member): member for member in self._recent_reports}
+        reported[self._state.own_id] = self._make_own_entry()
+        corrected = tuple(
+            replace(reported.get(member_id(member), member), voter=member.voter)
+            for member in members
+        )
+        return None if corrected == members else corrected
+
     def send_join_requests(self) -> None:
-        """Report the own incarnation to all known members, unless the leader knows it.
+        """Report this member to all known members, unless the leader knows what it reports.
 
         Contact with the leader alone does not show that: to a member that lost its data folder,
         the leader still sends because of the former incarnation. It may be the only member that
@@ -47,9 +61,7 @@
         """
         state = self._state
         self.join_request_at = state.now + state.configuration.election_timeout_s[0]
-        if state.has_recent_leader_contact and state.own_id in {
-            member_id(member) for member in state.members
-        }:
+        if state.has_recent_leader_contact and self._is_listed(self._make_own_entry()):
             return
         names = {member.name for member in state.members}.union(state.contact_points)
         if state.leader:
@@ -72,7 +84,7 @@
         if state.role != Role.leader:
             if state.leader and envelope.sender == newcomer.name:
                 state.send(state.leader, request)
-        elif member_id(newcomer) not in {member_id(member) for member in state.members}:
+        elif not self._is_listed(newcomer):
             self._process_join_request(request)
 
     def find_readmission(self, leadership) -> Members | None:
@@ -94,7 +106,12 @@
             replaced = find_member(state.members, newcomer.name)
             if replaced and not leadership.has_recent_response(replaced):
                 return readmission_step(state.members, newcomer, caught_up=False)
-        return None
+        return self.find_correction()
+
+    @property
+    def _recent_reports(self) -> Members:
+        since = self._state.now - self._newcomer_retention_s
+        return tuple(member for member, proved_at in self._reports.values() if proved_at >= since)
 
     @property
     def _newcomer_retention_s(self) -> float:
@@ -105,7 +122,7 @@
         is_recent = request.echo_sent_at >= state.now - self._newcomer_retention_s
         if request.echo_term == state.hard_state.term and is_recent:
             # A newcomer is always admitted as a non-voter.
-            self._newcomers[newcomer.name] = (replace(newcomer, voter=False), state.now)
+            self._reports[newcomer.name] = (replace(newcomer, voter=False), state.now)
         challenge = messages.JoinResponse(
             term=state.hard_state.term,
             incarnation=newcomer.incarnation,
@@ -114,16 +131,23 @@
         if not is_recent or request.echo_term != state.hard_state.term:
             state.send_to_address(newcomer.name, newcomer.address, challenge)
 
+    def _is_listed(self, reported: messages.LogMember) -> bool:
+        known = find_member(self._state.members, reported.name)
+        return known is not None and replace(known, voter=False) == replace(reported, voter=False)
+
     def _make_join_request(self) -> messages.JoinRequest:
-        state = self._state
         return messages.JoinRequest(
-            member=messages.LogMember(
-                name=state.configuration.name,
-                incarnation=state.hard_state.incarnation,
-                address=state.configuration.address,
-                availability_zone=state.configuration.availability_zone,
-                voter=False,
-            ),
+            member=self._make_own_entry(),
             echo_term=self._echo[0],
             echo_sent_at=self._echo[1],
         )
+
+    def _make_own_entry(self) -> messages.LogMember:
+        state = self._state
+        return messages.LogMember(
+            name=state.configuration.name,
+            incarnation=state.hard_state.incarnation,
+            address=state.configuration.address,
+            availability_zone=state.configuration.availability_zone,
+            voter=False,
+        )
--- a/packages/bergamotcart/src/bergamotcart/consensus/_membership_planner.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_membership_planner.py
@@ -67,6 +67,7 @@
             self._admit_newcomer,
             self._promote_non_voter,
             self._demote_silent_voter,
+            self._correct_entry,
             self._hand_vote_over,
             self._remove_silent_non_voter,
         ):
@@ -87,6 +88,9 @@
                 return (*others, replace(newcomer, voter=False))
         return None
 
+    def _correct_entry(self, leadership: Leadership) -> Members | None:
+        return self._join_protocol.find_correction()
+
     def _promote_non_voter(self, leadership: Leadership) -> Members | None:
         if len(voter_ids(self._state.members)) >= self._target_voter_count:
             return None
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -172,8 +172,9 @@
         """Propose a complete membership, as leader.
 
         At most one voter may be added or removed at a time, and a new voter must have
-        caught up as a non-voter. A majority of the new voters must respond, and the
-        leader must be one of them: to remove it, call ``resign`` on it first.
+        caught up as a non-voter. A majority of the new voters must respond, and all of them
+        if the leader gives up its vote. The leader stays a member: to remove it, call
+        ``resign`` on it first.
 
         :param now: current time in seconds.
         :param members: all members.
@@ -190,7 +191,8 @@
 
         A newcomer first replaces the silent member of its name as a non-voter. A non-voter
         that has caught up becomes a voter. With ``tolerated_losses``, newcomers of other names
-        are admitted as well, and replace voters that do not respond.
+        are admitted as well, and replace voters that do not respond or that are in the same
+        availability zone. Addresses and zones are corrected as the members report them.
 
         :param now: current time in seconds.
         :returns: argument for ``propose_members``, or ``None``.
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership_planner.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership_planner.py
@@ -133,6 +133,21 @@
     assert [entry.command for entry in cluster.oracle.committed if entry.command] == [b'one']
 
 
+def test_members_correct_their_zones():
+    """The zones of the initial members stayed as the settings of one member had assumed them."""
+    cluster = _start_cluster()
+    for server in cluster.servers.values():
+        server.stop()
+        server.availability_zone = f'zone-of-{server.name}'
+        server.start()
+    _run_with_proposals(cluster, _SETTLE_S)
+    members = cluster.elect_leader().node.members
+    assert {member.availability_zone for member in members} == {
+        server.availability_zone for server in cluster.servers.values()
+    }
+    assert len(voter_ids(members)) == 3
+
+
 def test_member_without_bootstrap_forms_no_group():
     """A member with an empty data folder must not form a second group with the initial members."""
     cluster = Cluster(may_bootstrap=False)
--- a/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_member_changes.py
@@ -83,12 +83,13 @@
 
         Such a change admits a member that restarted with an empty disk again, without a vote,
         or makes a member that has caught up a voter. With ``tolerated_losses`` it may also
-        admit newcomers and remove members that are gone.
+        admit newcomers and remove members that are gone. It also corrects addresses and zones.
         """
         members = self._node.find_readmission(context.now)
         if members is None:
             return
-        before = {(member.name, member.incarnation, member.voter) for member in self._node.members}
+        known = self._node.members
+        before = {(member.name, member.incarnation, member.voter) for member in known}
         if self._node.propose_members(context.now, members) is None:
             return
         after = {(member.name, member.incarnation, member.voter) for member in members}
@@ -96,6 +97,9 @@
             _publish_decision(
                 context, 'change_member', 'caught_up' if is_voter else 'no_vote', name
             )
+        if before == after:
+            for corrected in set(members).difference(known):
+                _publish_decision(context, 'change_member', 'corrected', corrected.name)
         for removed in {member[0] for member in before} - {member[0] for member in after}:
             _publish_decision(context, 'change_member', 'forgotten', removed)
 
