Write to a member at the address of its present incarnation

Seen: a member that lost its disk and came back at another address was admitted, but then waited for the time between two join requests. A newcomer whose settings named a new address of a member went on asking at the old one for good.

Cause: the address of the newest message of a name takes precedence over the membership and the settings, whatever incarnation had sent it and however old it is.

The address now counts only for the incarnation that sent it, and it is dropped when the settings name another address. Both new tests failed before: no vote within 0.3 s ("assert False"), and no membership within 3 s ("assert ()").

--- a/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
@@ -69,7 +69,8 @@
         self._random = random.Random(
             f'{configuration.seed}/{configuration.name}/{durable.hard_state.incarnation}'
         )
-        self._sender_addresses: dict[str, str] = {}
+        # Incarnation and address of the newest sender of each name.
+        self._sender_addresses: dict[str, tuple[str, str]] = {}
         self.contact_points = {
             member.name: member.address for member in configuration.initial_members
         }
@@ -128,15 +129,28 @@
         """Record the address of a sender; it may differ from the one in the membership."""
         sender = identity(envelope.sender, envelope.incarnation)
         if not self.is_formed or sender in {member_id(member) for member in self.members}:
-            self._sender_addresses[envelope.sender] = envelope.sender_address
+            self._sender_addresses[envelope.sender] = (
+                envelope.incarnation,
+                envelope.sender_address,
+            )
 
     def find_address(self, member: str) -> str | None:
         """Return the inter-process address of a member, or ``None`` if it is unknown."""
-        address = self._sender_addresses.get(member)
-        if address is None:
-            known = find_member(self.members, member)
-            address = known.address if known else self.contact_points.get(member)
-        return address
+        known = find_member(self.members, member)
+        incarnation, address = self._sender_addresses.get(member, ('', None))
+        if address is not None and (known is None or known.incarnation == incarnation):
+            return address
+        return known.address if known else self.contact_points.get(member)
+
+    def change_contact_points(self, contact_points: dict[str, str]) -> None:
+        """Replace the contact points, and forget the sender addresses that they contradict.
+
+        :param contact_points: inter-process addresses by name.
+        """
+        for name, address in contact_points.items():
+            if self.contact_points.get(name) != address:
+                self._sender_addresses.pop(name, None)
+        self.contact_points = dict(contact_points)
 
     def send(self, recipient: str, body: messages.Body) -> None:
         """Send a message that does not depend on durable state."""
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -209,7 +209,7 @@
 
         :param contact_points: inter-process addresses by name.
         """
-        self._state.contact_points = dict(contact_points)
+        self._state.change_contact_points(contact_points)
 
     def resign(self, now: float) -> None:
         """Step down as leader, and delay the own candidacy so that another member is elected.
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/_cluster.py
@@ -115,6 +115,8 @@
         """Create a stopped member with an empty data folder."""
         self.cluster = cluster
         self.name = name
+        self.address = f'addr-{name}'
+        self.former_addresses: set[str] = set()
         # The zones of a, b and c differ; d is in the zone of a.
         self.availability_zone = f'zone-{ord(name[0]) % 3}'
         # The members that the settings named when this server was added.
@@ -151,6 +153,11 @@
         self.cluster.disks[self.identity] = self.disk
         return self.disk
 
+    def move(self) -> None:
+        """Continue at another address, at the next start."""
+        self.former_addresses.add(self.address)
+        self.address = f'{self.address}-new'
+
     def start(self) -> None:
         """Start the process from the synced state."""
         self.disk.pending.clear()
@@ -261,7 +268,7 @@
         )
         return ConsensusConfiguration(
             name=name,
-            address=f'addr-{name}',
+            address=server.address,
             availability_zone=server.availability_zone,
             initial_members=initial,
             **self.settings,
@@ -278,14 +285,17 @@
             server.start()
 
     def send(self, sender: Server, send: Send) -> None:
-        """Add a message to those in flight."""
-        assert send.address == f'addr-{send.recipient}'
+        """Add a message to those in flight, unless the recipient has left its address."""
+        recipient = self.servers[send.recipient]
+        assert send.address in {recipient.address, *recipient.former_addresses}
+        if send.address != recipient.address:
+            return
         envelope = messages.Envelope(
             version=messages.FORMAT_VERSION,
             domain='test',
             sender=sender.name,
             incarnation=sender.node.incarnation,
-            sender_address=f'addr-{sender.name}',
+            sender_address=sender.address,
             recipient=send.recipient,
             body=send.body,
         )
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership_planner.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership_planner.py
@@ -133,6 +133,36 @@
     assert [entry.command for entry in cluster.oracle.committed if entry.command] == [b'one']
 
 
+def test_emptied_member_is_reached_at_its_new_address():
+    """The leader wrote to the address of the former incarnation until a join request came."""
+    cluster = _start_cluster()
+    leader = cluster.find_leader()
+    moved = next(server for server in cluster.servers.values() if server is not leader)
+    moved.stop()
+    moved.empty_disk()
+    moved.move()
+    _run_with_proposals(cluster, 1)
+    moved.start()
+    _run_with_proposals(cluster, 0.3)
+    assert moved.node.is_voter
+
+
+def test_newcomer_follows_its_settings_to_a_new_address():
+    """It asked at the address from which the member had once answered, and at no other."""
+    cluster = _start_cluster()
+    leader = cluster.find_leader()
+    newcomer = cluster.add_server('d')
+    newcomer.seeds = (leader.name,)
+    newcomer.start()
+    cluster.run(1)
+    leader.stop()
+    leader.move()
+    leader.start()
+    newcomer.node.change_contact_points({leader.name: leader.address})
+    _run_with_proposals(cluster, _SETTLE_S)
+    assert newcomer.node.members
+
+
 def test_members_correct_their_zones():
     """The zones of the initial members stayed as the settings of one member had assumed them."""
     cluster = _start_cluster()
