Readmit a former incarnation that returns with its disk

Seen: a member whose disk was replaced by an empty one, and later by the former one again, stayed without a vote for good, and the group one loss short.

Cause: the leader writes to the name of a member for its listed incarnation. The former one has contact with the leader and finds itself in its own old log, so it did not ask for admission. The leader ignored its responses, as that incarnation is not listed, and kept the silent one as a voter.

The leader now answers a response of an incarnation that it does not list with the question that a newcomer gets, and its report then goes the usual way.

The new test failed before: "assert 'a/a1' in frozenset({'a/a2', 'b/b1', 'c/c1'})" 4 s after the return.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
@@ -255,11 +255,24 @@
 
     def _find_peer(self, envelope: messages.Envelope, term: int) -> ReplicationProgress | None:
         peer = self._peers.get(identity(envelope.sender, envelope.incarnation))
+        if peer is None:
+            self._request_report(envelope)
         if peer and term > self._state.hard_state.term:
             self._state.enter_term(term, 'response of a newer term')
             return None
         return peer if term == self._state.hard_state.term else None
 
+    def _request_report(self, envelope: messages.Envelope) -> None:
+        """Ask for a join request from an incarnation that is not listed but receives appends.
+
+        A former incarnation with its log does not send one by itself, as its log lists it.
+        """
+        state = self._state
+        request = messages.JoinResponse(
+            term=state.hard_state.term, incarnation=envelope.incarnation, sent_at=state.now
+        )
+        state.reply(envelope, request)
+
     def _send_append(self, peer: ReplicationProgress) -> None:
         state = self._state
         previous = peer.next_index - 1
--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership_planner.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_membership_planner.py
@@ -163,6 +163,25 @@
     assert newcomer.node.members
 
 
+def test_former_incarnation_is_readmitted():
+    """Its log lists it, and the leader writes to its name, so it did not ask for admission."""
+    cluster = _start_cluster()
+    leader = cluster.find_leader()
+    server = next(server for server in cluster.servers.values() if server is not leader)
+    former_disk = server.disk
+    server.stop()
+    server.empty_disk()
+    _run_with_proposals(cluster, 1)
+    server.start()
+    _run_with_proposals(cluster, _SETTLE_S)
+    server.stop()
+    server.disk = former_disk
+    _run_with_proposals(cluster, 1)
+    server.start()
+    _run_with_proposals(cluster, _CATCH_UP_S)
+    assert server.identity in voter_ids(leader.node.members)
+
+
 def test_members_correct_their_zones():
     """The zones of the initial members stayed as the settings of one member had assumed them."""
     cluster = _start_cluster()
