Prepare statements whose text is not valid UTF-8

The digest is now taken of the bytes that the caller sent, which also reach the instance.

Test before: 'UnicodeEncodeError: 'utf-8' codec can't encode character '\udcff''.

--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -52,19 +52,17 @@
         self._request_handlers = request_handlers
         self._waiting_sessions: set[int] = set()
 
-    def open_session(self, session: Session) -> bool:
+    def open_session(self, session: Session) -> None:
         """Accept or refuse a session by its database name.
 
         The answer to a session that is opened before the configuration has arrived is delayed.
-
-        :returns: ``False`` if the session was refused.
         """
         if (
             not self._context.lease.is_state_acknowledged
             and session.session_id not in self._waiting_sessions
         ):
             self._wait_for_configuration(session)
-            return True
+            return
         self._waiting_sessions.discard(session.session_id)
         refusal = self._find_refusal(session)
         self._context.publish_decision(
@@ -75,7 +73,6 @@
             detail=self._describe_answer(session, refusal),
         )
         self._context.actions.append(SessionAnswer(session.session_id, refusal))
-        return refusal is None
 
     def answer_waiting_session(self, session: Session) -> None:
         """Accept or refuse a session that waits for the configuration; ignore any other session."""
@@ -292,5 +289,7 @@
 def _build_prepared_shape(statement: Statement) -> PreparedShape:
     """Return a prepared statement whose name is derived from its text and mode alone."""
     mode = 'r' if statement.read_only else 'w'
-    digest = hashlib.blake2s(statement.text.encode(), digest_size=_SHAPE_DIGEST_BYTES).hexdigest()
+    # A text that is not valid UTF-8 contains surrogates for its bytes.
+    encoded = statement.text.encode('utf-8', 'surrogateescape')
+    digest = hashlib.blake2s(encoded, digest_size=_SHAPE_DIGEST_BYTES).hexdigest()
     return PreparedShape(f'{mode}{digest}', statement.text, statement.read_only)
