Release a connection only if it was counted

With 1,000 sessions of one caller and a further one that is refused, the entry ended when the last of them closed: the refused session exceeds the connection limit and is not counted, but was released, so that the count fell below zero.

A refused session now stays in the table until its connection is closed, which follows at once, and is released there like all others: only if it was counted.

Test before: 'ValueError: caller 'client' has no connection or request to release'.

--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -187,12 +187,10 @@
             opened.caller, limit
         )
         session.database = opened.database
-        if opened.database is None or self._components.routed_request_dispatcher.open_session(
-            session
-        ):
-            sessions.add(session)
-        else:
-            self._context.caller_limits.record_closed_connection(opened.caller)
+        # A refused session is removed with its connection, as all others are.
+        sessions.add(session)
+        if opened.database is not None:
+            self._components.routed_request_dispatcher.open_session(session)
 
     def _select_group(self, selected: inputs.GroupSelected) -> None:
         session = self._components.sessions.get(selected.session_id)
