End only the session whose input causes an unexpected error

An unexpected error in the step of an entry ends the process, with the sessions of all callers; three inputs of one caller were found that did so, and others may exist.

An error in an input of a caller (a new session, a statement) now ends that session: it is counted and logged as `sessions`, `end`, `internal_error` with the error and its place, its transaction is rolled back, its statement is answered, as "has not run" only if nothing was sent in its step, and its connection is closed. A session of the MySQL path, which the engine cannot close, goes on after the error. Errors in timers and in inputs of other kinds still end the process, since they concern all sessions.

Test before: 'AttributeError: 'NoneType' object has no attribute 'encode''.

--- a/packages/bergamotcart/src/bergamotcart/entry/_components.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_components.py
@@ -21,6 +21,7 @@
 from bergamotcart.entry._requests import RequestPhase, RequestTable
 from bergamotcart.entry._retries import Retries
 from bergamotcart.entry._routed_request_dispatcher import RoutedRequestDispatcher
+from bergamotcart.entry._session_errors import SessionErrors
 from bergamotcart.entry._session_floors import SessionFloors
 from bergamotcart.entry._sessions import Session, SessionTable
 from bergamotcart.entry._target_limits import TargetLimiters
@@ -43,6 +44,7 @@
         'requests',
         'retries',
         'routed_request_dispatcher',
+        'session_errors',
         'sessions',
         'request_handlers',
         'context',
@@ -142,6 +144,10 @@
             self.routed_request_dispatcher,
         )
 
+        self.session_errors = SessionErrors(
+            context, self.sessions, self.requests, replies, self.request_handlers.transactions
+        )
+
     def _on_reachability_changed(self, monitored: MonitoredTarget) -> None:
         self.control_link.report_change()
         self.change_handler.on_reachability_changed(monitored)
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -85,9 +85,7 @@
         if not self._is_started:
             self._start()
         for received in pending_inputs:
-            handler = self._input_handlers.get(type(received))
-            if handler is not None:
-                handler(received)
+            self._handle_input(received)
         context.timers.run_due(context.now)
         if context.draining and not self._is_drained:
             self._check_drained()
@@ -128,6 +126,17 @@
         self._update_targets_and_limits()
         self._context.call_later(_PRUNE_INTERVAL_S, self._prune_retry_budgets)
 
+    def _handle_input(self, received: EntryInput) -> None:
+        handler = self._input_handlers.get(type(received))
+        if handler is None:
+            return
+        actions_before = len(self._context.actions)
+        try:
+            handler(received)
+        except Exception as error:
+            if not self._components.session_errors.end_session(received, error, actions_before):
+                raise
+
     def _prune_retry_budgets(self) -> None:
         self._components.retries.prune()
         self._context.call_later(_PRUNE_INTERVAL_S, self._prune_retry_budgets)
--- a/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
+++ b/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
@@ -38,6 +38,7 @@
     route_changed = 'route_changed'
     replica_behind = 'replica_behind'
     target_busy = 'target_busy'
+    internal_error = 'internal_error'
 
 
 @enum.unique
