--- a/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
@@ -21,7 +21,7 @@
     """State that the election, follower, leader and join code of this member share.
 
     The term, vote and log are durable; ``output_buffer`` collects the changes to persist.
-    ``last_heard_at`` holds the time of the newest message of each member, by identity.
+    ``last_heard`` holds the incarnation and the time of the newest message of each member.
     """
 
     __slots__ = (
@@ -35,7 +35,7 @@
         'hard_state',
         'leader_contact_at',
         'leader',
-        'last_heard_at',
+        'last_heard',
         'log',
         'now',
         'output_buffer',
@@ -72,7 +72,7 @@
             f'{configuration.seed}/{configuration.name}/{durable.hard_state.incarnation}'
         )
         self._sender_addresses: dict[str, str] = {}
-        self.last_heard_at: dict[str, float] = {}
+        self.last_heard: dict[str, tuple[str, float]] = {}
         self.contact_points = {
             member.name: member.address for member in configuration.initial_members
         }
@@ -135,7 +135,7 @@
         sender = identity(envelope.sender, envelope.incarnation)
         if not self.is_formed or sender in {member_id(member) for member in self.members}:
             self._sender_addresses[envelope.sender] = envelope.sender_address
-            self.last_heard_at[sender] = self.now
+            self.last_heard[envelope.sender] = (envelope.incarnation, self.now)
 
     def find_address(self, member: str) -> str | None:
         """Return the inter-process address of a member, or ``None`` if it is unknown."""
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -2,14 +2,14 @@
 
 from bergamotcart import messages
 from bergamotcart.consensus._configuration import ConsensusConfiguration, ConsensusOutputs, Role
-from bergamotcart.consensus._contacts import MemberContact
+from bergamotcart.consensus._contacts import MemberContact, list_contacts
 from bergamotcart.consensus._durable_state import DurableState, Snapshot
 from bergamotcart.consensus._election import Election
 from bergamotcart.consensus._follower import Follower
 from bergamotcart.consensus._join_protocol import JoinProtocol
 from bergamotcart.consensus._leadership import Leadership
 from bergamotcart.consensus._member_state import MemberState
-from bergamotcart.consensus._membership import Members, member_id
+from bergamotcart.consensus._membership import Members
 from bergamotcart.consensus._membership_planner import MembershipPlanner
 
 # A record and its envelope must fit into one message, which is limited to 1 MiB.
@@ -106,19 +106,13 @@
 
     @property
     def contacts(self) -> tuple[MemberContact, ...]:
-        """What this member has last received from each member of the log."""
-        answers = self._election.answers
-        return tuple(
-            MemberContact(
-                name=member.name,
-                incarnation=member.incarnation,
-                voter=member.voter,
-                is_self=member_id(member) == self._state.own_id,
-                heard_at=self._state.last_heard_at.get(member_id(member)),
-                vote_answer=answers.get(member.name, ''),
-            )
-            for member in self._state.members
-        )
+        """What this member has last received from each member, or initial member if unformed."""
+        return list_contacts(self._state, self._election.answers)
+
+    @property
+    def may_form_group(self) -> bool:
+        """Whether this member may take part in forming a group."""
+        return self._state.may_form_group
 
     @property
     def newcomers(self) -> Members:
--- a/packages/bergamotcart/src/bergamotcart/control/_leader_watch.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leader_watch.py
@@ -36,7 +36,7 @@
 
     def update(self, context: StepContext) -> None:
         """Report changes of the membership and of the presence of a leader."""
-        if self._members != self._node.members:
+        if self._node.members and self._members != self._node.members:
             self._members = self._node.members
             self._publish(context, 'members', 'list', 'changed', self._describe_members())
         if self._has_leader(context):
@@ -75,7 +75,7 @@
         if self._node.role == consensus.Role.leader:
             return context.leadership.reason
         if not self._node.members:
-            return 'not_formed'
+            return 'not_formed' if self._node.may_form_group else 'may_not_form'
         if not self._node.is_voter:
             return 'not_a_voter'
         voters = [contact for contact in self._node.contacts if contact.voter]
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_leader_watch.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_leader_watch.py
@@ -1,6 +1,11 @@
 """Tests of the log lines that show why control has no leader."""
 
-from bergamotcart import messages
+import pytest
+
+from bergamotcart import control, messages
+from bergamotcart.actions import Decision
+from bergamotcart.control.tests import _fakes as fakes
+from bergamotcart.control.tests._world import MEMBERS
 from bergamotcart.control.tests.test_engine import start_world
 
 
@@ -54,3 +59,23 @@
     lists = [decision.detail for decision in _find(world, 'list')]
     assert any(text.count(' voter') == 2 and 'no vote' in text for text in lists)
     assert lists[-1].count(' voter') == 3
+
+
+@pytest.mark.parametrize(('may_form', 'reason'), [(True, 'not_formed'), (False, 'may_not_form')])
+def test_member_that_waits_for_a_domain_says_so(may_form, reason):
+    """If all members were told not to form one, none of them logged what they waited for."""
+    configuration = control.ControlConfiguration(
+        name=MEMBERS[0],
+        availability_zone='z',
+        address='a:1',
+        initial_members=tuple((name, f'{name}:1', 'z') for name in MEMBERS),
+        admin_token='admin',
+        may_bootstrap=may_form,
+    )
+    durable = fakes.FakeDisk(control.HardState(incarnation='i')).load()
+    engine = control.ControlEngine(configuration, durable)
+    engine.step(0, ())
+    actions = engine.step(2, ()).actions
+    report = next(it for it in actions if isinstance(it, Decision) and it.action == 'lack_leader')
+    assert report.reason == reason
+    assert all(name in report.detail for name in MEMBERS)
