--- a/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_leadership.py
@@ -1,8 +1,7 @@
 """Leader of one term: replication, commit, check-quorum and membership changes."""
 
-from collections import deque
-
 from bergamotcart import messages
+from bergamotcart.consensus._commit_history import CommitHistory
 from bergamotcart.consensus._configuration import Role
 from bergamotcart.consensus._member_state import MemberState
 from bergamotcart.consensus._membership import (
@@ -22,7 +21,7 @@
 
     __slots__ = (
         '_state',
-        '_commits_at_heartbeats',
+        '_commit_history',
         '_first_index',
         '_heartbeat_at',
         '_peers',
@@ -37,8 +36,7 @@
         """
         self._state = state
         self._peers: dict[str, ReplicationProgress] = {}
-        # Time and commit index of recent heartbeats, oldest first.
-        self._commits_at_heartbeats: deque[tuple[float, int]] = deque()
+        self._commit_history = CommitHistory(2 * self._quorum_window_s)
         self._started_at = state.now
         self._first_index = state.log.last_index + 1
         self._append(members=None if state.is_formed else members)
@@ -115,7 +113,9 @@
         peer = self._peers.get(member_id(member))
         if peer is None or peer.newest_echo_sent_at < self._state.now - self._quorum_window_s:
             return False
-        committed = self._find_commit_index_at(peer.newest_echo_sent_at)
+        committed = self._commit_history.find_index_at(peer.newest_echo_sent_at)
+        if committed is None:
+            committed = self._state.commit_index
         return peer.match_index >= max(committed, self._first_index)
 
     def has_recent_response(self, member: messages.LogMember) -> bool:
@@ -145,10 +145,7 @@
 
     def send_heartbeats(self) -> None:
         """Send an append or a snapshot chunk to every other member."""
-        commits = self._commits_at_heartbeats
-        commits.append((self._state.now, self._state.commit_index))
-        while commits[0][0] < self._state.now - 2 * self._quorum_window_s:
-            commits.popleft()
+        self._commit_history.record_heartbeat(self._state.now, self._state.commit_index)
         self._heartbeat_at = self._state.now + self._state.configuration.leader_heartbeat_interval_s
         for peer in self._peers.values():
             if peer.transfer is None:
@@ -209,13 +206,6 @@
         vote_refusal_s = configuration.election_timeout_s[0] * (1 - configuration.drift_margin)
         return min(configuration.check_quorum_window_s, vote_refusal_s)
 
-    def _find_commit_index_at(self, sent_at: float) -> int:
-        """Return the commit index at the newest heartbeat up to a time, else the present one."""
-        for heartbeat_at, index in reversed(self._commits_at_heartbeats):
-            if heartbeat_at <= sent_at:
-                return index
-        return self._state.commit_index
-
     def _append(self, command: bytes = b'', members: Members | None = None) -> int:
         state = self._state
         entry = messages.LogEntry(
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -85,9 +85,7 @@
         if not self._is_started:
             self._start()
         for received in pending_inputs:
-            handler = self._input_handlers.get(type(received))
-            if handler is not None:
-                handler(received)
+            self._handle_input(received)
         context.timers.run_due(context.now)
         if context.draining and not self._is_drained:
             self._check_drained()
@@ -129,6 +127,17 @@
         self._update_targets_and_limits()
         self._context.call_later(_PRUNE_INTERVAL_S, self._prune_retry_budgets)
 
+    def _handle_input(self, received: EntryInput) -> None:
+        handler = self._input_handlers.get(type(received))
+        if handler is None:
+            return
+        actions_before = len(self._context.actions)
+        try:
+            handler(received)
+        except Exception as error:
+            if not self._components.session_errors.end_session(received, error, actions_before):
+                raise
+
     def _prune_retry_budgets(self) -> None:
         self._components.retries.prune()
         self._context.call_later(_PRUNE_INTERVAL_S, self._prune_retry_budgets)
@@ -188,12 +197,10 @@
             opened.caller, limit
         )
         session.database = opened.database
-        if opened.database is None or self._components.routed_request_dispatcher.open_session(
-            session
-        ):
-            sessions.add(session)
-        else:
-            self._context.caller_limits.record_closed_connection(opened.caller)
+        # A refused session is removed with its connection, as all others are.
+        sessions.add(session)
+        if opened.database is not None:
+            self._components.routed_request_dispatcher.open_session(session)
 
     def _select_group(self, selected: inputs.GroupSelected) -> None:
         session = self._components.sessions.get(selected.session_id)
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -52,19 +52,16 @@
         self._request_handlers = request_handlers
         self._waiting_sessions: dict[int, Session] = {}
 
-    def open_session(self, session: Session) -> bool:
+    def open_session(self, session: Session) -> None:
         """Accept or refuse a session by its database name.
 
         The answer is delayed if it depends on a configuration that control may confirm shortly.
-
-        :returns: ``False`` if the session was refused.
         """
         refusal = self._find_refusal(session)
         if refusal is not None and self._may_be_confirmed(refusal):
             self._wait_for_configuration(session)
-            return True
+            return
         self._answer_session(session, refusal)
-        return refusal is None
 
     def answer_waiting_sessions(self) -> None:
         """Answer the waiting sessions that the confirmed configuration decides."""
@@ -307,5 +304,7 @@
 def _build_prepared_shape(statement: Statement) -> PreparedShape:
     """Return a prepared statement whose name is derived from its text and mode alone."""
     mode = 'r' if statement.read_only else 'w'
-    digest = hashlib.blake2s(statement.text.encode(), digest_size=_SHAPE_DIGEST_BYTES).hexdigest()
+    # A text that is not valid UTF-8 contains surrogates for its bytes.
+    encoded = statement.text.encode('utf-8', 'surrogateescape')
+    digest = hashlib.blake2s(encoded, digest_size=_SHAPE_DIGEST_BYTES).hexdigest()
     return PreparedShape(f'{mode}{digest}', statement.text, statement.read_only)
