--- a/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
@@ -223,6 +223,21 @@
         self.snapshot = snapshot
         self.output_buffer.write_snapshot(snapshot)
 
+    def compact_log(self, index: int, replicated_index: int) -> None:
+        """Drop records that a snapshot covers, except recent ones that other members may need.
+
+        :param index: last index that the snapshot covers.
+        :param replicated_index: index up to which all members that respond have the records.
+        """
+        configuration, log = self.configuration, self.log
+        first = log.find_compaction_index(
+            index, configuration.trailing_records, configuration.trailing_bytes
+        )
+        first_needed = log.find_compaction_index(
+            index, index - replicated_index, configuration.catch_up_bytes
+        )
+        log.compact(min(first, first_needed))
+
     def take_committed(self) -> tuple[messages.LogEntry, ...]:
         """Return the committed records that were not returned before.
 
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -268,7 +268,8 @@
             state=state,
         )
         member_state.save_snapshot(snapshot)
-        self._compact_log(index)
+        replicated_index = self._leadership.find_replicated_index() if self._leadership else index
+        member_state.compact_log(index, min(replicated_index, index))
         return index
 
     def take_outputs(self) -> ConsensusOutputs:
@@ -291,19 +292,6 @@
             role_changes=role_changes,
         )
 
-    def _compact_log(self, index: int) -> None:
-        configuration, log = self._state.configuration, self._state.log
-        first = log.find_compaction_index(
-            index, configuration.trailing_records, configuration.trailing_bytes
-        )
-        if self._leadership:
-            replicated = min(self._leadership.find_replicated_index(), index)
-            limit = log.find_compaction_index(
-                index, index - replicated, configuration.catch_up_bytes
-            )
-            first = min(first, limit)
-        log.compact(first)
-
     def _find_handler(self, body: messages.Body):
         if self._leadership:
             if isinstance(body, messages.AppendResponse):
