--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_batch_writer.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_batch_writer.py
@@ -41,7 +41,8 @@
         self._submit = submit
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix='storage')
         self._waiting: list[WriteBatch] = []
-        self._is_busy = False
+        self._is_writing = False
+        self._is_full = False
         self._retry_timer: asyncio.TimerHandle | None = None
         self._next_log_at = 0.0
 
@@ -53,11 +54,14 @@
     def write(self, batch: WriteBatch) -> None:
         """Queue a batch to be written after all earlier ones."""
         self._waiting.append(batch)
-        if not self._is_busy:
+        # A snapshot frees room, so it ends the wait for the next attempt.
+        is_waiting_to_retry = self._retry_timer is not None and batch.snapshot is None
+        if not (self._is_writing or is_waiting_to_retry):
             self._write_waiting()
 
     def _write_waiting(self) -> None:
-        self._is_busy = True
+        self._cancel_retry()
+        self._is_writing = True
         merged = merge_batches(self._waiting)
         self._waiting.clear()
         write_future = asyncio.get_running_loop().run_in_executor(
@@ -68,27 +72,29 @@
     def _on_written(self, batch: WriteBatch, finished: asyncio.Future[None]) -> None:
         error = finished.exception()
         if error is None:
-            self._submit(BatchPersisted(batch.batch_id))
-            self._is_busy = False
+            self._is_writing = False
             self._report_recovery()
+            self._submit(BatchPersisted(batch.batch_id))
             if self._waiting and not self.should_stop:
                 self._write_waiting()
         elif isinstance(error, StorageFullError):
+            self._is_writing = False
             self._waiting.insert(0, batch)
             self._retry_later(error)
         else:
             # A member that cannot write must stop, so that it never acknowledges unwritten state.
-            # It stays busy, since a later batch must not be written without this one.
+            # It keeps the batches that wait, as none may be written without this one.
             self.add_future(self.crash(error))
 
     def _report_recovery(self) -> None:
-        if self._retry_timer is not None:
-            self._retry_timer = None
-            _logger.info('the disk has room again; all batches that waited for it are written')
+        if self._is_full:
+            self._is_full = False
+            _logger.info('the disk has room again; the batches that waited for it are written')
 
     def _retry_later(self, error: StorageFullError) -> None:
         if self.should_stop:
             return
+        self._is_full = True
         loop = asyncio.get_running_loop()
         if loop.time() >= self._next_log_at:
             self._next_log_at = loop.time() + _MIN_LOG_INTERVAL_S
@@ -97,9 +103,10 @@
                 error,
                 RETRY_INTERVAL_S,
             )
-        self._submit(StorageFull())
         self._retry_timer = loop.call_later(RETRY_INTERVAL_S, self._write_waiting)
+        self._submit(StorageFull())
 
     def _cancel_retry(self) -> None:
         if self._retry_timer is not None:
             self._retry_timer.cancel()
+            self._retry_timer = None
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/tests/test_batch_writer.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/tests/test_batch_writer.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+import threading
 
 import pytest
 
-from bergamotcart.control import BatchPersisted, StorageFull, WriteBatch
+from bergamotcart.control import BatchPersisted, Snapshot, StorageFull, WriteBatch
 from bergamotcart.messages import LogEntry
 from bergamotcart_daemon.control import _batch_writer
 from bergamotcart_daemon.storage import StorageError, StorageFullError
@@ -17,13 +18,17 @@
     def __init__(self, error: Exception | None) -> None:
         self.error = error
         self.attempts = 0
+        self.may_finish = threading.Event()
+        self.may_finish.set()
         self.written: list[WriteBatch] = []
 
     def write(self, batch: WriteBatch) -> None:
         """Store a batch, or fail."""
+        error = self.error
         self.attempts += 1
-        if self.error:
-            raise self.error
+        self.may_finish.wait()
+        if error:
+            raise error
         self.written.append(batch)
 
 
@@ -37,9 +42,9 @@
         await writer.stop()
 
 
-def _make_batch(batch_id: int) -> WriteBatch:
+def _make_batch(batch_id: int, snapshot: Snapshot | None = None) -> WriteBatch:
     records = (LogEntry(index=batch_id, term=1, command=b'x'),)
-    return WriteBatch(batch_id=batch_id, records=records)
+    return WriteBatch(batch_id=batch_id, snapshot=snapshot, records=records)
 
 
 @pytest.fixture(autouse=True)
@@ -68,6 +73,25 @@
     assert indexes == [1, 2, 3]
 
 
+async def test_snapshot_during_failing_write_is_not_written_alone():
+    """The log would have a gap where the batch that found the disk full is missing."""
+    storage, submitted = _Storage(StorageFullError('full')), []
+    storage.may_finish.clear()
+    async with _start_writer(storage, submitted) as writer:
+        writer.write(_make_batch(1))
+        await _wait_for(lambda: storage.attempts == 1)
+        storage.may_finish.set()
+        await _wait_for(lambda: submitted)
+        storage.may_finish.clear()
+        await _wait_for(lambda: storage.attempts == 2)
+        writer.write(_make_batch(2, Snapshot(last_index=0, last_term=1, members=(), state=b'')))
+        storage.may_finish.set()
+        await _wait_for(lambda: storage.attempts > 2)
+        storage.error = None
+        await _wait_for(lambda: BatchPersisted(2) in submitted)
+    assert [entry.index for batch in storage.written for entry in batch.records] == [1, 2]
+
+
 async def test_other_storage_error_ends_process():
     """What a failed sync has left on the disk is not known, so nothing more may be written."""
     storage, submitted = _Storage(StorageError('failed')), []
