Apply the deliberate fault of the emptied member's vote to the split condition

The check of an emptied member's vote is now a condition of its own, so the replacement of the fault did not apply any more (test_fault_applies: 'assert 0 == 1'). The new one removes the same check.

--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -82,8 +82,8 @@
         # Either check alone keeps the tests passing, so the fault removes both.
         (
             Replacement(
-                'listed_voters or state.own_id not in state.voters | listed_voters:',
-                'listed_voters:',
+                'if state.own_id not in state.voters | listed_voters:',
+                'if not state.own_id:',
             ),
             Replacement(
                 'return is_majority(ids, state.voters)',
