--- a/packages/bergamotcart/src/bergamotcart/consensus/_contacts.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_contacts.py
@@ -10,6 +10,7 @@
 class MemberContact(msgspec.Struct, frozen=True, kw_only=True):
     """What a member has last received from a member of its log.
 
+    :param voter: whether it has a vote; ``None`` for an initial member of an unformed group.
     :param is_self: whether this is the member itself.
     :param heard_at: time of the newest message of the log, in seconds; ``None`` without one.
     :param vote_answer: newest answer of a process of this name to a request for a pre-vote or a
@@ -18,7 +19,7 @@
 
     name: str
     incarnation: str
-    voter: bool
+    voter: bool | None
     is_self: bool
     heard_at: float | None = None
     vote_answer: str = ''
@@ -44,7 +45,7 @@
     name: str,
     incarnation: str = '',
     *,
-    voter: bool = False,
+    voter: bool | None = None,
 ) -> MemberContact:
     heard_incarnation, heard_at = state.last_heard.get(name, ('', None))
     is_other_incarnation = bool(incarnation) and heard_incarnation != incarnation
--- a/packages/bergamotcart/src/bergamotcart/control/_leader_watch.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leader_watch.py
@@ -1,5 +1,6 @@
 """Reports that control has no leader, and changes of the membership."""
 
+from types import MappingProxyType
 from typing import Final
 
 from bergamotcart import consensus
@@ -11,6 +12,7 @@
 _REPORT_INTERVAL_S: Final = 5.0
 _RECENT_CONTACT_S: Final = 1.0
 _INCARNATION_DIGITS: Final = 8
+_VOTES: Final = MappingProxyType({True: 'voter', False: 'no vote', None: 'initial member'})
 
 
 class LeaderWatch:
@@ -100,8 +102,8 @@
 
 
 def _describe_member(contact: consensus.MemberContact) -> str:
-    kind = 'voter' if contact.voter else 'no vote'
-    return f'{contact.name}/{contact.incarnation[:_INCARNATION_DIGITS]} {kind}'
+    incarnation = contact.incarnation[:_INCARNATION_DIGITS] or 'unknown'
+    return f'{contact.name}/{incarnation} {_VOTES[contact.voter]}'
 
 
 def _describe_contact(now: float, contact: consensus.MemberContact) -> str:
