Let a member whose demotion is uncommitted become a candidate

Seen: no leader for good, in four simulated sequences around the second change of a handover: the former voter is demoted by a record that reaches few members.

- The only voter of a group has its demotion, the successor does not, and its process restarts with its disk.
No disk is lost.
- The leader has its own demotion; all members lose power, and one of the others its disk.
- The leader is cut off for 2 s at that moment, and another member is lost.
- The leader is lost after its record has reached the demoted member only.

Cause: the member with the record is no voter by its own log, so it was no candidate, and it refuses the others, whose logs are shorter. They are four voters by their logs, and need three votes, but only two are left.

A member that the newest, possibly uncommitted membership has demoted may now be a candidate, and a voter whose own log still lists it as a voter grants it a vote. The majority is still one of the membership in the candidate's log, in which it does not count itself, so an election is as safe as that of a leader without a vote. After a committed demotion, the voters do not list it, and refuse.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_election.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_election.py
@@ -52,7 +52,7 @@
         self._is_forming_group = (
             state.may_form_group and state.configuration.name in state.initial_names
         )
-        if not (self._is_forming_group or state.is_voter):
+        if not (self._is_forming_group or state.may_be_candidate):
             state.change_role(Role.follower, None, 'election timeout; not a voter')
             return
         state.change_role(Role.candidate, None, 'election timeout')
@@ -253,9 +253,10 @@
         if not request.members:
             return '' if self._may_grant_formation_vote(envelope) else 'cannot form this group'
         candidate = identity(envelope.sender, envelope.incarnation)
-        # This member may lack the record that made it a voter, while the candidate's log has it.
+        # This member may lack the record that made it a voter, or that demoted the candidate, while
+        # the candidate's log has it.
         listed_voters = voter_ids(request.members)
-        if candidate not in listed_voters:
+        if candidate not in listed_voters | state.voters:
             return 'candidate is no voter'
         if state.own_id not in state.voters | listed_voters:
             return f'{state.own_id} is no voter'
--- a/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
@@ -100,9 +100,23 @@
 
     @property
     def is_voter(self) -> bool:
-        """Whether this member may vote and become a candidate."""
+        """Whether this member has a vote in the membership in force."""
         return self.own_id in self.voters
 
+    @property
+    def may_be_candidate(self) -> bool:
+        """Whether this member has a vote, or had one before a demotion that may be uncommitted.
+
+        If no voter has the record of the demotion, the voters may need this member to elect a
+        leader. It grants them no vote, as its log is longer, but the voters may elect it.
+        """
+        if self.is_voter:
+            return True
+        index = self.log.members_index
+        if index <= self.commit_index or self.own_id not in map(member_id, self.members):
+            return False
+        return self.own_id in voter_ids(self.log.members_at(index - 1))
+
     @property
     def is_formed(self) -> bool:
         """Whether the log holds a membership."""
