Request votes only for a log that is synced

Not seen in a deployment. In a simulated sequence of five members, a member was elected that lacked a committed record, i.e. a confirmed change was lost.

Cause: a vote request goes out before the own vote is synced, and it names the last record of the log in memory. A crash can shorten that log. The candidate then starts in its former term, and asks for the same term again as the same incarnation, so late answers to its first requests count, of voters that would refuse its present log.

A vote request now waits for a sync if the log has records that are not synced. Otherwise it goes out at once, as before: the own vote counts only when it is synced, and the log of the same term does not lose synced records. Pre-votes decide nothing and are not delayed.

Afterwards, all tests of the consensus folder pass, test_slow_disks.py among them.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_election.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_election.py
@@ -171,13 +171,16 @@
             members=state.members,
             initial_members=state.initial_names if self._is_forming_group else (),
         )
+        is_vote = request_type is messages.VoteRequest
+        synced_index = state.log.last_index if is_vote else 0
         recipients = (
             state.configuration.initial_members if self._is_forming_group else state.members
         )
         for recipient in recipients:
             if recipient.name != state.configuration.name:
                 # The own vote counts only once it is synced, so the request need not wait for that.
-                state.send(recipient.name, request)
+                # Votes are granted to the log in the request, which must not shrink in a crash.
+                state.send(recipient.name, request, synced_index=synced_index)
 
     def _delay_own_candidacy(self, candidate: str) -> None:
         """Delay the own candidacy after granting a pre-vote, to avoid a split vote.
--- a/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
@@ -185,10 +185,12 @@
                 self._sender_addresses.pop(name, None)
         self.contact_points = dict(contact_points)
 
-    def send(self, recipient: str, body: messages.Body) -> None:
-        """Send a message that does not depend on durable state."""
+    def send(self, recipient: str, body: messages.Body, *, synced_index: int = 0) -> None:
+        """Send a message that depends on no durable state but the records up to an index."""
         message = self._make_send(recipient, body)
-        if message:
+        if message and synced_index > self.output_buffer.durable_index:
+            self.output_buffer.send_when_synced(message)
+        elif message:
             self.output_buffer.send(message)
 
     def send_to_address(self, recipient: str, address: str, body: messages.Body) -> None:
