--- a/packages/bergamotcart/src/bergamotcart/consensus/_election.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_election.py
@@ -52,7 +52,7 @@
         self._is_forming_group = (
             state.may_form_group and state.configuration.name in state.initial_names
         )
-        if not (self._is_forming_group or state.is_voter):
+        if not (self._is_forming_group or state.may_be_candidate):
             state.change_role(Role.follower, None, 'election timeout; not a voter')
             return
         state.change_role(Role.candidate, None, 'election timeout')
@@ -171,13 +171,16 @@
             members=state.members,
             initial_members=state.initial_names if self._is_forming_group else (),
         )
+        is_vote = request_type is messages.VoteRequest
+        synced_index = state.log.last_index if is_vote else 0
         recipients = (
             state.configuration.initial_members if self._is_forming_group else state.members
         )
         for recipient in recipients:
             if recipient.name != state.configuration.name:
                 # The own vote counts only once it is synced, so the request need not wait for that.
-                state.send(recipient.name, request)
+                # Votes are granted to the log in the request, which must not shrink in a crash.
+                state.send(recipient.name, request, synced_index=synced_index)
 
     def _delay_own_candidacy(self, candidate: str) -> None:
         """Delay the own candidacy after granting a pre-vote, to avoid a split vote.
@@ -253,9 +256,10 @@
         if not request.members:
             return '' if self._may_grant_formation_vote(envelope) else 'cannot form this group'
         candidate = identity(envelope.sender, envelope.incarnation)
-        # This member may lack the record that made it a voter, while the candidate's log has it.
+        # This member may lack the record that made it a voter, or that demoted the candidate, while
+        # the candidate's log has it.
         listed_voters = voter_ids(request.members)
-        if candidate not in listed_voters:
+        if candidate not in listed_voters | state.voters:
             return 'candidate is no voter'
         if state.own_id not in state.voters | listed_voters:
             return f'{state.own_id} is no voter'
