--- a/packages/bergamotcart/src/bergamotcart/consensus/_membership_planner.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_membership_planner.py
@@ -67,7 +67,7 @@
             self._admit_newcomer,
             self._promote_non_voter,
             self._demote_silent_voter,
-            self._correct_entry,
+            self._correct_member,
             self._hand_vote_over,
             self._remove_silent_non_voter,
         ):
@@ -88,7 +88,7 @@
                 return (*others, replace(newcomer, voter=False))
         return None
 
-    def _correct_entry(self, leadership: Leadership) -> Members | None:
+    def _correct_member(self, leadership: Leadership) -> Members | None:
         return self._join_protocol.find_correction()
 
     def _promote_non_voter(self, leadership: Leadership) -> Members | None:
