--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -224,4 +224,38 @@
         (Replacement('if self._redirects <= _MAX_REDIRECTS:', 'if True:'),),
         'bergamotcart/entry/tests/test_leader_search.py',
     ),
+    Fault(
+        'acknowledge records of a slow disk before they are synced',
+        'bergamotcart/consensus/_follower.py',
+        (
+            Replacement(
+                'match_index=state.output_buffer.durable_index',
+                'match_index=response.match_index',
+            ),
+        ),
+        'bergamotcart/consensus/tests/test_slow_disks.py',
+    ),
+    Fault(
+        'request votes for records that a crash may take away',
+        'bergamotcart/consensus/_election.py',
+        (Replacement('state.log.last_index if is_vote else 0', '0'),),
+        'bergamotcart/consensus/tests/test_vote_before_sync.py',
+    ),
+    Fault(
+        'refuse a candidate whose demotion is uncommitted',
+        'bergamotcart/consensus/_election.py',
+        (
+            Replacement(
+                "listed_voters | state.voters:\n            return 'candidate",
+                "listed_voters:\n            return 'candidate",
+            ),
+        ),
+        'bergamotcart/consensus/tests/test_handover_crash.py',
+    ),
+    Fault(
+        'compact the log by the number of its records alone',
+        'bergamotcart/control/_runtime.py',
+        (Replacement(' or self._log_bytes >= max_log_bytes', ''),),
+        'bergamotcart/control/tests/test_log_compaction.py',
+    ),
 )
