--- a/packages/bergamotcart/src/bergamotcart/consensus/tests/test_durable_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/tests/test_durable_state.py
@@ -4,7 +4,7 @@
 
 from bergamotcart import messages
 from bergamotcart.consensus import Snapshot, WriteBatch, merge_batches
-from bergamotcart.consensus.tests._cluster import Disk
+from bergamotcart.consensus.tests._oracle import Disk
 
 
 class _BatchSource:
