Choose a primary by positions of its own failover

Cause: final positions come with the answers to the order to stop following, whose key has the newest term of the instances plus one. The first placement of a group sends the same order without a change of that term, so its answer was still there at the first failover under the same leader, and stood for each replica until the new one came. The replica that answered last was judged by its position at the first placement.

Now only answers to orders that were sent since the freeze count, as for the statuses; both use OrderTable.find_answer_since.

--- a/packages/bergamotcart/src/bergamotcart/control/_authority_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_authority_group.py
@@ -195,7 +195,8 @@
         )
         if order is not None:
             context.actions.append(order)
-        answer = context.local.orders.find_answer(key)
+        # Instances count terms of their own, so an earlier placement may have sent the same order.
+        answer = context.local.orders.find_answer_since(key, asked_since)
         if answer is not None and answer.accepted:
             final_statuses[instance] = answer
     return final_statuses
--- a/packages/bergamotcart/src/bergamotcart/control/_orders.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_orders.py
@@ -99,6 +99,16 @@
         state = self._states.get(key)
         return state.status if state else None
 
+    def find_answer_since(self, key: OrderKey, asked_since: float) -> InstanceStatus | None:
+        """Return the newest answer to an order, if the order was sent at or after a time.
+
+        :param asked_since: time in seconds.
+        """
+        state = self._states.get(key)
+        if state is None or state.status_sent_at < asked_since:
+            return None
+        return state.status
+
     def prepare_if_due(
         self,
         key: OrderKey,
--- a/packages/bergamotcart/src/bergamotcart/control/_switchover.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_switchover.py
@@ -67,13 +67,9 @@
         )
         if order is not None:
             context.actions.append(order)
-        order_state = context.local.orders.find(key)
-        if (
-            order_state is not None
-            and order_state.status is not None
-            and order_state.status_sent_at >= asked_since
-        ):
-            statuses[instance] = order_state.status
+        status = context.local.orders.find_answer_since(key, asked_since)
+        if status is not None:
+            statuses[instance] = status
     return statuses
 
 
