--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -74,7 +74,8 @@
                 'finished.failed_step in _COMMIT_STEPS:\n            request.may_have_run = False',
             ),
         ),
-        _ENTRY_FUZZ,
+        # The fixed examples of the fuzz test do not trigger this fault.
+        'bergamotcart/entry/tests/test_engine.py::test_write_may_have_run_after_connection_loss',
     ),
     Fault(
         "count an emptied member's vote",
