Stop writes to a group with synchronous replicas before its positions are read

Cause: entries sent the writes and the COMMIT of open transactions on in a frozen group and without a lease, since a replaced primary refuses them itself. With synchronous replicas that is too late: what is acknowledged between the reading of the positions and the promotion is in no chosen log. The freeze was also acknowledged while commits were still in flight.

The log line of each statement in a transaction shows the phase of its group. Groups without synchronous replicas are as before.

Ruled out: PAUSE and STEPDOWN as a fence, since a replica that starts later is never stopped and the primary of the case answers STEPDOWN without acting.

--- a/packages/bergamotcart/src/bergamotcart/entry/_components.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_components.py
@@ -9,6 +9,7 @@
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._control_link import ControlLink
 from bergamotcart.entry._executions import Executions
+from bergamotcart.entry._freeze_acknowledgement import FreezeAcknowledgement
 from bergamotcart.entry._monitor import MonitoredTarget, TargetMonitor
 from bergamotcart.entry._primary_dispatcher import PrimaryDispatcher
 from bergamotcart.entry._replication_acknowledgements import ReplicationAcknowledgements
@@ -99,7 +100,10 @@
         )
         retries = Retries(context, replies)
         self.retries = retries
-        acknowledgements = ReplicationAcknowledgements(context, monitor, replies, floors)
+        freeze_acknowledgement = FreezeAcknowledgement(context, self.executions)
+        acknowledgements = ReplicationAcknowledgements(
+            context, monitor, replies, floors, freeze_acknowledgement
+        )
         self.change_handler = ChangeHandler(
             context,
             self.limiters,
@@ -113,6 +117,7 @@
             context,
             monitor,
             self.limiters,
+            freeze_acknowledgement,
             self._on_state_update,
             self.change_handler.on_lease_changed,
             self.change_handler.on_lease_granted,
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -6,6 +6,7 @@
 from bergamotcart import messages
 from bergamotcart.documents import DocumentError
 from bergamotcart.entry._context import EngineContext
+from bergamotcart.entry._freeze_acknowledgement import FreezeAcknowledgement
 from bergamotcart.entry._monitor import TargetMonitor
 from bergamotcart.entry._target_limits import TargetLimiters
 from bergamotcart.entry._timers import Timer
@@ -54,6 +55,7 @@
         '_renew_after_s',
         '_round_trip_s',
         '_delivered_reports',
+        '_freeze_acknowledgement',
         '_change_reported_at',
         '_requested_at',
         '_renewal_timer',
@@ -66,6 +68,7 @@
         context: EngineContext,
         monitor: TargetMonitor,
         limiters: TargetLimiters,
+        freeze_acknowledgement: FreezeAcknowledgement,
         on_state_update: Callable[[list[str]], None],
         on_lease_changed: Callable[[], None],
         on_lease_granted: Callable[[messages.LeaseGrant], None],
@@ -74,6 +77,7 @@
         self._context = context
         self._monitor = monitor
         self._limiters = limiters
+        self._freeze_acknowledgement = freeze_acknowledgement
         self._on_state_update = on_state_update
         self._on_lease_changed = on_lease_changed
         self._on_lease_granted = on_lease_granted
@@ -176,7 +180,7 @@
             self._schedule_renewal(_MIN_REQUEST_INTERVAL_S)
 
     def receive_update(self, envelope: messages.Envelope, update: messages.StateUpdate) -> None:
-        """Apply a state update and acknowledge the applied state at once."""
+        """Apply a state update and acknowledge it, once writes to frozen groups have ended."""
         view = self._context.control_view
         before = dict(view.groups)
         if update.from_index == 0:
@@ -189,17 +193,22 @@
         except DocumentError as error:
             self._refuse_update(update, 'bad_document', str(error))
             return
-        ack = messages.StateAck(
-            applied_index=view.applied_index,
-            revision=view.document.revision,
-        )
         if applied:
             self._use_applied_state(before)
-        self._context.send(envelope.sender, envelope.sender_address, ack)
+        self._freeze_acknowledgement.update()
+        self._send_acknowledgement(envelope.sender, envelope.sender_address)
         if applied and not self._context.lease_valid:
             self._follow_leader(envelope)
             self._schedule_renewal(0)
 
+    def acknowledge_settled_state(self) -> None:
+        """Acknowledge a state that was held back, once writes to frozen groups have ended."""
+        if not self._freeze_acknowledgement.is_pending:
+            return
+        self._freeze_acknowledgement.update()
+        if not self._freeze_acknowledgement.is_pending and self._leader is not None:
+            self._send_acknowledgement(*self._leader)
+
     @property
     def _answer_timeout_s(self) -> float:
         timeout_s = max(
@@ -208,6 +217,13 @@
         )
         return min(timeout_s, self._renew_after_s * _MAX_ANSWER_TIMEOUT_SHARE)
 
+    def _send_acknowledgement(self, recipient: str, address: str) -> None:
+        acknowledgement = messages.StateAck(
+            applied_index=self._freeze_acknowledgement.index,
+            revision=self._context.control_view.document.revision,
+        )
+        self._context.send(recipient, address, acknowledgement)
+
     def _record_valid_lease(self, leader: str, *, was_valid: bool) -> None:
         missing_s = self._context.lease_watch.record_valid_lease(self._context.now)
         if not was_valid:
@@ -268,7 +284,7 @@
             sent_at=self._context.now,
             address=configuration.address,
             availability_zone=configuration.availability_zone,
-            applied_index=self._context.control_view.applied_index,
+            applied_index=self._freeze_acknowledgement.index,
             revision=self._context.control_view.document.revision,
             draining=self._context.draining,
             reports=None if is_held else self._monitor.reachability_reports(),
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_view.py
@@ -76,10 +76,21 @@
     def has_self_fencing_primary(self, group: str) -> bool:
         """Tell whether a primary of a group refuses requests by itself once it is replaced.
 
-        An entry may then send it requests without a lease.
+        An entry may then send it requests without a lease. With synchronous replicas, that is too
+        late: a write that the former primary acknowledges after its successor was chosen would be
+        lost, so entries must stop before the choice.
         """
         settings = self.document.group(group)
-        return settings is not None and settings.fencing is documents.Fencing.authority
+        return (
+            settings is not None
+            and settings.fencing is documents.Fencing.authority
+            and not settings.synchronous_replicas
+        )
+
+    def has_synchronous_replicas(self, group: str) -> bool:
+        """Tell whether replicas must receive a write of a group before it is acknowledged."""
+        settings = self.document.group(group)
+        return settings is not None and settings.synchronous_replicas > 0
 
     def is_promoted_by_authority(self, group: str) -> bool:
         """Tell whether an external authority appoints the primary of a group."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -87,6 +87,7 @@
         for received in pending_inputs:
             self._handle_input(received)
         context.timers.run_due(context.now)
+        self._components.control_link.acknowledge_settled_state()
         if context.draining and not self._is_drained:
             self._check_drained()
         actions = tuple(context.actions)
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -71,6 +71,14 @@
         is_read = self.request.statement.kind is StatementKind.read
         return is_read and self.plan.use is ConnectionUse.shared
 
+    @property
+    def may_commit(self) -> bool:
+        """Whether it may make changes durable: a COMMIT, or a write outside a transaction."""
+        if any(step.kind is StepKind.commit for step in self.plan.steps):
+            return True
+        is_write = self.request.statement.kind is StatementKind.write
+        return is_write and self.plan.use is ConnectionUse.shared
+
     @property
     def is_pinning(self) -> bool:
         """Whether it pins a connection, so that only the report of the adapter may end it.
@@ -189,6 +197,10 @@
             if not is_kept and not self._context.control_view.is_open(group, running.request.term):
                 self.finish_execution(_lost_execution(execution_id))
 
+    def list_committing(self) -> list[Request]:
+        """Return the requests of the executions that may make changes durable."""
+        return [running.request for running in self._running.values() if running.may_commit]
+
     def release_pinned_slot(self, target: TargetKey) -> None:
         """Release the slot of a transaction that ended."""
         self._limiters.release(self._limiters.get(target), is_read=False)
--- a/packages/bergamotcart/src/bergamotcart/entry/_replication_acknowledgements.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replication_acknowledgements.py
@@ -5,6 +5,7 @@
 from bergamotcart.discovery import Position, TargetKey
 from bergamotcart.documents import Acknowledgement
 from bergamotcart.entry._context import EngineContext
+from bergamotcart.entry._freeze_acknowledgement import FreezeAcknowledgement
 from bergamotcart.entry._group_state import GroupState
 from bergamotcart.entry._monitor import MonitoredTarget, TargetMonitor
 from bergamotcart.entry._replies import Replies
@@ -20,7 +21,7 @@
 class ReplicationAcknowledgements:
     """Holds completed writes until they may be acknowledged."""
 
-    __slots__ = ('_floors', '_monitor', '_replies', '_context')
+    __slots__ = ('_floors', '_freeze_acknowledgement', '_monitor', '_replies', '_context')
 
     def __init__(
         self,
@@ -28,12 +29,14 @@
         monitor: TargetMonitor,
         replies: Replies,
         floors: SessionFloors,
+        freeze_acknowledgement: FreezeAcknowledgement,
     ) -> None:
         """Start without held writes."""
         self._context = context
         self._monitor = monitor
         self._replies = replies
         self._floors = floors
+        self._freeze_acknowledgement = freeze_acknowledgement
 
     def hold_until_acknowledged(
         self, request: Request, outcome: Outcome, position: Position | None
@@ -127,12 +130,14 @@
     def _acknowledge_routed(self, request: Request) -> None:
         """Acknowledge a write of a route unless its primary may have been replaced before it ran."""
         view = self._context.control_view
+        is_open = view.is_open(request.group, request.term)
         has_lease = self._context.lease_valid
-        if view.has_self_fencing_primary(request.group):
+        may_finish = has_lease and (
+            is_open or self._freeze_acknowledgement.is_awaited_write(request)
+        )
+        if may_finish or view.has_self_fencing_primary(request.group):
             self._finish_routed(request)
-        elif view.is_open(request.group, request.term) and has_lease:
-            self._finish_routed(request)
-        elif view.is_open(request.group, request.term):
+        elif is_open:
             self._context.groups.get(request.group).awaiting_lease.append(request)
         else:
             self._end_unacknowledged(request)
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -184,6 +184,7 @@
 
     def _publish_dispatch(self, request: Request, transaction: Transaction) -> None:
         request.term = transaction.term
+        row = self._context.control_view.groups.get(transaction.group)
         self._context.publish_decision(
             'routing',
             'send_on_pinned_connection',
@@ -194,6 +195,7 @@
             group=transaction.group,
             target=transaction.target.instance,
             term=transaction.term,
+            detail=f'group {row.phase.value} in term {row.term}' if row else 'group removed',
         )
 
     def _commit_without_transaction(self, request: Request) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
@@ -36,6 +36,7 @@
     timeout_s: float = TIMEOUT_S,
     connection_limit: int = 20,
     fencing: documents.Fencing = documents.Fencing.authority,
+    synchronous_replicas: int = 0,
 ) -> messages.SectionRow:
     """Return the section with a route for each database name."""
     body = documents.RoutesBody(
@@ -58,6 +59,7 @@
                 fencing=fencing,
                 positions=documents.PositionSource.answers,
                 connection_limit=connection_limit,
+                synchronous_replicas=synchronous_replicas,
             ),
         },
     )
