Choose a primary only among logs that certainly have every acknowledged write

During a release more instances run, so the answers, among them that of the primary, need not include one that confirmed a write; a lagging replica was promoted if another one was out of reach.

Now the proof goes by identity: an instance may be promoted if its log reaches the head of the serving (or last serving) primary, or the highest position of the replicas, when so few of these have not answered that they alone could not have confirmed a write. GroupRow.served_by keeps who served, so that a failed promotion does not make control wait for the lost primary. Replicas are no longer ordered to stop and to follow again: writes have stopped before, and an order to stop that is carried out late would stop a replica for good.

The log shows the candidates with their positions, who has not answered, since when answers count, and the last known head of the former primary (compare_logs, wait).

The MySQL path was checked for the same cause: it stops all instances, the primary too, and counts all that were heard in 60 s. Its entries hold acknowledgements until the group is open under a lease.

--- a/packages/bergamotcart/src/bergamotcart/control/_authority_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_authority_group.py
@@ -14,11 +14,7 @@
 from bergamotcart.control._commands import OpenGroup, PromoteGroup
 from bergamotcart.control._events import InstanceStatus, OrderKind
 from bergamotcart.control._failure_detection import find_failover_reason, is_unreachable
-from bergamotcart.control._frozen_group import (
-    NEVER_REPEAT_S,
-    count_primaries_by_zone,
-    is_freeze_complete,
-)
+from bergamotcart.control._frozen_group import count_primaries_by_zone, is_freeze_complete
 from bergamotcart.control._group_progress import GroupProgress
 from bergamotcart.control._known_instances import KnownInstance, is_recently_announced
 from bergamotcart.control._open_group import (
@@ -38,6 +34,7 @@
     order_step_downs,
     replace_unsettled_choice,
 )
+from bergamotcart.control._write_coverage import describe_candidates, find_covering_candidates
 
 POLL_INTERVAL_S: Final = 0.05
 # Instances, also those of other regions, answer within a few milliseconds. One that has not
@@ -69,7 +66,6 @@
 def _advance_open_group(
     context: StepContext, row: messages.GroupRow, progress: GroupProgress
 ) -> None:
-    _order_replicas_to_follow(context, row)
     reason = find_failover_reason(context, row, progress)
     if reason == 'primary_demoted':
         reason = _verify_demotion(context, row)
@@ -82,27 +78,6 @@
         progress.waiting_for = ''
 
 
-def _order_replicas_to_follow(context: StepContext, row: messages.GroupRow) -> None:
-    """Let the replicas that were stopped to get their final positions follow the primary again."""
-    primary = context.local.instances.find(row.name, row.primary or '')
-    if primary is None or not context.document.groups[row.name].synchronous_replicas:
-        return
-    for known_instance in context.local.instances.list_group(row.name):
-        instance = known_instance.announcement.instance
-        key = OrderKey(OrderKind.follow, row.name, instance, row.term)
-        if instance == row.primary:
-            continue
-        order = context.local.orders.prepare_if_due(
-            key,
-            known_instance.announcement,
-            context.now,
-            NEVER_REPEAT_S,
-            primary.announcement,
-        )
-        if order is not None:
-            context.actions.append(order)
-
-
 def _verify_demotion(context: StepContext, row: messages.GroupRow) -> str:
     """Ask a primary that announced itself as a replica, since its announcement may be outdated.
 
@@ -133,7 +108,7 @@
     context: StepContext, row: messages.GroupRow, progress: GroupProgress
 ) -> list[Candidate]:
     """Return the instances to choose from, or none while answers are missing."""
-    statuses = _collect_statuses(context, row, progress)
+    statuses = poll_statuses(context, row, progress.freeze_completed_at or context.now)
     instances = context.local.instances.list_group(row.name)
     missing = [
         instance.announcement.instance
@@ -165,54 +140,7 @@
         # so allow time for one to answer as primary.
         if missing or context.now < progress.phase_started_at + PROMOTION_TIMEOUT_S:
             return []
-    return candidates if _has_enough_candidates(context, row, candidates) else []
-
-
-def _collect_statuses(
-    context: StepContext, row: messages.GroupRow, progress: GroupProgress
-) -> dict[str, InstanceStatus]:
-    """Ask the instances for their positions.
-
-    With ``synchronous_replicas``, acknowledgements depend on the replicas. The instances are then
-    also ordered to stop following, so that the positions are final.
-
-    :returns: the answers by instance.
-    """
-    asked_since = progress.freeze_completed_at or context.now
-    statuses = poll_statuses(context, row, asked_since)
-    if not context.document.groups[row.name].synchronous_replicas:
-        return statuses
-    final_statuses: dict[str, InstanceStatus] = {}
-    for known_instance in context.local.instances.list_group(row.name):
-        instance = known_instance.announcement.instance
-        current_status = statuses.get(instance)
-        if current_status is None:
-            continue
-        newest_term = max(status.term for status in statuses.values())
-        key = OrderKey(OrderKind.stop_following, row.name, instance, newest_term + 1)
-        order = context.local.orders.prepare_if_due(
-            key, known_instance.announcement, context.now, PROMOTE_REPEAT_S
-        )
-        if order is not None:
-            context.actions.append(order)
-        # Instances count terms of their own, so an earlier placement may have sent the same order.
-        answer = context.local.orders.find_answer_since(key, asked_since)
-        if answer is not None and answer.accepted:
-            final_statuses[instance] = answer
-    return final_statuses
-
-
-def _has_enough_candidates(
-    context: StepContext, row: messages.GroupRow, candidates: list[Candidate]
-) -> bool:
-    """Tell whether the candidates certainly include one that has every acknowledged write.
-
-    With ``synchronous_replicas``, the primary and that many replicas have an acknowledged write.
-    """
-    settings = context.document.groups[row.name]
-    if not settings.synchronous_replicas or row.primary is None:
-        return bool(candidates)
-    return len(candidates) >= settings.instances - settings.synchronous_replicas
+    return find_covering_candidates(context, row, progress, candidates)
 
 
 def _propose_promotion(
@@ -244,11 +172,7 @@
         decided_in=context.leadership.term,
     )
     if context.local.proposals.submit(f'group {row.name}', command, context.now):
-        positions = ', '.join(
-            f'{candidate.status.instance} at {candidate.status.log_term}/'
-            f'{candidate.status.position}'
-            for candidate in candidates
-        )
+        positions = describe_candidates(candidates)
         publish_group_decision(
             context, row, 'promote', 'highest_position', positions, command.primary
         )
--- a/packages/bergamotcart/src/bergamotcart/control/_group_progress.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_group_progress.py
@@ -17,6 +17,8 @@
     waiting_for_replica = 'waiting_for_replica'
     no_successor = 'no_successor'
     catch_up_given_up = 'catch_up_given_up'
+    writes_covered = 'writes_covered'
+    writes_not_covered = 'writes_not_covered'
 
 
 @dataclass(slots=True)
--- a/packages/bergamotcart/src/bergamotcart/control/_record_application.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_record_application.py
@@ -168,6 +168,7 @@
         index,
         phase=messages.GroupPhase.open,
         promotion_unsettled=row.promotion_unsettled and not command.settled,
+        served_by=row.primary or '',
         read_only=document.is_read_only(command.group),
     )
 
--- a/packages/bergamotcart/src/bergamotcart/messages/_control.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_control.py
@@ -38,6 +38,7 @@
     :param decided_in: control term in which that member chose it.
     :param promotion_unsettled: whether a call that asked the authority to promote this primary may
         still take effect.
+    :param served_by: primary with which the group was last open; empty before the first placement.
     """
 
     name: str
@@ -50,6 +51,7 @@
     decided_by: str = ''
     decided_in: int = 0
     promotion_unsettled: bool = False
+    served_by: str = ''
 
 
 class SectionRow(msgspec.Struct, frozen=True, kw_only=True):
