Let a founder that started again vote for the formation of the group

Cause: the formation needs the votes of all founders, and a member whose settings say that the system has started before gave none, as it may have lost its disk since the formation.

Now such a member votes for a founder that may form the group, and the votes of all are still needed, a majority of them from founders that may do so themselves. A record that was committed by an earlier incarnation is on a majority, hence on one of these, which would not vote. So no second group can be formed while at most a minority of the founders has lost its disk.

Guards: a minority of founders forms nothing, and neither does an isolated founder together with a member that has lost its disk.

Considered: a mark in the data folder that it was made at the first start. It would also cover two founders killed in their first second, but needs a change of the stored format; not done.

--- a/packages/bergamotcart/src/bergamotcart/consensus/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_configuration.py
@@ -35,7 +35,8 @@
     :param tolerated_losses: number of members that may fail at the same time; the leader keeps
         enough voters for it automatically. ``None`` leaves membership to the operator.
     :param may_bootstrap: whether the initial members may form a group if every data folder is
-        empty; otherwise this member only asks them for admission.
+        empty; otherwise this member asks them for admission, and votes only for a candidate that
+        most initial members support with the same setting.
     :param election_timeout_s: least and greatest election timeout. A member that had contact
         with a leader less than the least timeout ago grants no vote.
     :param leader_heartbeat_interval_s: interval between the heartbeats of a leader.
--- a/packages/bergamotcart/src/bergamotcart/consensus/_election.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_election.py
@@ -22,6 +22,7 @@
     __slots__ = (
         '_answers',
         '_state',
+        '_founders',
         '_is_forming_group',
         '_pre_votes',
         '_proposed_term',
@@ -38,6 +39,8 @@
         self._pre_votes: dict[str, str] = {}
         self._votes: dict[str, str] = {}
         self._is_forming_group = False
+        # Members that could form the group themselves, as far as their answers show.
+        self._founders: set[str] = set()
         self._answers: dict[str, str] = {}
 
     @property
@@ -59,6 +62,7 @@
         self._proposed_term = state.hard_state.term + 1
         self._pre_votes = {state.configuration.name: state.hard_state.incarnation}
         self._votes = {}
+        self._founders = {state.configuration.name}
         self._request_votes(messages.PreVoteRequest)
         if self._has_enough_votes(self._pre_votes):
             self.start_election()
@@ -75,6 +79,7 @@
             granted=granted,
             candidate_incarnation=envelope.incarnation,
             reason=refusal,
+            may_form_group=state.may_form_group,
         )
         state.reply(envelope, response)
 
@@ -107,6 +112,7 @@
             granted=granted,
             candidate_incarnation=envelope.incarnation,
             reason=refusal,
+            may_form_group=state.may_form_group,
         )
         state.reply_when_synced(envelope, response)
 
@@ -122,6 +128,7 @@
             return
         if response.term != self._proposed_term:
             return
+        self._record_founder(envelope)
         self._pre_votes[envelope.sender] = envelope.incarnation
         if self._has_enough_votes(self._pre_votes):
             self.start_election()
@@ -132,6 +139,7 @@
         state.write_hard_state(self._proposed_term, state.own_id)
         state.restart_election_timer()
         self._votes = {state.configuration.name: state.hard_state.incarnation}
+        self._founders = {state.configuration.name}
         self._request_votes(messages.VoteRequest)
 
     def on_vote_response(self, envelope: messages.Envelope) -> None:
@@ -143,6 +151,7 @@
         if response.term > self._state.hard_state.term:
             self._enter_newer_term(response.term)
         elif response.granted and response.term == self._state.hard_state.term and self._votes:
+            self._record_founder(envelope)
             self._votes[envelope.sender] = envelope.incarnation
 
     def finish_won_election(self) -> Members | None:
@@ -198,6 +207,12 @@
             state.election_at, state.now + 2 * state.configuration.leader_heartbeat_interval_s
         )
 
+    def _record_founder(self, envelope: messages.Envelope) -> None:
+        if envelope.body.may_form_group:
+            self._founders.add(envelope.sender)
+        else:
+            self._founders.discard(envelope.sender)
+
     def _record_answer(self, envelope: messages.Envelope, kind: str) -> None:
         response = envelope.body
         answer = 'granted' if response.granted else f'refused: {response.reason}'
@@ -226,7 +241,11 @@
     def _has_enough_votes(self, granted: dict[str, str]) -> bool:
         state = self._state
         if self._is_forming_group:
-            return set(granted) == set(state.initial_names)
+            # A member that was started again with an empty data folder may have lost its disk after
+            # the group was formed. A record that was committed since is on a majority, so it is on
+            # one of the others, unless most of the initial members have lost theirs too.
+            is_majority_intact = len(self._founders) > len(state.initial_names) // 2
+            return is_majority_intact and set(granted) == set(state.initial_names)
         ids = [identity(name, incarnation) for name, incarnation in granted.items()]
         return is_majority(ids, state.voters)
 
@@ -272,7 +291,7 @@
     def _may_grant_formation_vote(self, envelope: messages.Envelope) -> bool:
         state = self._state
         return (
-            state.may_form_group
+            not state.is_formed
             and envelope.body.initial_members == state.initial_names
             and find_member(state.configuration.initial_members, state.configuration.name)
             is not None
--- a/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_member_state.py
@@ -124,7 +124,7 @@
 
     @property
     def may_form_group(self) -> bool:
-        """Whether this member may take part in forming a group."""
+        """Whether this member may be a candidate that forms a group."""
         return self.configuration.may_bootstrap and not self.is_formed
 
     @property
--- a/packages/bergamotcart/src/bergamotcart/consensus/_node.py
+++ b/packages/bergamotcart/src/bergamotcart/consensus/_node.py
@@ -111,7 +111,7 @@
 
     @property
     def may_form_group(self) -> bool:
-        """Whether this member may take part in forming a group."""
+        """Whether this member may be a candidate that forms a group."""
         return self._state.may_form_group
 
     @property
--- a/packages/bergamotcart/src/bergamotcart/messages/_consensus.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_consensus.py
@@ -52,12 +52,14 @@
     :param term: the proposed term if granted, otherwise the term of the answering member.
     :param candidate_incarnation: incarnation of the candidate that asked.
     :param reason: why the vote would be refused, for the log of the candidate.
+    :param may_form_group: whether the answering member could form the group itself.
     """
 
     term: int
     granted: bool
     candidate_incarnation: str
     reason: str = ''
+    may_form_group: bool = False
 
 
 class VoteRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -75,12 +77,14 @@
 
     :param candidate_incarnation: incarnation of the candidate that asked.
     :param reason: why the vote was refused, for the log of the candidate.
+    :param may_form_group: whether the answering member could form the group itself.
     """
 
     term: int
     granted: bool
     candidate_incarnation: str
     reason: str = ''
+    may_form_group: bool = False
 
 
 class AppendRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
