--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -6,6 +6,8 @@
 _CONSENSUS_FUZZ: Final = 'bergamotcart/consensus/tests/test_fuzz.py'
 _CONTROL_FUZZ: Final = 'bergamotcart/control/tests/test_fuzz.py'
 _ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
+_SYNCHRONOUS_ENTRY: Final = 'bergamotcart/entry/tests/test_synchronous_replicas.py'
+_SYNCHRONOUS_CONTROL: Final = 'bergamotcart/control/tests/test_synchronous_replicas.py'
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,4 +261,57 @@
         (Replacement(' or self._log_bytes >= max_log_bytes', ''),),
         'bergamotcart/control/tests/test_log_compaction.py',
     ),
+    Fault(
+        'commit in a frozen group with synchronous replicas',
+        'bergamotcart/entry/_control_view.py',
+        (Replacement('            and not settings.synchronous_replicas\n', ''),),
+        _SYNCHRONOUS_ENTRY,
+    ),
+    Fault(
+        'acknowledge a freeze while commits are in flight',
+        'bergamotcart/entry/_freeze_acknowledgement.py',
+        (Replacement('if self._has_waited or not self._has_writes_in_flight():', 'if True:'),),
+        _SYNCHRONOUS_ENTRY,
+    ),
+    Fault(
+        'acknowledge a late commit as certain',
+        'bergamotcart/entry/_freeze_acknowledgement.py',
+        (Replacement('            and row.modified_index > self._index\n', ''),),
+        _SYNCHRONOUS_ENTRY,
+    ),
+    Fault(
+        'count answers instead of the replicas that may have a write',
+        'bergamotcart/control/_write_coverage.py',
+        (Replacement('len(unanswered) + unknown <', 'unknown <'),),
+        _SYNCHRONOUS_CONTROL,
+    ),
+    Fault(
+        'promote an instance without the acknowledged writes',
+        'bergamotcart/control/_write_coverage.py',
+        (Replacement(' if candidate.position >= required]', ']'),),
+        _SYNCHRONOUS_CONTROL,
+    ),
+    Fault(
+        'forget the replicas that a new leader has not heard',
+        'bergamotcart/control/_write_coverage.py',
+        (
+            Replacement(
+                'max(known_instance.sent_after, context.local.leader_since)',
+                'known_instance.sent_after',
+            ),
+        ),
+        _SYNCHRONOUS_CONTROL,
+    ),
+    Fault(
+        'form a group with a minority of intact founders',
+        'bergamotcart/consensus/_election.py',
+        (Replacement('return is_majority_intact and set(', 'return set('),),
+        'bergamotcart/consensus/tests/test_formation.py',
+    ),
+    Fault(
+        'refuse the formation to a founder that started again',
+        'bergamotcart/consensus/_election.py',
+        (Replacement('            not state.is_formed\n', '            state.may_form_group\n'),),
+        'bergamotcart/consensus/tests/test_formation.py',
+    ),
 )
