--- a/packages/bergamotcart/src/bergamotcart/control/tests/_replicated_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_replicated_group.py
@@ -7,7 +7,7 @@
 import functools
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -151,15 +151,14 @@
         self.instances[name] = authority.Instance(name, term=self._term)
         self.announce_instances()
 
+    def list_running(self) -> list[str]:
+        """Return the names of the instances that run, in order."""
+        return sorted(name for name, each in self.instances.items() if each.is_running)
+
     def is_usable(self, name: str) -> bool:
         """Tell whether an instance runs and has not begun to leave."""
         return self.instances[name].is_running and not self.instances[name].leaving
 
-    def is_open(self) -> bool:
-        """Tell whether control has opened the group with the instance that serves as primary."""
-        row = self.engine._runtime._state.groups[authority.GROUP]
-        return row.phase is messages.GroupPhase.open and row.primary == self.primary
-
     def _call_later(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._due.append(_DueCall(self.now + delay_s, next(self._numbers), callback))
 
@@ -378,8 +377,3 @@
             targets_announce_to_control=True,
         )
     )
-
-
-def list_running(group: ReplicatedGroup) -> Iterable[str]:
-    """Return the names of the instances that run, in order."""
-    return sorted(name for name, each in group.instances.items() if each.is_running)
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_replicated_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_replicated_group.py
@@ -11,7 +11,7 @@
     run_state_machine_as_test,
 )
 
-from bergamotcart.control.tests._replicated_group import ENTRIES, ReplicatedGroup, list_running
+from bergamotcart.control.tests._replicated_group import ENTRIES, ReplicatedGroup
 
 # A replica that control does not hear may be the only one with a commit, so it is awaited for a
 # minute before it counts as lost.
@@ -124,7 +124,7 @@
         self.group.announce_instances()
 
     def _pick(self, pick: int) -> str:
-        names = list(list_running(self.group))
+        names = self.group.list_running()
         return names[pick % len(names)]
 
     def _count_usable(self) -> int:
