Documents: workspaces with digests of keys and caps, and public routes

Callers of several customers share a deployment, and the document had no place for their keys and caps. They are a section of its own, so that a change of a route does not send them to the entries again, and hold digests in place of keys. Two workspaces with one key are invalid.

--- a/packages/bergamotcart/src/bergamotcart/documents/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/__init__.py
@@ -33,7 +33,10 @@
     RoutesBody,
     SectionKind,
     SessionStart,
+    Workspace,
+    WorkspacesBody,
 )
+from bergamotcart.documents._workspace_directory import WorkspaceDirectory, digest_key
 
 __all__ = (
     'Accepted',
@@ -61,6 +64,10 @@
     'RoutesBody',
     'SectionKind',
     'SessionStart',
+    'Workspace',
+    'WorkspaceDirectory',
+    'WorkspacesBody',
+    'digest_key',
     'evaluate_change',
     'hash_token',
     'parse_section',
--- a/packages/bergamotcart/src/bergamotcart/documents/_document.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_document.py
@@ -7,10 +7,13 @@
 import msgspec
 
 from bergamotcart.documents import _schema as schema
+from bergamotcart.documents._workspace_directory import WorkspaceDirectory, digest_key
 from bergamotcart.messages import SectionRow
 
 _DEFAULT_POLICY: Final = schema.Policy()
 _PARSE_CACHE_SIZE: Final = 64
+# Bodies that programs write, which may be long: JSON parses much faster than YAML.
+_JSON_BODY_TYPES: Final = frozenset((schema.RoutesBody, schema.WorkspacesBody))
 # Limits of the policy of a route: routes name no callers, so limits per caller do not apply.
 _UNLIMITED: Final = 1_000_000
 
@@ -48,7 +51,15 @@
     :param revision: log index of the last change.
     """
 
-    __slots__ = ('_groups', '_operations', '_owners', '_policies', '_routes', 'revision')
+    __slots__ = (
+        '_groups',
+        '_operations',
+        '_owners',
+        '_policies',
+        '_routes',
+        '_workspaces',
+        'revision',
+    )
 
     def __init__(self, bodies: dict[str, schema.SectionBody], revision: int) -> None:
         """Index the bodies of the sections.
@@ -62,6 +73,7 @@
         self._operations: list[schema.OperationsBody] = []
         self._owners: dict[str, str] = {}
         self._routes: dict[str, ResolvedRoute] = {}
+        self._workspaces = WorkspaceDirectory()
         self.revision = revision
         problems = [
             problem for name in sorted(bodies) for problem in self._add_section(name, bodies[name])
@@ -106,6 +118,28 @@
         """Return the route of a database name, or ``None`` if there is none."""
         return self._routes.get(database)
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether callers belong to workspaces and need a key, except on public routes."""
+        return len(self._workspaces) > 0
+
+    @property
+    def workspaces(self) -> tuple[schema.Workspace, ...]:
+        """All workspaces."""
+        return self._workspaces.workspaces
+
+    def workspace(self, name: str) -> schema.Workspace | None:
+        """Return the workspace with a name, or ``None``."""
+        return self._workspaces.get(name)
+
+    def find_workspace(self, key: str) -> schema.Workspace | None:
+        """Return the workspace that holds a key, or ``None`` if none does."""
+        return self._workspaces.find_by_digest(digest_key(key))
+
+    def find_workspace_by_digest(self, digest: str) -> schema.Workspace | None:
+        """Return the workspace that holds the key with a digest (``digest_key``), or ``None``."""
+        return self._workspaces.find_by_digest(digest)
+
     def is_failover_paused(self, group: str) -> bool:
         """Tell whether operators have paused the replacement of a group's primary."""
         return any(group in body.pause_failover for body in self._operations)
@@ -123,6 +157,8 @@
             self._operations.append(body)
         elif isinstance(body, schema.RoutesBody):
             return [*self._add_groups(name, body), *self._add_routes(name, body)]
+        elif isinstance(body, schema.WorkspacesBody):
+            return self._add_workspaces(name, body)
         else:
             self._owners.update(body.sections)
         return []
@@ -152,6 +188,14 @@
             self._routes[route.database] = ResolvedRoute(route, policy)
         return problems
 
+    def _add_workspaces(self, name: str, body: schema.WorkspacesBody) -> list[Problem]:
+        problems: list[Problem] = []
+        for index, workspace in enumerate(body.workspaces):
+            message = self._workspaces.add(workspace)
+            if message is not None:
+                problems.append(Problem(f'sections.{name}.workspaces[{index}]', message))
+        return problems
+
     def _add_groups(
         self,
         name: str,
@@ -186,7 +230,7 @@
 
     :param name: name of the section, used in the paths of problems.
     :param kind: value of ``SectionKind``.
-    :param body: text of the section: JSON for the kind ``routes``, YAML for all others.
+    :param body: text of the section: JSON for the kinds ``routes`` and ``workspaces``, YAML for all others.
     :returns: the typed body.
     :raises DocumentError: if the text is malformed or a field is invalid; the problem names its
         path.
@@ -197,7 +241,7 @@
     except ValueError as error:
         raise DocumentError((Problem(prefix, f'unknown kind {kind!r}'),)) from error
     try:
-        if body_type is schema.RoutesBody:
+        if body_type in _JSON_BODY_TYPES:
             return msgspec.json.decode(body, type=body_type)
         return msgspec.convert(_load_yaml(prefix, body), body_type)
     except msgspec.ValidationError as error:
--- a/packages/bergamotcart/src/bergamotcart/documents/_schema.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_schema.py
@@ -25,6 +25,7 @@
     operations = 'operations'
     owners = 'owners'
     routes = 'routes'
+    workspaces = 'workspaces'
 
 
 @enum.unique
@@ -241,6 +242,7 @@
     :param target_latency_s: seconds within which an operation should finish.
     :param priority: 0 is served first.
     :param max_attempts: maximum number of times that a statement is sent to an instance.
+    :param public: whether callers need no key of a workspace.
     """
 
     name: str
@@ -252,6 +254,32 @@
     target_latency_s: Seconds = 1.0
     priority: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
     max_attempts: Count = 2
+    public: bool = False
+
+
+class Workspace(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A customer of an operator, with its own keys and its own cap.
+
+    :param key_digests: digests of its keys (``digest_key``); the keys themselves are not kept.
+    :param priority: 0 is the most important.
+    :param rate_per_s: operations per second that its cap allows in the long run; ``None`` for no cap.
+    :param burst: operations that its cap allows at once; without it, those of one second.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    priority: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] | None = None
+    burst: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] | None = None
+
+
+class WorkspacesBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Body of a section of kind ``workspaces``, in JSON.
+
+    It is a section of its own, so that a change of a route does not send the workspaces again.
+    """
+
+    workspaces: tuple[Workspace, ...]
 
 
 class RoutesBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -267,7 +295,7 @@
     idle_in_transaction_s: Seconds = 5.0
 
 
-SectionBody = GroupsBody | PoliciesBody | OperationsBody | OwnersBody | RoutesBody
+SectionBody = GroupsBody | PoliciesBody | OperationsBody | OwnersBody | RoutesBody | WorkspacesBody
 
 BODY_TYPES: Mapping[SectionKind, type[msgspec.Struct]] = MappingProxyType(
     {
@@ -276,6 +304,7 @@
         SectionKind.operations: OperationsBody,
         SectionKind.owners: OwnersBody,
         SectionKind.routes: RoutesBody,
+        SectionKind.workspaces: WorkspacesBody,
     }
 )
 
