Configuration: tenants and public routes, replaced together with the routes

A configuration may now hold tenants with their keys and caps. They become the section workspaces, which control replaces together with the routes; the highest version wins for both. The row of an unchanged section keeps its index, so that entries are sent only the section that changed. Without tenants the section does not exist, and records are encoded as before.

--- a/packages/bergamotcart/src/bergamotcart/control/_commands.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_commands.py
@@ -43,17 +43,19 @@
     token_hash: str
 
 
-class ReplaceDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Replaces the section of routes by a whole document, unless the current one is as new.
+class ReplaceDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True):
+    """Replaces the sections of a whole document, unless the current one is as new.
 
     :param version: version that the operator assigned; the document with the highest one wins.
-    :param body: JSON text of the section.
+    :param body: JSON text of the section of routes.
+    :param workspaces: JSON text of the section of workspaces, or empty without them.
     :param source: document as the operator sent it, which is returned unchanged when read.
     """
 
     version: int
     body: str
     source: str
+    workspaces: str = ''
 
 
 class FreezeGroup(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/bergamotcart/src/bergamotcart/control/_document_replacement.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_document_replacement.py
@@ -1,14 +1,19 @@
-"""Replacement of the routes section by a whole document; the highest version is in force."""
+"""Replacement of sections by a whole document; the highest version is in force."""
 
 from typing import Final
 
 from bergamotcart import documents, messages
 from bergamotcart.control._commands import ReplaceDocument
-from bergamotcart.control._section_changes import MAX_DOCUMENT_BYTES, update_group_rows
+from bergamotcart.control._section_changes import (
+    MAX_DOCUMENT_BYTES,
+    record_removal,
+    update_group_rows,
+)
 from bergamotcart.control._state import RecordedChange, ReplicatedState, record_change
 
-# Name of the section that whole documents replace.
+# Names of the sections that whole documents replace, which are also their kinds.
 ROUTES_SECTION: Final = 'routes'
+WORKSPACES_SECTION: Final = 'workspaces'
 
 
 def current_document_version(state: ReplicatedState) -> int:
@@ -25,13 +30,13 @@
     :param state: the replicated state, with whose other sections the document must be consistent.
     :param command: the proposed replacement.
     """
-    if len(command.body.encode()) + len(command.source.encode()) > 2 * MAX_DOCUMENT_BYTES:
+    texts = (command.body, command.workspaces, command.source)
+    if sum(len(text.encode()) for text in texts) > 2 * MAX_DOCUMENT_BYTES:
         problem = (
             f'the document and its source would exceed {2 * MAX_DOCUMENT_BYTES} bytes in total'
         )
         return ((f'sections.{ROUTES_SECTION}', problem),)
-    sections = dict(state.sections)
-    sections[ROUTES_SECTION] = _make_section_row(command, state.index)
+    sections = _make_sections(state, command, state.index)
     try:
         documents.Document.from_sections(sections.values(), revision=0)
     except documents.DocumentError as error:
@@ -55,7 +60,7 @@
         problems = find_document_problems(state, command)
         if problems:
             return RecordedChange(outcome='invalid', digest='', problems=problems)
-        state.sections[ROUTES_SECTION] = _make_section_row(command, index)
+        _replace_sections(state, command, index)
         state.document_source = command.source
         state.revision = index
         record_change(state, index)
@@ -68,11 +73,43 @@
     )
 
 
-def _make_section_row(command: ReplaceDocument, index: int) -> messages.SectionRow:
+def _replace_sections(state: ReplicatedState, command: ReplaceDocument, index: int) -> None:
+    had_workspaces = WORKSPACES_SECTION in state.sections
+    state.sections = _make_sections(state, command, index)
+    if command.workspaces:
+        state.removed_sections.pop(WORKSPACES_SECTION, None)
+    elif had_workspaces:
+        record_removal(state, state.removed_sections, WORKSPACES_SECTION, index)
+
+
+def _make_sections(
+    state: ReplicatedState, command: ReplaceDocument, index: int
+) -> dict[str, messages.SectionRow]:
+    """Return all sections after a replacement."""
+    sections = dict(state.sections)
+    sections[ROUTES_SECTION] = _make_section_row(
+        state, ROUTES_SECTION, command, command.body, index
+    )
+    if command.workspaces:
+        sections[WORKSPACES_SECTION] = _make_section_row(
+            state, WORKSPACES_SECTION, command, command.workspaces, index
+        )
+    else:
+        sections.pop(WORKSPACES_SECTION, None)
+    return sections
+
+
+def _make_section_row(
+    state: ReplicatedState, name: str, command: ReplaceDocument, body: str, index: int
+) -> messages.SectionRow:
+    """Return the row of a section; entries are not sent an unchanged body again."""
+    former = state.sections.get(name)
+    kind = documents.SectionKind(name)
+    is_unchanged = former is not None and former.kind == kind and former.body == body
     return messages.SectionRow(
-        name=ROUTES_SECTION,
-        kind=documents.SectionKind.routes,
+        name=name,
+        kind=kind,
         version=command.version,
-        body=command.body,
-        modified_index=index,
+        body=body,
+        modified_index=former.modified_index if is_unchanged else index,
     )
--- a/packages/bergamotcart/src/bergamotcart/control/_operator_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_operator_requests.py
@@ -44,6 +44,7 @@
     version: messages.PositiveCount
     body: str
     source: str = ''
+    workspaces: str = ''
 
 
 class _HistoryBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -192,7 +193,10 @@
             return
         decoded_body = msgspec.convert(request.body, _DocumentBody)
         command = ReplaceDocument(
-            version=decoded_body.version, body=decoded_body.body, source=decoded_body.source
+            version=decoded_body.version,
+            body=decoded_body.body,
+            source=decoded_body.source,
+            workspaces=decoded_body.workspaces,
         )
         problems = find_document_problems(context.state, command)
         if problems:
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_authority_world.py
@@ -185,12 +185,17 @@
                 self._inputs.append(control.AnnouncementReceived(_make_announcement(instance)))
 
     def replace_document(
-        self, version: int, body: str, token: str = _TOKEN, source: str = ''
+        self,
+        version: int,
+        body: str,
+        token: str = _TOKEN,
+        source: str = '',
+        **sections: str,
     ) -> control.OperatorReply:
         """Send a whole document and return the reply."""
         return self._request(
             control.OperatorCommand.replace_document,
-            {'version': version, 'body': body, 'source': source or f'source {version}'},
+            {'version': version, 'body': body, 'source': source or f'source {version}'} | sections,
             token,
         )
 
