Targets: connections belong to workspaces

The pool of an instance keeps one limit for all workspaces, hands out an idle connection only to its own, and closes the least recently used idle connection of another one at the limit, or when the instance accepts no further connections. Waiting tasks are served in the order of their arrival. Statements without a workspace and probes keep the former word.

The event loop of the tests with virtual time waited in real time after a cancelled timer.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection_pool.py
@@ -4,15 +4,30 @@
 import collections
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
+from bergamotcart.outcomes import ErrorKind
 from bergamotcart_daemon.addresses import Address
-from bergamotcart_daemon.connections import TargetConnection
+from bergamotcart_daemon.connections import ConnectError, TargetConnection
+
+
+class _Waiter(msgspec.Struct, frozen=True, eq=False):
+    """A task that waits for a connection of a workspace.
+
+    :param grant: a connection of that workspace, or ``None`` if the task may open one, which is
+        counted as reserved.
+    """
 
-_Waiter = asyncio.Future[TargetConnection | None]
+    workspace: str
+    grant: asyncio.Future[TargetConnection | None]
 
 
 class ConnectionPool:
     """Opens at most ``limit`` connections, and reuses the most recently released one first.
 
+    Each connection belongs to one workspace for its whole life. At the limit, the least recently
+    used idle connection of another workspace is closed to open one.
+
     :param on_count_change: called with the number of connections, including those being opened,
         after one was opened or closed.
     """
@@ -34,12 +49,13 @@
     def __init__(
         self,
         address: Address,
-        connect: Callable[[], Awaitable[TargetConnection]],
+        connect: Callable[[str], Awaitable[TargetConnection]],
         on_count_change: Callable[[int], None],
     ) -> None:
         """Create a pool without connections.
 
-        :param connect: opens a connection; raises ``ConnectError`` if that fails.
+        :param connect: opens a connection for the workspace with a name, which is empty for none;
+            raises ``ConnectError`` if that fails.
         """
         self._address = address
         self._connect = connect
@@ -49,7 +65,9 @@
         self._limit = 1
         self._idle_timeout_s: float | None = None
         self._kept = 0
-        self._open: set[TargetConnection] = set()
+        # Names of the workspaces by open connection.
+        self._open: dict[TargetConnection, str] = {}
+        # Least recently used first; empty while others wait.
         self._idle: list[TargetConnection] = []
         self._reserved_count = 0
         self._release_counts: dict[TargetConnection, int] = {}
@@ -78,23 +96,33 @@
             self.discard(self._idle[0])
         self._grant_reservations()
 
-    def acquire_idle(self) -> TargetConnection | None:
+    def acquire_idle(self, workspace: str) -> TargetConnection | None:
         """Return an idle connection, or ``None`` if there is none or others wait for one."""
-        return self._idle.pop() if self._idle and not self._waiters else None
+        if self._waiters:
+            return None
+        for connection in reversed(self._idle):
+            if self._open[connection] == workspace:
+                self._idle.remove(connection)
+                return connection
+        return None
 
-    async def acquire(self) -> TargetConnection:
+    async def acquire(self, workspace: str) -> TargetConnection:
         """Return a connection for exclusive use, waiting for one if necessary.
 
+        :param workspace: name of the workspace that the connection must belong to.
         :raises ConnectError: if a new connection cannot be opened.
         """
+        idle = self.acquire_idle(workspace)
+        if idle is not None:
+            return idle
         if not self._waiters:
-            if self._idle:
-                return self._idle.pop()
+            if self._connection_count >= self._limit and self._idle:
+                self.discard(self._idle[0])
             if self._connection_count < self._limit:
                 self._reserved_count += 1
-                return await self._open_connection()
-        connection = await self._wait_for_grant()
-        return connection or await self._open_connection()
+                return await self._open_connection(workspace)
+        connection = await self._wait_for_grant(workspace)
+        return connection or await self._open_connection(workspace)
 
     def release(self, connection: TargetConnection) -> None:
         """Return a connection without an open transaction to the pool.
@@ -114,8 +142,12 @@
             self._idle.append(connection)
             self._release_counts[connection] = self._release_counts.get(connection, 0) + 1
             self._close_later(connection)
+        elif waiter.workspace == self._open[connection]:
+            waiter.grant.set_result(connection)
         else:
-            waiter.set_result(connection)
+            self._waiters.appendleft(waiter)
+            # Its place goes to that task, which must not starve while other workspaces are busy.
+            self.discard(connection)
 
     def discard(self, connection: TargetConnection) -> None:
         """Close a connection and remove it from the pool."""
@@ -123,7 +155,7 @@
         connection.close()
         if connection not in self._open:
             return
-        self._open.remove(connection)
+        self._open.pop(connection)
         self._release_counts.pop(connection, None)
         if connection in self._idle:
             self._idle.remove(connection)
@@ -156,16 +188,18 @@
         if is_unused and connection in self._idle and self._connection_count > self._kept:
             self.discard(connection)
 
-    async def _open_connection(self) -> TargetConnection:
+    async def _open_connection(self, workspace: str) -> TargetConnection:
         # This connection is already counted in ``_reserved_count``.
         try:
-            connection = await self._connect()
-        except BaseException:
+            connection = await self._connect(workspace)
+        except BaseException as error:
             self._reserved_count -= 1
+            if isinstance(error, ConnectError):
+                self._make_room(workspace, error)
             self._grant_reservations()
             raise
         self._reserved_count -= 1
-        self._open.add(connection)
+        self._open[connection] = workspace
         connection.on_connection_lost = self._on_connection_lost
         self._on_count_change(self._connection_count)
         return connection
@@ -175,12 +209,19 @@
         if connection in self._idle:
             self.discard(connection)
 
-    async def _wait_for_grant(self) -> TargetConnection | None:
-        # ``None`` means that a new connection may be opened and is counted as reserved.
-        waiter: _Waiter = asyncio.get_running_loop().create_future()
+    def _make_room(self, workspace: str, error: ConnectError) -> None:
+        """Close an idle connection of another workspace if the target accepts no further ones."""
+        if error.error is None or error.error.kind is not ErrorKind.busy:
+            return
+        others = [unused for unused in self._idle if self._open[unused] != workspace]
+        if others:
+            self.discard(others[0])
+
+    async def _wait_for_grant(self, workspace: str) -> TargetConnection | None:
+        waiter = _Waiter(workspace, asyncio.get_running_loop().create_future())
         self._waiters.append(waiter)
         try:
-            return await waiter
+            return await waiter.grant
         except asyncio.CancelledError:
             self._cancel_wait(waiter)
             raise
@@ -188,8 +229,8 @@
     def _cancel_wait(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
-        elif waiter.done() and not waiter.cancelled():
-            self._return_grant(waiter.result())
+        elif waiter.grant.done() and not waiter.grant.cancelled():
+            self._return_grant(waiter.grant.result())
 
     def _return_grant(self, connection: TargetConnection | None) -> None:
         if connection is None:
@@ -204,13 +245,13 @@
             if waiter is None:
                 return
             self._reserved_count += 1
-            waiter.set_result(None)
+            waiter.grant.set_result(None)
 
     def _pop_waiter(self) -> _Waiter | None:
         # A cancelled waiter stays in the queue until its task runs again.
         while self._waiters:
             waiter = self._waiters.popleft()
-            if not waiter.done():
+            if not waiter.grant.done():
                 return waiter
         return None
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
@@ -107,13 +107,13 @@
             pinned.running = True
             return pinned
         pool = self._get_pool(action)
-        connection = pool.acquire_idle()
+        connection = pool.acquire_idle(action.workspace)
         return None if connection is None else self._register_checkout(action, pool, connection)
 
     async def _acquire(self, action: Execute, deadline: float) -> _Checkout:
         pool = self._get_pool(action)
         async with asyncio.timeout_at(deadline):
-            connection = await pool.acquire()
+            connection = await pool.acquire(action.workspace)
         return self._register_checkout(action, pool, connection)
 
     def _register_checkout(
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_interfaces.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_interfaces.py
@@ -30,9 +30,13 @@
     """Implements one protocol for connections to targets."""
 
     @abc.abstractmethod
-    async def connect(self, target: TargetKey, address: Address) -> TargetConnection:
+    async def connect(
+        self, target: TargetKey, address: Address, workspace: str
+    ) -> TargetConnection:
         """Open a connection.
 
+        :param workspace: name of the workspace that it belongs to for its whole life; empty for
+            none.
         :raises ConnectError: if the connection cannot be opened.
         """
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_mysql_driver.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_mysql_driver.py
@@ -32,7 +32,9 @@
         self._dialect = dialect
         self._connect_timeout_s = connect_timeout_s
 
-    async def connect(self, target: TargetKey, address: Address) -> TargetConnection:
+    async def connect(
+        self, target: TargetKey, address: Address, workspace: str
+    ) -> TargetConnection:
         """Connect and log in, with the group as the schema."""
         return await MysqlConnection.open(address, target.group, self._connect_timeout_s)
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_prober.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_prober.py
@@ -95,7 +95,7 @@
 
     async def _connect(self) -> TargetConnection:
         if self._connection is None or self._connection.closed:
-            self._connection = await self._driver.connect(self._target, self._address)
+            self._connection = await self._driver.connect(self._target, self._address, '')
             self._connection.on_connection_lost = self._on_connection_lost
         return self._connection
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/simulated_group.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/simulated_group.py
@@ -41,7 +41,11 @@
 
     def _run_once(self) -> None:
         if not self._ready and self._scheduled:
-            self._virtual_now = max(self._virtual_now, self._scheduled[0].when())
+            if self._scheduled[0].cancelled():
+                # The loop removes it, and must not wait for the next timer in real time.
+                self.call_soon(lambda: None)
+            else:
+                self._virtual_now = max(self._virtual_now, self._scheduled[0].when())
         super()._run_once()
 
 
@@ -239,7 +243,7 @@
         """Store the group."""
         self._group = group
 
-    async def connect(self, target: TargetKey, address: Address) -> Connection:
+    async def connect(self, target: TargetKey, address: Address, workspace: str) -> Connection:
         """Open a connection, which occupies a slot."""
         instance = self._group.instances[target.instance]
         instance.counts['connections'] += 1
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_connection_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_connection_pool.py
@@ -29,7 +29,7 @@
         self._closed = True
 
 
-async def _connect() -> _FakeConnection:
+async def _connect(workspace: str) -> _FakeConnection:
     return _FakeConnection()
 
 
@@ -37,7 +37,7 @@
     """Use three connections at once, and return how many stay open."""
     pool = ConnectionPool(Address('127.0.0.1', 1), _connect, lambda count: None)
     pool.change_limit(3, _IDLE_S, kept)
-    connections = [await pool.acquire() for _ in range(3)]
+    connections = [await pool.acquire('') for _ in range(3)]
     for connection in connections:
         pool.release(connection)
     await asyncio.sleep(2 * _IDLE_S)
@@ -48,7 +48,7 @@
     """Return how many of two unused connections are open before and after it is shortened."""
     pool = ConnectionPool(Address('127.0.0.1', 1), _connect, lambda count: None)
     pool.change_limit(2, 10 * _IDLE_S, 1)
-    connections = [await pool.acquire() for _ in range(2)]
+    connections = [await pool.acquire('') for _ in range(2)]
     for connection in connections:
         pool.release(connection)
     await asyncio.sleep(_IDLE_S)
--- a/packages/bergamotcart/src/bergamotcart/entry/_actions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_actions.py
@@ -20,6 +20,7 @@
     :param ledger_retention_s: age in seconds from which a request identifier is refused; the
         adapter prunes rows of twice that age, and none if it is ``None``.
     :param state: settings and prepared statement that the connection must have first, if any.
+    :param workspace: name of the workspace that the connection must belong to; empty for none.
     """
 
     execution_id: int
@@ -33,6 +34,7 @@
     ledger: LedgerKey | None = None
     ledger_retention_s: float | None = None
     state: SessionState | None = None
+    workspace: str = ''
 
 
 @enum.unique
