Entry: sessions belong to the workspaces of their keys

Where the document has workspaces, the engine replaces the name that a caller presents by the workspace that holds this key, and keeps only the digest of the key. All sessions are checked again when a changed document is applied, before any request is sent: idle sessions of a withdrawn key are closed, open transactions are rolled back, and waiting requests are refused. Attempts in progress are not repeated.

--- a/packages/bergamotcart/src/bergamotcart/entry/_components.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_components.py
@@ -22,6 +22,7 @@
 from bergamotcart.entry._requests import RequestPhase, RequestTable
 from bergamotcart.entry._retries import Retries
 from bergamotcart.entry._routed_request_dispatcher import RoutedRequestDispatcher
+from bergamotcart.entry._session_authentication import SessionAuthentication
 from bergamotcart.entry._session_errors import SessionErrors
 from bergamotcart.entry._session_floors import SessionFloors
 from bergamotcart.entry._sessions import Session, SessionTable
@@ -42,6 +43,7 @@
         'limiters',
         'monitor',
         'announcement_relay',
+        'authentication',
         'requests',
         'retries',
         'routed_request_dispatcher',
@@ -121,6 +123,7 @@
             self._on_state_update,
             self.change_handler.on_lease_changed,
             self.change_handler.on_lease_granted,
+            lambda: self.authentication.recheck(),
         )
         self.request_handlers = build_request_handlers(
             RequestHandlerDependencies(
@@ -138,6 +141,14 @@
         self.routed_request_dispatcher = RoutedRequestDispatcher(
             context, self.requests, replies, retries, self.request_handlers
         )
+        self.authentication = SessionAuthentication(
+            context,
+            self.sessions,
+            self.requests,
+            replies,
+            self.request_handlers.transactions,
+            self.routed_request_dispatcher.close_accepted_if_idle,
+        )
         self.request_dispatcher = RequestDispatcher(
             context,
             self.sessions,
--- a/packages/bergamotcart/src/bergamotcart/entry/_context.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_context.py
@@ -14,6 +14,7 @@
 from bergamotcart.entry._group_state import GroupTable
 from bergamotcart.entry._lease import LeaseHolder
 from bergamotcart.entry._lease_watch import LeaseWatch
+from bergamotcart.entry._sessions import Session
 from bergamotcart.entry._timers import Timer, Timers
 from bergamotcart.outcomes import NotRun, Reason
 
@@ -92,12 +93,16 @@
         Without a recent confirmation that this configuration is current, the name may have been
         added, so the caller should try again.
         """
-        if self.lease.is_state_current(self.now):
-            return NotRun(Reason.unknown_group, name)
-        retry_after = self.lease.renewal_interval_s
-        if self.lease.is_control_unreachable(self.now):
-            retry_after = _CONTROL_RETRY_AFTER_S
-        return NotRun(Reason.configuration_unconfirmed, name, retry_after=retry_after)
+        return self._refuse_unknown(Reason.unknown_group, name)
+
+    def find_key_refusal(self, session: Session) -> NotRun | None:
+        """Return the refusal of a session whose key no workspace holds, or ``None`` for others.
+
+        As for an unknown name, the key may have been added.
+        """
+        if not session.is_unauthenticated:
+            return None
+        return self._refuse_unknown(Reason.unauthenticated, 'unknown key')
 
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
         """Schedule a callback after a delay in seconds."""
@@ -110,3 +115,11 @@
     def publish_decision(self, system: str, action: str, reason: str, **fields: object) -> None:
         """Add a decision for the log and the metrics."""
         self.actions.append(Decision(system=system, action=action, reason=reason, **fields))
+
+    def _refuse_unknown(self, reason: Reason, detail: str) -> NotRun:
+        if self.lease.is_state_current(self.now):
+            return NotRun(reason, detail)
+        retry_after = self.lease.renewal_interval_s
+        if self.lease.is_control_unreachable(self.now):
+            retry_after = _CONTROL_RETRY_AFTER_S
+        return NotRun(Reason.configuration_unconfirmed, detail, retry_after=retry_after)
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -37,6 +37,8 @@
     :param on_state_update: called with the groups whose rows changed.
     :param on_lease_changed: called after each accepted grant and each request for a renewal.
     :param on_lease_granted: called with each accepted grant.
+    :param on_document_changed: called first when a state with a changed document is applied, before
+        any request is sent.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         '_next_asked',
         '_on_lease_granted',
         '_on_lease_changed',
+        '_on_document_changed',
         '_on_state_update',
         '_redirects',
         '_renew_after_s',
@@ -72,6 +75,7 @@
         on_state_update: Callable[[list[str]], None],
         on_lease_changed: Callable[[], None],
         on_lease_granted: Callable[[messages.LeaseGrant], None],
+        on_document_changed: Callable[[], None],
     ) -> None:
         """Create the link without a known leader; nothing is sent yet."""
         self._context = context
@@ -81,6 +85,7 @@
         self._on_state_update = on_state_update
         self._on_lease_changed = on_lease_changed
         self._on_lease_granted = on_lease_granted
+        self._on_document_changed = on_document_changed
         self._leader: tuple[str, str] | None = None
         self._renew_after_s = _DEFAULT_RENEWAL_INTERVAL_S
         self._requested_at = float('-inf')
@@ -182,7 +187,7 @@
     def receive_update(self, envelope: messages.Envelope, update: messages.StateUpdate) -> None:
         """Apply a state update and acknowledge it, once writes to frozen groups have ended."""
         view = self._context.control_view
-        before = dict(view.groups)
+        before, document = dict(view.groups), view.document
         if update.from_index == 0:
             self._needs_whole_state = False
         if update.from_index > view.applied_index and update.control_term >= view.control_term:
@@ -193,6 +198,8 @@
         except DocumentError as error:
             self._refuse_update(update, 'bad_document', str(error))
             return
+        if view.document is not document:
+            self._on_document_changed()
         if applied:
             self._use_applied_state(before)
         self._freeze_acknowledgement.update()
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -192,12 +192,13 @@
         session = Session(opened.session_id, opened.caller, opened.group, self._context.now)
         if sessions.get(opened.session_id) is not None:
             return
-        policy = self._context.control_view.policy(opened.caller, opened.group or '')
+        session.database = opened.database
+        self._components.authentication.identify(session)
+        policy = self._context.control_view.policy(session.caller, opened.group or '')
         limit = policy.max_connections
         session.is_over_connection_limit = not self._context.caller_limits.try_open_connection(
-            opened.caller, limit
+            session.caller, limit
         )
-        session.database = opened.database
         # A refused session is removed with its connection, as all others are.
         sessions.add(session)
         if opened.database is not None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -151,6 +151,7 @@
                 ledger=plan.ledger,
                 ledger_retention_s=self._ledger_retention_s(request) if plan.ledger else None,
                 state=_session_state(request),
+                workspace=request.session.workspace,
             )
         )
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_inputs.py
@@ -19,6 +19,7 @@
 class SessionOpened(msgspec.Struct, frozen=True):
     """A caller connected.
 
+    :param caller: name of the caller, or its key where the document has workspaces.
     :param group: group that the caller selected, if any.
     :param database: database name of the route that the caller selected in place of a group;
         the engine answers with ``SessionAnswer``.
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
@@ -86,9 +86,17 @@
             if session is None:
                 refusal = NotRun(Reason.connection_lost, 'the session is closed')
             self._reply(arrived, refusal)
-            return
-        if arrived.statement is not None:
+        elif arrived.statement is None:
+            self._handle_unrouted(session, arrived)
+        else:
             self._routed_request_dispatcher.handle_statement(session, arrived, arrived.statement)
+
+    def _handle_unrouted(self, session: Session, arrived: RequestArrived) -> None:
+        key_refusal = self._context.find_key_refusal(session)
+        if key_refusal is not None:
+            # The refusal also tells the caller that a transaction was rolled back.
+            session.rolled_back = False
+            self._reply(arrived, key_refusal)
             return
         try:
             sql, directives = extract_directives(arrived.sql)
--- a/packages/bergamotcart/src/bergamotcart/entry/_retries.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_retries.py
@@ -44,6 +44,13 @@
         :param was_sent: whether that attempt put load on the target; only then the retry is charged
             to the budgets.
         """
+        key_refusal = self._context.find_key_refusal(request.session)
+        if key_refusal is not None:
+            # The key was withdrawn while the attempt was in progress.
+            self._replies.refuse(
+                request, key_refusal.reason, key_refusal.detail, key_refusal.retry_after
+            )
+            return
         if request.has_used_attempts:
             # More attempts would keep the instances full.
             self._replies.refuse(
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -271,7 +271,10 @@
         request.failed_targets.add(running.plan.target)
         if kind is ErrorKind.behind:
             self._monitor.record_behind(running.plan.target)
-        is_untried_left = len(request.failed_targets) < self._count_targets(request.group)
+        is_refused = request.session.is_unauthenticated
+        is_untried_left = not is_refused and len(request.failed_targets) < self._count_targets(
+            request.group
+        )
         if is_untried_left and not request.has_used_attempts:
             # Another instance probably has the position or a free connection, and the primary
             # always has the position.
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -74,7 +74,7 @@
         self, session: Session, arrived: RequestArrived, statement: Statement
     ) -> None:
         """Answer a statement or start a request for it."""
-        outcome = self._answer_locally(session, statement)
+        outcome = self._refuse_unknown_key(session) or self._answer_locally(session, statement)
         if outcome is not None:
             self._reply(session, arrived, statement, outcome)
             return
@@ -101,6 +101,15 @@
         self._context.actions.append(CloseSession(session.session_id))
         return True
 
+    def close_accepted_if_idle(self, session: Session) -> bool:
+        """Close the connection of an idle session, unless the caller waits for its acceptance.
+
+        :returns: whether the connection is closed.
+        """
+        if session.session_id in self._waiting_sessions:
+            return False
+        return self.close_if_idle(session)
+
     def _wait_for_configuration(self, session: Session) -> None:
         """Delay the answer to a session until control has confirmed the applied state."""
         self._waiting_sessions[session.session_id] = session
@@ -130,6 +139,14 @@
         database = session.database or ''
         if refusal is None and self._context.control_view.document.route(database) is None:
             refusal = self._context.refuse_unknown_name(database)
+        return refusal or self._context.find_key_refusal(session)
+
+    def _refuse_unknown_key(self, session: Session) -> NotRun | None:
+        refusal = self._context.find_key_refusal(session)
+        if refusal is not None and session.transaction is None:
+            # The refusal also tells the caller that a transaction was rolled back.
+            session.rolled_back = False
+            session.begun_transaction = None
         return refusal
 
     def _may_be_confirmed(self, refusal: NotRun) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
@@ -93,6 +93,9 @@
         open transaction ends.
     :param own_writes: newest write per group, for sessions that use a route.
     :param workspace: name of the workspace whose key the caller presented; empty for none.
+    :param key_digest: digest of that key (``digest_key``); the key itself is not kept.
+    :param is_unauthenticated: whether the applied document has workspaces, none of which holds the
+        key, and the route is not public.
     """
 
     session_id: int
@@ -114,6 +117,8 @@
     resolved_route: ResolvedRoute | None = None
     own_writes: dict[str, OwnWrite] = msgspec.field(default_factory=dict)
     workspace: str = ''
+    key_digest: str = ''
+    is_unauthenticated: bool = False
 
     @property
     def transaction_state(self) -> TransactionState:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
@@ -37,8 +37,12 @@
     connection_limit: int = 20,
     fencing: documents.Fencing = documents.Fencing.authority,
     synchronous_replicas: int = 0,
+    public: tuple[str, ...] = (),
 ) -> messages.SectionRow:
-    """Return the section with a route for each database name."""
+    """Return the section with a route for each database name.
+
+    :param public: database names whose callers need no key.
+    """
     body = documents.RoutesBody(
         routes=tuple(
             documents.Route(
@@ -48,6 +52,7 @@
                 consistency=_CONSISTENCIES[name],
                 statement_timeout_s=timeout_s,
                 max_age_s=MAX_AGE_S,
+                public=name in public,
             )
             for name in names
         ),
@@ -67,6 +72,20 @@
     return messages.SectionRow(name='routes', kind='routes', version=version, body=encoded)
 
 
+def make_workspaces(**keys: str) -> messages.SectionRow:
+    """Return the section with a workspace for each name, which holds the keys in a text."""
+    body = documents.WorkspacesBody(
+        workspaces=tuple(
+            documents.Workspace(
+                name=name, key_digests=tuple(documents.digest_key(key) for key in held.split())
+            )
+            for name, held in keys.items()
+        )
+    )
+    encoded = msgspec.json.encode(body).decode()
+    return messages.SectionRow(name='workspaces', kind='workspaces', version=1, body=encoded)
+
+
 class RoutedEntryHarness:
     """An engine, the messages that control sends it, and its recorded actions.
 
@@ -76,6 +95,8 @@
     :ivar reported: reachability last reported to control, by instance.
     """
 
+    more_sections: tuple[messages.SectionRow, ...] = ()
+
     def __init__(
         self,
         *,
@@ -170,7 +191,7 @@
                 revision=self.index,
                 entries_limit=1,
                 groups=(self.row,),
-                sections=(self.section,),
+                sections=(self.section, *self.more_sections),
                 entries=self._entries,
             )
         )
@@ -265,10 +286,10 @@
             report = PositionReport(role, 1, Position(1, position))
             self.step(entry.ProbeFinished(probe.target, sent_at, report))
 
-    def open_session(self, database: str) -> int:
+    def open_session(self, database: str, key: str = 'client') -> int:
         """Open a session by a database name and return its identifier."""
         self._sessions += 1
-        self.step(entry.SessionOpened(self._sessions, 'client', None, database))
+        self.step(entry.SessionOpened(self._sessions, key, None, database))
         return self._sessions
 
     def send_statement(self, session: int, statement: Statement, text: str = 'READ x') -> int:
--- a/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
+++ b/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
@@ -40,6 +40,7 @@
     replica_behind = 'replica_behind'
     target_busy = 'target_busy'
     internal_error = 'internal_error'
+    unauthenticated = 'unauthenticated'
 
 
 @enum.unique
