--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -8,6 +8,9 @@
 _ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
 _SYNCHRONOUS_ENTRY: Final = 'bergamotcart/entry/tests/test_synchronous_replicas.py'
 _SYNCHRONOUS_CONTROL: Final = 'bergamotcart/control/tests/test_synchronous_replicas.py'
+_SESSION_KEYS: Final = 'bergamotcart/entry/tests/test_session_keys.py'
+_KEY_CHANGES: Final = 'bergamotcart/entry/tests/test_key_changes.py'
+_WORKSPACE_SECTIONS: Final = 'bergamotcart/control/tests/test_workspace_sections.py'
 
 
 @dataclass(frozen=True, slots=True)
@@ -314,4 +317,72 @@
         (Replacement('            not state.is_formed\n', '            state.may_form_group\n'),),
         'bergamotcart/consensus/tests/test_formation.py',
     ),
+    Fault(
+        'keep the workspaces of sessions when the document changes',
+        'bergamotcart/entry/_control_link.py',
+        (Replacement('if view.document is not document:', 'if False:'),),
+        _KEY_CHANGES,
+    ),
+    Fault(
+        'send waiting requests before the keys are checked again',
+        'bergamotcart/entry/_control_link.py',
+        (
+            Replacement('        if view.document is not document:\n', '        if applied:\n'),
+            Replacement(
+                '            self._on_document_changed()\n        if applied:\n'
+                '            self._use_applied_state(before)\n',
+                '            self._use_applied_state(before)\n'
+                '            self._on_document_changed()\n',
+            ),
+        ),
+        _SESSION_KEYS,
+    ),
+    Fault(
+        'repeat an attempt of a withdrawn key',
+        'bergamotcart/entry/_retries.py',
+        (Replacement('if key_refusal is not None:', 'if False:'),),
+        _SESSION_KEYS,
+    ),
+    Fault(
+        'keep the transaction of a withdrawn key',
+        'bergamotcart/entry/_session_authentication.py',
+        (Replacement('self._transactions.abort(session, Reason.unauthenticated.value)', 'return'),),
+        _SESSION_KEYS,
+    ),
+    Fault(
+        'keep the transaction of a moved key',
+        'bergamotcart/entry/_session_authentication.py',
+        (Replacement("self._transactions.abort(session, 'workspace_changed')", 'return'),),
+        _KEY_CHANGES,
+    ),
+    Fault(
+        'call a key unknown without a confirmed state',
+        'bergamotcart/entry/_context.py',
+        (Replacement('if self.lease.is_state_current(self.now):', 'if True:'),),
+        _SESSION_KEYS,
+    ),
+    Fault(
+        'serve unknown keys on every route',
+        'bergamotcart/entry/_session_authentication.py',
+        (Replacement('return resolved is not None and resolved.route.public', 'return True'),),
+        _KEY_CHANGES,
+    ),
+    Fault(
+        'send unchanged workspaces with a change of the routes',
+        'bergamotcart/control/_document_replacement.py',
+        (Replacement('former.modified_index if is_unchanged else index', 'index'),),
+        _WORKSPACE_SECTIONS,
+    ),
+    Fault(
+        'keep the workspaces of entries when a version has none',
+        'bergamotcart/control/_document_replacement.py',
+        (Replacement('    elif had_workspaces:\n', '    elif False:\n'),),
+        _WORKSPACE_SECTIONS,
+    ),
+    Fault(
+        'let an older version replace the workspaces',
+        'bergamotcart/control/_document_replacement.py',
+        (Replacement('if command.version > current_document_version(state):', 'if True:'),),
+        _WORKSPACE_SECTIONS,
+    ),
 )
