Entry: a session names the workspace of its caller

Caps are counted for each workspace, so that an operation must show whose it is. The field is empty where the document has no workspaces. Measured: nothing reads it yet; no test of its own.

--- a/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
@@ -92,6 +92,7 @@
     :param resolved_route: route and policy of the newest statement; they stay in force until an
         open transaction ends.
     :param own_writes: newest write per group, for sessions that use a route.
+    :param workspace: name of the workspace whose key the caller presented; empty without one.
     """
 
     session_id: int
@@ -112,6 +113,7 @@
     begun_transaction: BegunTransaction | None = None
     resolved_route: ResolvedRoute | None = None
     own_writes: dict[str, OwnWrite] = msgspec.field(default_factory=dict)
+    workspace: str = ''
 
     @property
     def transaction_state(self) -> TransactionState:
