Caps of workspaces: credits lent by the leader of control

A workspace may have a cap, and nothing kept it over all entries. The leader now keeps a token bucket for each cap and lends credits to entries; an operation spends one when it is first sent. The credits that may be in use never exceed the allowance, so that no window exceeds the cap, whoever is cut off. The settings of the allowance come with flags and from the bounds of the platform's file; operators see the caps with bergamotctl caps.

--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/main.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/main.py
@@ -18,6 +18,7 @@
     application.catch_exceptions(catch_exceptions=False)
     for command in (
         commands.StatusCommand,
+        commands.CapsCommand,
         commands.MembersCommand,
         commands.ReplaceCommand,
         commands.AdmitCommand,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -146,6 +146,8 @@
             'requests': status.requests,
             'open_connections': status.open_connections,
             'opened_connections': status.opened_connections,
+            'cap_admitted': status.cap_admitted,
+            'cap_refused': status.cap_refused,
             'serving': int(status.health == entry.EntryHealth.serving),
         }
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_flags.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_flags.py
@@ -115,6 +115,21 @@
     Flag('leader-heartbeat', _CONTROL, 'Seconds between heartbeats of the leader, default 0.1.'),
     Flag('election-timeout-min', _CONTROL, 'Minimum election timeout in seconds, default 0.4.'),
     Flag('election-timeout-max', _CONTROL, 'Maximum election timeout in seconds, default 0.8.'),
+    Flag(
+        'cap-window',
+        _CONTROL,
+        'Seconds in which the operations of a capped workspace are counted, default 5.',
+    ),
+    Flag(
+        'cap-overage',
+        _CONTROL,
+        'Share by which these operations may exceed the cap, default 0.1.',
+    ),
+    Flag(
+        'cap-slack',
+        _CONTROL,
+        'Number of operations by which they may exceed the cap besides, default 20.',
+    ),
     Flag('connect-timeout', _ENTRY, 'Seconds to open a connection to a target, default 0.5.'),
     Flag('statement-timeout', _ENTRY, 'Seconds that a statement may take, default 30.'),
     Flag(
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
@@ -116,6 +116,9 @@
     leader_heartbeat: Seconds = 0.1
     election_timeout_min: Seconds = 0.4
     election_timeout_max: Seconds = 0.8
+    cap_window: Seconds = 5.0
+    cap_overage: Annotated[float, Field(ge=0, le=10)] = 0.1
+    cap_slack: Annotated[int, Field(ge=0, le=1_000_000)] = 20
 
     @field_validator('control_zone')
     @classmethod
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/operator_api/_api.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/operator_api/_api.py
@@ -55,6 +55,7 @@
             web.get('/v1/document', self._handle_get_document),
             web.put('/v1/document', self._handle_replace_document),
             web.get('/v1/status', self._handle_status),
+            web.get('/v1/caps', self._handle_caps),
             web.get('/v1/changes/{section}', self._handle_history),
             web.post('/v1/changes', self._handle_change),
             web.post('/v1/members', self._handle_membership_change),
@@ -67,6 +68,9 @@
     async def _handle_status(self, request: web.Request) -> web.Response:
         return await self._process_command(request, OperatorCommand.status, {})
 
+    async def _handle_caps(self, request: web.Request) -> web.Response:
+        return await self._process_command(request, OperatorCommand.caps, {})
+
     async def _handle_history(self, request: web.Request) -> web.Response:
         body: dict[str, object] = {'section': request.match_info['section']}
         return await self._process_command(request, OperatorCommand.history, body)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
@@ -88,6 +88,9 @@
     :param found_domain: whether the control members may form a new control domain.
     :param tolerated_losses: members that may fail at the same time; ``None`` leaves all changes
         of members to the operator.
+    :param cap_window: time in which the operations of a capped workspace are counted.
+    :param cap_overage: share by which they may exceed those of the cap in it.
+    :param cap_slack: number of operations by which they may exceed the cap besides.
     """
 
     role: ClassVar[Role] = Role.control
@@ -101,3 +104,6 @@
     leader_heartbeat: float = 0.1
     election_timeout_min: float = 0.4
     election_timeout_max: float = 0.8
+    cap_window: float = 5.0
+    cap_overage: float = 0.1
+    cap_slack: int = 20
--- a/packages/bergamotcart/src/bergamotcart/control/_commands.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_commands.py
@@ -116,6 +116,16 @@
     instance: str
 
 
+class SettleCaps(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Records that no credits of leaders before this term are in use.
+
+    It is written only where the document caps workspaces. The next leader may then use the part of
+    the allowance that is reserved for it.
+    """
+
+    term: int
+
+
 Command = (
     AdmitEntry
     | RemoveEntry
@@ -127,6 +137,7 @@
     | OpenGroup
     | NoteInstance
     | ForgetInstance
+    | SettleCaps
 )
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_configuration.py
@@ -27,6 +27,9 @@
     :param tolerated_losses: number of members that may be lost at once. Newcomers are admitted
         until there are enough voters for that, and replace members that are gone. ``None``
         leaves all changes of members to the operator.
+    :param cap_window_s: span in which the operations of a capped workspace are counted.
+    :param cap_overage: share by which they may exceed those of the cap in it.
+    :param cap_slack: number of operations by which they may exceed the cap besides.
     """
 
     name: str
@@ -47,6 +50,9 @@
     may_bootstrap: bool = True
     started_at: float | None = None
     tolerated_losses: int | None = None
+    cap_window_s: float = 5.0
+    cap_overage: float = 0.1
+    cap_slack: int = 20
 
 
 class ControlStepResult(msgspec.Struct, frozen=True):
--- a/packages/bergamotcart/src/bergamotcart/control/_events.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_events.py
@@ -89,6 +89,7 @@
     history = 'history'
     status = 'status'
     members = 'members'
+    caps = 'caps'
 
 
 class OperatorRequest(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/bergamotcart/src/bergamotcart/control/_leases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leases.py
@@ -2,8 +2,11 @@
 
 from typing import Final
 
+import msgspec
+
 from bergamotcart import messages
 from bergamotcart.actions import Decision
+from bergamotcart.control._caps import answer_cap_report
 from bergamotcart.control._commands import AdmitEntry, RemoveEntry
 from bergamotcart.control._configuration import ControlConfiguration
 from bergamotcart.control._entry_table import EntryStatus
@@ -138,6 +141,7 @@
         reports_version=entry_status.reports_version,
         heads=find_primary_positions(context),
         suspects=tuple(sorted(context.local.suspected_primary_groups)),
+        caps=answer_cap_report(context, entry_status.key, request.caps) or msgspec.UNSET,
     )
     context.send(entry_status.key.name, entry_status.address, grant)
 
--- a/packages/bergamotcart/src/bergamotcart/control/_local_tables.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local_tables.py
@@ -9,6 +9,7 @@
 from bergamotcart.control._orders import OrderTable
 from bergamotcart.control._proposals import Proposals
 from bergamotcart.control._roster_changes import RosterChanges
+from bergamotcart.workspaces import CapLender
 
 
 @dataclass(slots=True)
@@ -27,6 +28,9 @@
     :param members_pulled_at: time of the newest pull from the other members.
     :param members_heard_at: send time of the newest answered pull, by member.
     :param positions_polled_at: time at which the primaries were last asked for their positions.
+    :param cap_lender: lender of the credits of capped workspaces, once the document has any.
+    :param caps_revision: revision of the document whose caps it uses.
+    :param former_term: term of the last record before those of the newest term.
     """
 
     proposals: Proposals
@@ -46,6 +50,9 @@
     members_pulled_at: float = 0
     members_heard_at: dict[str, float] = field(default_factory=dict)
     positions_polled_at: float = 0
+    cap_lender: CapLender | None = None
+    caps_revision: int = 0
+    former_term: int = 0
 
     def reset_for_leadership(self, now: float, former_lease_end: float) -> None:
         """Reset the tables when this member becomes the leader.
@@ -69,3 +76,4 @@
         self.members_pulled_at = 0
         self.positions_polled_at = 0
         self.suspected_primary_groups = frozenset()
+        self.cap_lender = None
--- a/packages/bergamotcart/src/bergamotcart/control/_operator_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_operator_requests.py
@@ -22,7 +22,11 @@
     reply_unavailable,
     send_reply,
 )
-from bergamotcart.control._reply_bodies import make_document_body, make_status_body
+from bergamotcart.control._reply_bodies import (
+    make_caps_body,
+    make_document_body,
+    make_status_body,
+)
 from bergamotcart.control._state import RecordedChange
 from bergamotcart.control._step_context import StepContext
 
@@ -141,6 +145,8 @@
                 _reply_history(context, request)
             case OperatorCommand.status:
                 send_reply(context, request.request_id, HTTPStatus.OK, make_status_body(context))
+            case OperatorCommand.caps:
+                send_reply(context, request.request_id, HTTPStatus.OK, make_caps_body(context))
             case OperatorCommand.members:
                 self._change_members(context, request)
             case OperatorCommand.change:
--- a/packages/bergamotcart/src/bergamotcart/control/_record_application.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_record_application.py
@@ -89,6 +89,8 @@
             state.instances[instance_key(row.group, row.instance)] = row
         case commands.ForgetInstance():
             state.instances.pop(instance_key(command.group, command.instance), None)
+        case commands.SettleCaps():
+            state.caps_settled_term = command.term
     return None
 
 
--- a/packages/bergamotcart/src/bergamotcart/control/_reply_bodies.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_reply_bodies.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bergamotcart import messages
+from bergamotcart.control._caps import find_cap_lender
 from bergamotcart.control._document_replacement import current_document_version
 from bergamotcart.control._entry_table import EntryStatus
 from bergamotcart.control._state import ReplicatedState
@@ -35,6 +36,26 @@
     }
 
 
+def make_caps_body(context: StepContext) -> dict[str, object]:
+    """Return cap, use and lent credits of each capped workspace."""
+    lender = find_cap_lender(context)
+    statuses = lender.list_statuses(context.now) if lender else ()
+    return {
+        'window_s': context.configuration.cap_window_s,
+        'workspaces': [
+            {
+                'name': status.workspace,
+                'rate_per_s': status.cap.rate_per_s,
+                'burst': status.cap.burst,
+                'used_in_window': status.spent,
+                'lent': status.outstanding,
+                'holders': status.holders,
+            }
+            for status in statuses
+        ],
+    }
+
+
 def _make_member_body(row: messages.ControlMemberRow) -> dict[str, object]:
     limits = []
     if not row.voter:
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -6,6 +6,7 @@
 
 from bergamotcart import consensus, documents, messages
 from bergamotcart.actions import Decision, MessageReceived
+from bergamotcart.control import _caps as caps
 from bergamotcart.control import _events as events
 from bergamotcart.control import _leases as leases
 from bergamotcart.control._configuration import (
@@ -182,6 +183,8 @@
         match envelope.body:
             case messages.LeaseRequest() as request:
                 leases.handle_lease_request(context, envelope, request)
+            case messages.CapRequest() as cap_request:
+                caps.handle_cap_request(context, envelope, cap_request)
             case messages.StateAck() as ack:
                 handle_state_ack(context, envelope, ack)
             case messages.RelayBatch() as batch:
@@ -251,6 +254,7 @@
             leases.remove_idle_entries(context)
             leases.remove_stale_entry_statuses(context)
             remove_expired_instances(context)
+            caps.record_settled_caps(context)
         advance_groups(context)
         poll_primary_positions(context)
 
@@ -264,6 +268,8 @@
         context.actions.extend(outputs.batches)
         context.actions.extend(outputs.sends)
         for record in outputs.committed:
+            if record.term != self._state.applied_term:
+                self._local.former_term = self._state.applied_term
             recorded = apply_record(self._state, record)
             self._log_bytes += len(record.command)
             self._operator_requests.answer_committed(context, record.index, record.term, recorded)
--- a/packages/bergamotcart/src/bergamotcart/control/_state.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_state.py
@@ -73,6 +73,8 @@
     :param instances: last known addresses of instances, by ``instance_key``.
     :param document_source: newest whole document as the operator sent it.
     :param retired: former incarnations, which delayed messages must not admit again.
+    :param caps_settled_term: newest term whose leader was left without credits of former leaders;
+        never set where no workspace has a cap.
     """
 
     version: int = STATE_FORMAT
@@ -95,6 +97,7 @@
     entries_limit: int = 1
     instances: dict[str, InstanceRow] = msgspec.field(default_factory=dict)
     document_source: str = ''
+    caps_settled_term: int | msgspec.UnsetType = msgspec.UNSET
 
     def roster(self) -> list[messages.EntryRow]:
         """Return all rows of the roster, former incarnations included."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_components.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_components.py
@@ -4,6 +4,7 @@
 
 from bergamotcart.discovery import Position, TargetKey
 from bergamotcart.entry._announcement_relay import AnnouncementRelay
+from bergamotcart.entry._cap_gate import CapGate
 from bergamotcart.entry._change_handler import ChangeHandler
 from bergamotcart.entry._configuration import EntryConfiguration
 from bergamotcart.entry._context import EngineContext
@@ -35,6 +36,7 @@
     __slots__ = (
         '_on_state_update',
         '_replies',
+        'cap_gate',
         'control_link',
         'executions',
         'change_handler',
@@ -79,7 +81,11 @@
             self._on_reachability_changed,
             self._lowest_awaited_position,
         )
-        self.executions = Executions(context, self.limiters, self.monitor)
+        # The link to control reports the use of credits, and the gate sends reports to its leader.
+        self.cap_gate = CapGate(
+            context, self.sessions, self._replies, lambda: self.control_link.leader
+        )
+        self.executions = Executions(context, self.limiters, self.monitor, self.cap_gate)
         self._create_dependent_components()
 
     def cancel_waiting_requests(self, session: Session) -> None:
@@ -118,6 +124,7 @@
             monitor,
             self.limiters,
             freeze_acknowledgement,
+            self.cap_gate,
             self._on_state_update,
             self.change_handler.on_lease_changed,
             self.change_handler.on_lease_granted,
@@ -136,7 +143,7 @@
             )
         )
         self.routed_request_dispatcher = RoutedRequestDispatcher(
-            context, self.requests, replies, retries, self.request_handlers
+            context, self.requests, replies, retries, self.request_handlers, self.cap_gate
         )
         self.request_dispatcher = RequestDispatcher(
             context,
--- a/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
@@ -70,6 +70,8 @@
         infinite before the first confirmation.
     :param open_connections: connections to targets that are open or being opened.
     :param opened_connections: connections to targets opened since the start.
+    :param cap_admitted: operations of capped workspaces sent to an instance since the start.
+    :param cap_refused: operations refused because their workspace had no credit.
     """
 
     health: EntryHealth
@@ -82,3 +84,5 @@
     open_connections: int = 0
     opened_connections: int = 0
     state_age_s: float = 0
+    cap_admitted: int = 0
+    cap_refused: int = 0
--- a/packages/bergamotcart/src/bergamotcart/entry/_context.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_context.py
@@ -16,8 +16,11 @@
 from bergamotcart.entry._lease_watch import LeaseWatch
 from bergamotcart.entry._timers import Timer, Timers
 from bergamotcart.outcomes import NotRun, Reason
+from bergamotcart.workspaces import CreditHolder
 
 _CONTROL_RETRY_AFTER_S: Final = 1.0
+# Reports of use begin at a random number, so that answers to a former incarnation are ignored.
+_FIRST_REPORT_RANGE: Final = 1 << 32
 
 
 class EngineContext:
@@ -45,6 +48,7 @@
         'targets',
         'timers',
         'control_view',
+        'credits',
     )
 
     def __init__(self, configuration: EntryConfiguration) -> None:
@@ -63,6 +67,8 @@
         self.lease = LeaseHolder(configuration.drift_margin)
         self.lease_watch = LeaseWatch()
         self.targets = TargetTable(configuration.target_expiry_s)
+        first_number = self.random.randrange(1, _FIRST_REPORT_RANGE)
+        self.credits = CreditHolder(configuration.drift_margin, first_number)
 
     @property
     def lease_valid(self) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -3,8 +3,11 @@
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
+
 from bergamotcart import messages
 from bergamotcart.documents import DocumentError
+from bergamotcart.entry._cap_gate import CapGate
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._freeze_acknowledgement import FreezeAcknowledgement
 from bergamotcart.entry._monitor import TargetMonitor
@@ -41,6 +44,7 @@
 
     __slots__ = (
         '_answer_due_at',
+        '_cap_gate',
         '_granted_request_at',
         '_is_behind',
         '_limiters',
@@ -69,6 +73,7 @@
         monitor: TargetMonitor,
         limiters: TargetLimiters,
         freeze_acknowledgement: FreezeAcknowledgement,
+        cap_gate: CapGate,
         on_state_update: Callable[[list[str]], None],
         on_lease_changed: Callable[[], None],
         on_lease_granted: Callable[[messages.LeaseGrant], None],
@@ -78,6 +83,7 @@
         self._monitor = monitor
         self._limiters = limiters
         self._freeze_acknowledgement = freeze_acknowledgement
+        self._cap_gate = cap_gate
         self._on_state_update = on_state_update
         self._on_lease_changed = on_lease_changed
         self._on_lease_granted = on_lease_granted
@@ -97,6 +103,11 @@
         # The first member that is asked differs between entries.
         self._next_asked = context.random.randrange(_MAX_ROTATION)
 
+    @property
+    def leader(self) -> tuple[str, str] | None:
+        """Name and address of the leader of control, if it is known."""
+        return self._leader
+
     def request_renewal(self) -> None:
         """Request a renewal from the leader if it is known, else from some members in turn."""
         now = self._context.now
@@ -154,6 +165,8 @@
         self._report_delay()
         self._on_lease_changed()
         self._on_lease_granted(grant)
+        if grant.caps is not msgspec.UNSET:
+            self._cap_gate.accept_loans(grant.control_term, grant.caps)
 
     def receive_refusal(self, envelope: messages.Envelope, refusal: messages.LeaseRefusal) -> None:
         """Process a refusal; the member that sent it may name the leader or be the leader."""
@@ -246,6 +259,7 @@
         changed.extend(name for name in before if name not in view.groups)
         self._context.publish_decision('state', 'apply', 'update', detail=str(view.applied_index))
         self._limiters.update_limits()
+        self._cap_gate.use_document()
         self._on_state_update(changed)
         self._context.lease.confirm_state(view.applied_index)
         self._report_delay()
@@ -291,6 +305,7 @@
             reports_version=version,
             quota_use=self._limiters.quota_use(),
             needs_whole_state=self._needs_whole_state,
+            caps=self._cap_gate.build_lease_report(),
         )
 
     def _known_members(self) -> tuple[tuple[str, str], ...]:
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -16,6 +16,7 @@
 from bergamotcart.entry._inputs import EntryInput
 from bergamotcart.entry._sessions import Session
 from bergamotcart.messages import (
+    CapGrant,
     Envelope,
     LeaseGrant,
     LeaseRefusal,
@@ -68,6 +69,7 @@
         self._message_handlers = {
             LeaseGrant: self._components.control_link.receive_grant,
             LeaseRefusal: self._receive_lease_refusal,
+            CapGrant: self._components.cap_gate.receive_grant,
             StateUpdate: self._components.control_link.receive_update,
             RelayPull: self._components.announcement_relay.handle_pull,
             RelayBatch: self._receive_relay_batch,
@@ -119,6 +121,8 @@
             open_connections=self._components.limiters.open_connections,
             opened_connections=self._components.limiters.opened_connections,
             state_age_s=context.lease.state_age(now),
+            cap_admitted=self._components.cap_gate.admitted,
+            cap_refused=self._components.cap_gate.refused,
         )
 
     def _start(self) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -8,6 +8,7 @@
 
 from bergamotcart.discovery import TargetKey
 from bergamotcart.entry._actions import Execute
+from bergamotcart.entry._cap_gate import CapGate
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._inputs import ExecutionFinished
 from bergamotcart.entry._monitor import MonitoredTarget, TargetMonitor
@@ -92,19 +93,39 @@
 class Executions:
     """Starts executions and passes each result to the handler that started it."""
 
-    __slots__ = ('_by_target', '_execution_ids', '_limiters', '_monitor', '_running', '_context')
+    __slots__ = (
+        '_by_target',
+        '_cap_gate',
+        '_context',
+        '_execution_ids',
+        '_limiters',
+        '_monitor',
+        '_running',
+    )
 
     def __init__(
-        self, context: EngineContext, limiters: TargetLimiters, monitor: TargetMonitor
+        self,
+        context: EngineContext,
+        limiters: TargetLimiters,
+        monitor: TargetMonitor,
+        cap_gate: CapGate,
     ) -> None:
         """Create the table without executions."""
         self._context = context
         self._limiters = limiters
         self._monitor = monitor
+        self._cap_gate = cap_gate
         self._running: dict[int, RunningExecution] = {}
         self._by_target: dict[TargetKey, dict[int, RunningExecution]] = {}
         self._execution_ids = itertools.count(1)
 
+    def may_send(self, request: Request) -> bool:
+        """Spend the credit of a request that is about to be sent to an instance.
+
+        :returns: ``False`` if its workspace has none, and the request waits for one.
+        """
+        return self._cap_gate.spend(request)
+
     def start(
         self,
         request: Request,
--- a/packages/bergamotcart/src/bergamotcart/entry/_lease.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_lease.py
@@ -59,6 +59,11 @@
         """Time at which the lease ends, in seconds."""
         return self._valid_until
 
+    @property
+    def control_term(self) -> int:
+        """Control term of the newest accepted grant, or 0."""
+        return self._control_term
+
     def is_state_current(self, now: float) -> bool:
         """Tell whether control has lately confirmed that the applied state is current."""
         return self.state_age(now) < self._max_confirmation_age_s
--- a/packages/bergamotcart/src/bergamotcart/entry/_replies.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replies.py
@@ -30,6 +30,11 @@
         if request.queue is not None:
             request.queue.remove(request.request_id)
             request.queue = None
+        if request.credit is not None:
+            # It was never sent, so another operation may use its credit.
+            self._context.credits.release(
+                self._context.now, request.session.workspace, request.credit
+            )
         state = request.session.transaction_state
         self._context.actions.append(Reply(request.request_id, outcome, state))
 
@@ -75,10 +80,14 @@
             caller=request.session.caller,
             group=request.group,
             statement=request.statement_id or None,
-            detail=self._describe_refusal(request, detail),
+            detail=self._describe_refusal(request, reason, detail),
+            # A workspace far above its cap is refused many times a second.
+            is_frequent=reason is Reason.cap_reached,
         )
 
-    def _describe_refusal(self, request: Request, detail: str) -> str:
+    def _describe_refusal(self, request: Request, reason: Reason, detail: str) -> str:
+        if reason is Reason.cap_reached:
+            return detail
         cause = 'may_have_run' if request.may_have_run else detail
         waited_s = self._context.now - request.arrived_at
         progress = f'{request.attempts} attempts in {waited_s:.3f} s'
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -53,6 +53,9 @@
     :param prepared: prepared statement that it executes, if any.
     :param capacity_refusals: number of attempts that a full instance has refused.
     :param failed_targets: instances that refused the read or could not be reached for it.
+    :param credit: account of the credit that it holds until it is sent, if any.
+    :param is_charged: whether it has spent a credit, which covers all its attempts.
+    :param credit_wait_until: time until which it waits for a credit, in seconds.
     """
 
     request_id: int
@@ -86,6 +89,9 @@
     prepared: PreparedShape | None = None
     capacity_refusals: int = 0
     failed_targets: set[TargetKey] = msgspec.field(default_factory=set)
+    credit: int | None = None
+    is_charged: bool = False
+    credit_wait_until: float = 0
 
     @property
     def has_used_attempts(self) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -208,6 +208,8 @@
         if not limiter.has_capacity:
             self._primary_dispatcher.queues.put(limiter.queue, request)
             return
+        if not self._executions.may_send(request):
+            return
         row = self._context.control_view.groups.get(request.group)
         request.term = row.term if row else 0
         self._context.publish_decision(
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -5,6 +5,7 @@
 
 from bergamotcart.documents import ResolvedRoute
 from bergamotcart.entry._actions import CloseSession, Reply, SessionAnswer
+from bergamotcart.entry._cap_gate import CapGate
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._inputs import RequestArrived
 from bergamotcart.entry._replies import Replies
@@ -28,6 +29,7 @@
     """Answers statements that need no instance, and passes the others to the request handlers."""
 
     __slots__ = (
+        '_cap_gate',
         '_replies',
         '_requests',
         '_retries',
@@ -43,6 +45,7 @@
         replies: Replies,
         retries: Retries,
         request_handlers: RequestHandlers,
+        cap_gate: CapGate,
     ) -> None:
         """Create the dispatcher from the components that it uses."""
         self._context = context
@@ -50,6 +53,7 @@
         self._replies = replies
         self._retries = retries
         self._request_handlers = request_handlers
+        self._cap_gate = cap_gate
         self._waiting_sessions: dict[int, Session] = {}
 
     def open_session(self, session: Session) -> None:
@@ -251,7 +255,8 @@
             self._request_handlers.transactions.roll_back(request)
         else:
             request.handler = self._find_handler(request)
-            request.handler.resume(request)
+            if self._cap_gate.admit(request):
+                request.handler.resume(request)
 
     def _find_handler(self, request: Request) -> RequestHandler:
         session = request.session
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -106,6 +106,8 @@
         :param floor: position that the instance must have reached when the transaction begins, or
             ``None`` if the instance must be the primary.
         """
+        if not self._executions.may_send(request):
+            return
         transaction = Transaction(target, request.term, request.group, request.ledger)
         transaction.is_routed = request.route is not None
         request.session.transaction = transaction
--- a/packages/bergamotcart/src/bergamotcart/entry/_writes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_writes.py
@@ -41,6 +41,8 @@
 
     def dispatch(self, request: Request, target: TargetKey) -> None:
         """Send a write to the primary, in a transaction with its ledger row if it has one."""
+        if not self._executions.may_send(request):
+            return
         statement = request.step
         # On a route, the answer to the statement already carries the position.
         steps: tuple[Step, ...] = (statement, POSITION) if request.route is None else (statement,)
--- a/packages/bergamotcart/src/bergamotcart/messages/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/__init__.py
@@ -1,5 +1,13 @@
 """Messages between the processes of the system, and their codec."""
 
+from bergamotcart.messages._caps import (
+    CapGrant,
+    CapLoan,
+    CapLoans,
+    CapReport,
+    CapRequest,
+    CapUse,
+)
 from bergamotcart.messages._codec import (
     FORMAT_VERSION,
     MAX_MESSAGE_BYTES,
@@ -62,6 +70,12 @@
     'AppendRequest',
     'AppendResponse',
     'Body',
+    'CapGrant',
+    'CapLoan',
+    'CapLoans',
+    'CapReport',
+    'CapRequest',
+    'CapUse',
     'ControlMemberRow',
     'DecodeError',
     'EntryRow',
--- a/packages/bergamotcart/src/bergamotcart/messages/_control.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_control.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from bergamotcart.messages._caps import CapLoans, CapReport
+
 
 @enum.unique
 class GroupPhase(enum.StrEnum):
@@ -126,6 +128,7 @@
     :param reports: reachability of all targets, or ``None`` if control has this version.
     :param reports_version: version of the reports; the entry raises it with each change.
     :param needs_whole_state: whether the entry could not apply an update with changed rows only.
+    :param caps: use of credits; only sent where the document caps workspaces.
     """
 
     sent_at: float
@@ -138,6 +141,7 @@
     reports_version: int = 0
     quota_use: tuple[QuotaUse, ...] = ()
     needs_whole_state: bool = False
+    caps: CapReport | msgspec.UnsetType = msgspec.UNSET
 
 
 class PrimaryPosition(msgspec.Struct, frozen=True, kw_only=True):
@@ -165,6 +169,7 @@
     :param heads: newest log positions of the primaries whose answers contain positions.
     :param suspects: groups whose primary the control leader or some entry cannot reach; the entry
         should probe it itself.
+    :param caps: credits lent; only sent to an entry that has reported its use of them.
     """
 
     echo_sent_at: float
@@ -176,6 +181,7 @@
     reports_version: int = 0
     heads: tuple[PrimaryPosition, ...] = ()
     suspects: tuple[str, ...] = ()
+    caps: CapLoans | msgspec.UnsetType = msgspec.UNSET
 
 
 class LeaseRefusal(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/bergamotcart/src/bergamotcart/messages/_envelope.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_envelope.py
@@ -2,10 +2,14 @@
 
 import msgspec
 
+from bergamotcart.messages import _caps as caps
 from bergamotcart.messages import _consensus as consensus
 from bergamotcart.messages import _control as control
 from bergamotcart.messages import _discovery as discovery
 
+_DiscoveryBody = discovery.RelayPull | discovery.RelayBatch
+_CapBody = caps.CapRequest | caps.CapGrant
+
 Body = (
     consensus.PreVoteRequest
     | consensus.PreVoteResponse
@@ -22,8 +26,8 @@
     | control.LeaseRefusal
     | control.StateUpdate
     | control.StateAck
-    | discovery.RelayPull
-    | discovery.RelayBatch
+    | _DiscoveryBody
+    | _CapBody
 )
 
 
--- a/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
+++ b/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
@@ -39,6 +39,7 @@
     route_changed = 'route_changed'
     replica_behind = 'replica_behind'
     target_busy = 'target_busy'
+    cap_reached = 'cap_reached'
     internal_error = 'internal_error'
 
 
