--- a/packages/bergamotcart/src/bergamotcart/workspaces/tests/cap_world.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/tests/cap_world.py
@@ -12,7 +12,8 @@
 )
 
 WORKSPACE = 'w'
-CAPS = (Cap(4, 2), Cap(1, 1), Cap(8, 6), Cap(0, 0))
+_NOTHING = Cap(0, 0)
+CAPS = (Cap(4, 2), Cap(1, 1), Cap(8, 6), _NOTHING)
 SETTINGS = CapSettings(window_s=2, overage=0.1, slack=6)
 # Speeds of clocks relative to the true time, within the drift margin of each other.
 SPEEDS = (1.0, 0.99, 1.01)
