--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_caps.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_caps.py
@@ -10,11 +10,13 @@
     READ,
     WRITE,
     RoutedEntryHarness,
+    make_routes,
 )
 from bergamotcart.outcomes import NotRun, Ran, Reason
 from bergamotcart.workspaces import Cap, CapLender, CapSettings
 
 _WORKSPACE = 'acme'
+_KEY = 'key'
 
 
 class CappedEntryHarness(RoutedEntryHarness):
@@ -34,7 +36,10 @@
         body = documents.WorkspacesBody(
             workspaces=(
                 documents.Workspace(
-                    name=_WORKSPACE, rate_per_s=self.cap.rate_per_s, burst=self.cap.burst
+                    name=_WORKSPACE,
+                    key_digests=(documents.digest_key(_KEY),),
+                    rate_per_s=self.cap.rate_per_s,
+                    burst=self.cap.burst,
                 ),
             )
         )
@@ -59,9 +64,7 @@
 
     def open_capped_session(self, database: str = 'own') -> int:
         """Open a session of the workspace."""
-        session = self.open_session(database)
-        self.engine._components.sessions.get(session).workspace = _WORKSPACE  # noqa: SLF001
-        return session
+        return self.open_session(database, _KEY)
 
     def answer_cap_requests(self) -> None:
         """Let the lender answer the requests for credits."""
@@ -166,6 +169,8 @@
 def test_session_without_workspace_is_not_capped() -> None:
     """Guards against caps on public routes."""
     harness = _harness(rate=0)
+    harness.section = make_routes('own', public=('own',))
+    harness.configure()
     request = harness.send_statement(harness.open_session('own'), READ)
     harness.finish_execution(harness.next_execution())
     assert isinstance(harness.replies[request].outcome, Ran)
