--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_workspace_connections.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_workspace_connections.py
@@ -133,9 +133,14 @@
                 await target.use(workspace)
 
 
+async def _limit_time(check: Coroutine[None, None, None]) -> None:
+    async with asyncio.timeout(1000):
+        await check
+
+
 def _run(check: Coroutine[None, None, None]) -> None:
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        runner.run(check)
+        runner.run(_limit_time(check))
 
 
 def test_idle_connection_is_reused_only_for_its_workspace():
