Caps: scarce credits are given back, and a changed cap revokes reserved ones

Entries that held unused credits blocked the operations of others, and credits of operations that wait to be sent outlived a lowered cap. The lender now asks entries to give back unused credits while others wait, and a changed cap also revokes reserved ones. The state machine strains entries with full stocks and a full bucket while faults happen.

--- a/packages/bergamotcart/src/bergamotcart/entry/_cap_gate.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_cap_gate.py
@@ -167,7 +167,7 @@
         }
         for workspace, cap in former.items():
             if self._caps.get(workspace) != cap:
-                self._context.credits.return_free(self._context.now, workspace)
+                self._context.credits.revoke(self._context.now, workspace)
                 self._room_at.pop(workspace, None)
                 self._serve(workspace)
 
--- a/packages/bergamotcart/src/bergamotcart/messages/_caps.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_caps.py
@@ -52,11 +52,14 @@
     :param total: credits lent since the account was opened.
     :param room_in_s: seconds until the cap has room for waiting operations that got no credit;
         negative if all got one.
+    :param kept: unused credits that the entry may keep, because others wait for them; negative
+        without such a limit.
     """
 
     workspace: str
     total: int
     room_in_s: float = -1
+    kept: int = -1
 
 
 class CapLoans(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_holder.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_holder.py
@@ -143,6 +143,17 @@
             held.returned += excess
             held.changed_at = self._number
 
+    def revoke(self, now: float, workspace: str) -> None:
+        """Give back all credits that are not spent, also those of operations that wait to be sent.
+
+        Those operations need another credit then.
+        """
+        self._drop_expired(now)
+        held = self._held.get(workspace)
+        if held is not None:
+            held.reserved = 0
+            self.return_free(now, workspace)
+
     def build_report(self, now: float, desires: Mapping[str, Desire]) -> CapReport:
         """Return the next report: changed totals, and the workspaces that lack credits.
 
@@ -188,6 +199,8 @@
         self._applied = max(self._applied, loans.number)
         for loan in loans.loans:
             self._apply_loan(loan)
+            if loan.kept >= 0 and loans.number == self._applied:
+                self.return_free(now, loan.workspace, loan.kept)
         return True
 
     def _apply_loan(self, loan: CapLoan) -> None:
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_lender.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_lender.py
@@ -69,6 +69,7 @@
         '_caps',
         '_former_loans_end',
         '_has_reserve',
+        '_scarce',
         '_settings',
         '_term',
         '_workspaces',
@@ -83,6 +84,7 @@
         self._former_loans_end = former_loans_end
         self._has_reserve = has_reserve
         self._caps: Mapping[str, Cap] = {}
+        self._scarce: set[str] = set()
         self._workspaces: dict[str, WorkspaceLoans] = {}
         # Ordered by the time of expiry: every answer extends the account and moves it to the end.
         self._accounts: OrderedDict[str, _Account] = OrderedDict()
@@ -131,7 +133,7 @@
         self._accounts.move_to_end(borrower)
         self._record_uses(now, account, report)
         new_loans = {} if is_repeated else self._lend_to_account(now, borrower, account, report)
-        return self._build_answer(account, report, new_loans)
+        return self._build_answer(now, account, report, new_loans)
 
     def list_statuses(self, now: float) -> list[CapStatus]:
         """Return the status of each capped workspace for operators, ordered by name."""
@@ -212,12 +214,14 @@
             if new_loan.credits:
                 loan.changed_at = report.number
                 account.unconfirmed.add(use.workspace)
+            if loans.is_scarce(now):
+                self._scarce.add(use.workspace)
             if new_loan.room_in_s >= 0:
                 room_in_s[use.workspace] = new_loan.room_in_s
         return room_in_s
 
     def _build_answer(
-        self, account: _Account, report: CapReport, room_in_s: dict[str, float]
+        self, now: float, account: _Account, report: CapReport, room_in_s: dict[str, float]
     ) -> CapLoans:
         # A repeated report is answered like a lost answer: with the totals alone.
         listed = {
@@ -225,16 +229,35 @@
             for use in report.uses
             if use.workspace in account.loans and account.loans[use.workspace].lent > use.total
         }
-        names = sorted(listed | account.unconfirmed | set(room_in_s))
+        scarce = {
+            name
+            for name in self._list_scarce(now)
+            if name in account.loans and account.loans[name].outstanding
+        }
+        names = sorted(listed | account.unconfirmed | scarce | room_in_s.keys())
         return CapLoans(
             report.number,
             report.account,
             self._settings.validity_s,
             loans=tuple(
-                CapLoan(name, account.loans[name].lent, room_in_s.get(name, -1)) for name in names
+                CapLoan(
+                    name,
+                    account.loans[name].lent,
+                    room_in_s.get(name, -1),
+                    0 if name in scarce else -1,
+                )
+                for name in names
             ),
         )
 
+    def _list_scarce(self, now: float) -> set[str]:
+        self._scarce = {
+            name
+            for name in self._scarce
+            if name in self._workspaces and self._workspaces[name].is_scarce(now)
+        }
+        return self._scarce
+
     def _refuse_unknown(self, report: CapReport) -> CapLoans:
         return CapLoans(report.number, report.account, self._settings.validity_s, is_unknown=True)
 
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_workspace_loans.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_workspace_loans.py
@@ -13,6 +13,9 @@
 # Share of the lasting allowance that is lent for operations to come. The rest is for operations
 # that wait for their first credit.
 _STANDING_SHARE: Final = 0.5
+# Credits are scarce for this time after operations had to wait for the reports of other entries. It
+# spans several lease renewals, so that all entries give back what they do not use.
+_SCARCITY_S: Final = 1.0
 
 
 class Loan(msgspec.Struct):
@@ -56,6 +59,7 @@
         '_cap',
         '_holders',
         '_outstanding',
+        '_scarce_until',
         '_settings',
         '_spent',
     )
@@ -70,6 +74,7 @@
         self._holders = 0
         # Credits of a former leader that entries have reported to hold.
         self._adopted = 0
+        self._scarce_until = float('-inf')
         self._spent: deque[tuple[float, int]] = deque()
 
     @property
@@ -87,6 +92,13 @@
         """Whether no more credits are lent than a leader without a predecessor may lend."""
         return self._outstanding <= self._allowance.lasting
 
+    def is_scarce(self, now: float) -> bool:
+        """Tell whether operations lately waited although the cap had room.
+
+        Entries then give back the credits that they hold for operations to come.
+        """
+        return now < self._scarce_until
+
     def change_cap(self, now: float, cap: Cap | None) -> None:
         """Use another cap from now on; credits beyond a lower one run out."""
         if cap == self._cap:
@@ -144,8 +156,12 @@
             taken = self._bucket.take(now, borrower, needed, room)
             lent = taken.tokens
             self._raise_loan(loan, lent)
+            if taken.room_in_s == 0:
+                self._scarce_until = now + _SCARCITY_S
             if taken.room_in_s is not None:
                 return NewLoan(lent, taken.room_in_s)
+        if self.is_scarce(now):
+            return NewLoan(lent)
         extra = self._count_standing(now, loan, waiting + standing, limit)
         if extra:
             self._bucket.take_spare(extra)
--- a/packages/bergamotcart/src/bergamotcart/workspaces/tests/cap_world.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/tests/cap_world.py
@@ -20,6 +20,8 @@
 # An operation that is served in time waits no longer than this.
 PATIENCE_S = 0.5
 _FLOOD_STEP_S = 0.1
+_STRAIN_S = 3.0
+FAULTS = ('cut', 'pause', 'kill', 'late', 'lower', 'fail_over', 'fail_over')
 # Time after which a lowered cap binds, since entries in touch have applied it.
 APPLY_S = 4.0
 
@@ -110,6 +112,7 @@
         borrower = self.borrowers[name]
         if borrower.paused:
             return
+        borrower.holder.return_free(self.clock(borrower), WORKSPACE, 1)
         desire = Desire(len(borrower.waiting), 1)
         report = borrower.holder.build_report(self.clock(borrower), {WORKSPACE: desire})
         self.requests.append((name, borrower.key, report))
@@ -134,7 +137,7 @@
             return
         if borrower.cap != self.cap:
             borrower.cap = self.cap
-            borrower.holder.return_free(now, WORKSPACE)
+            borrower.holder.revoke(now, WORKSPACE)
         self.start_waiting(borrower)
 
     def exchange(self, name: str) -> None:
@@ -168,6 +171,45 @@
                     self.send_queued(name)
             self.check_bound()
 
+    def strain(self, victim: str, faults: list[str], seconds: float, speed: float) -> None:
+        """Run operations that queued up before and after faults together with new ones.
+
+        :param victim: entry that is cut off, paused or restarted.
+        :param seconds: time between the faults and the sending of the queued operations.
+        """
+        entries = list(self.borrowers)
+        self.flood(_STRAIN_S, entries, is_sent=False)
+        self.request(victim)
+        for fault in faults:
+            self._cause(fault, victim, speed)
+            self.flood(_FLOOD_STEP_S, entries, is_sent=False)
+        self.flood(seconds, entries, is_sent=False)
+        self.borrowers[victim].paused = False
+        for name in entries:
+            self.send_queued(name)
+        self.check_bound()
+        self.cut.discard(victim)
+        while self.answers:
+            self.deliver_answer(0)
+        self.flood(1, entries, is_sent=True)
+
+    def _cause(self, fault: str, victim: str, speed: float) -> None:
+        match fault:
+            case 'cut':
+                self.cut.add(victim)
+            case 'pause':
+                self.borrowers[victim].paused = True
+            case 'kill':
+                self.start_entry(victim, speed)
+            case 'late':
+                if self.requests:
+                    self.deliver_request(0, keep=True)
+            case 'lower':
+                self.change_cap(CAPS[0])
+            case _:
+                self.settle()
+                self.fail_over(speed)
+
     def start_waiting(self, borrower: Borrower) -> None:
         """Queue the waiting operations that get a credit, and drop those that waited too long."""
         borrower.waiting = [at for at in borrower.waiting if self.now - at <= PATIENCE_S]
--- a/packages/bergamotcart/src/bergamotcart/workspaces/tests/test_fuzz.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/tests/test_fuzz.py
@@ -16,7 +16,7 @@
     run_state_machine_as_test,
 )
 
-from bergamotcart.workspaces.tests.cap_world import CAPS, SPEEDS, CapWorld
+from bergamotcart.workspaces.tests.cap_world import CAPS, FAULTS, SPEEDS, CapWorld
 
 _EXAMPLES = int(os.environ.get('BERGAMOTCART_FUZZ_EXAMPLES', '60'))
 _SEED = os.environ.get('BERGAMOTCART_FUZZ_SEED')
@@ -71,6 +71,16 @@
         """Send far more operations than the cap allows; some stay queued with their credits."""
         self.world.flood(seconds, names, is_sent=is_sent)
 
+    @rule(
+        victim=_NAMES,
+        faults=st.lists(st.sampled_from(FAULTS), max_size=3),
+        seconds=st.sampled_from((0.3, 1.0, 2.5, 3.2)),
+        speed=_SPEEDS,
+    )
+    def strain(self, victim: str, faults: list[str], seconds: float, speed: float) -> None:
+        """Let entries hold all credits and the bucket be full while faults happen."""
+        self.world.strain(victim, faults, seconds, speed)
+
     @rule(name=_NAMES)
     def request(self, name: str) -> None:
         """Send a report that stays in flight."""
