Transport: dial a peer again if no connection to it is made within 0.2 s

The kernel repeats a lost first packet only after a second, and the entry noticed it by missing acknowledgements after 0.8 s.

A socket that has no connection 0.2 s after it was dialled is now closed and dialled again, with a limit that doubles up to 1.6 s for slow peers. What it held was outdated.

test_a_peer_that_does_not_answer_is_dialled_again failed before.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_sockets.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_sockets.py
@@ -12,13 +12,33 @@
 _RECONNECT_MIN_MS: Final = 50
 # Reconnecting to a restarted peer must take well less than the election timeout.
 _RECONNECT_MAX_MS: Final = 200
+# A machine without power does not answer, and the kernel repeats the first packet only after a
+# second. The limit is several round trips between regions, for the connection and its handshake.
+_MIN_CONNECT_TIMEOUT_S: Final = 0.2
+# The limit doubles with each attempt up to this one, so that slow peers are reached, too.
+_MAX_CONNECT_TIMEOUT_S: Final = 1.6
 
 _logger = logging.getLogger(__name__)
 
 
 class _PeerSocket(msgspec.Struct):
+    """Socket to one peer.
+
+    :param dialled_at: time at which it was opened or was last seen connected, in seconds.
+    :param connect_timeout_s: seconds after which an attempt to connect is given up.
+    """
+
     socket: pynng.Push0
     last_used: float
+    dialled_at: float
+    connect_timeout_s: float
+
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether a connection has been attempted in vain for too long."""
+        if self.socket.pipes:
+            self.dialled_at = now
+            self.connect_timeout_s = _MIN_CONNECT_TIMEOUT_S
+        return now >= self.dialled_at + self.connect_timeout_s
 
 
 class PeerSockets:
@@ -38,7 +58,14 @@
         :returns: false if the message was dropped.
         :raises ValueError: if the address cannot be dialled.
         """
-        peer = self._peers.get(address) or self._open_socket(address, now)
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._open_socket(address, now, _MIN_CONNECT_TIMEOUT_S)
+        elif peer.is_overdue(now):
+            # Its messages are outdated by now, and the peer may have started meanwhile.
+            self.close_peer(address)
+            timeout_s = min(2 * peer.connect_timeout_s, _MAX_CONNECT_TIMEOUT_S)
+            peer = self._open_socket(address, now, timeout_s)
         peer.last_used = now
         try:
             peer.socket.send(encoded, block=False)
@@ -63,7 +90,7 @@
         while self._peers:
             self._peers.popitem()[1].socket.close()
 
-    def _open_socket(self, address: str, now: float) -> _PeerSocket:
+    def _open_socket(self, address: str, now: float, connect_timeout_s: float) -> _PeerSocket:
         socket = pynng.Push0(
             send_buffer_size=_SEND_BUFFER_MESSAGES,
             reconnect_time_min=_RECONNECT_MIN_MS,
@@ -74,7 +101,7 @@
         except pynng.exceptions.NNGException as error:
             socket.close()
             raise ValueError(f'{address} cannot be dialled: {error}') from error
-        peer = _PeerSocket(socket, now)
+        peer = _PeerSocket(socket, now, now, connect_timeout_s)
         self._peers[address] = peer
         _logger.debug('opened a socket to peer %s', address)
         return peer
