Entry: wait for connections that instances are about to accept

After a loss of power of all machines, instances count the connections of the dead processes for some seconds. Entries opened several connections each, backed off up to 0.8 s after refusals, and refused a request after as many refused connections as its route allows attempts, although no instance had received it.

The class Reconnecting decides when an entry connects to a target where connections are scarce. After a refusal it tries again within the time in which the slots can open one connection for each entry. It opens one connection at a time until that has served a statement. For 4 s of refusals, a request of a route that was not sent waits for a connection instead of being refused. Reads that wait for an instance without a free connection are routed again as soon as another instance of the group is free. Refusals before the first connection no longer lower the connection limit afterwards, and no longer pace the reads at the primary.

--- a/packages/bergamotcart/src/bergamotcart/admission/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/__init__.py
@@ -10,6 +10,7 @@
 from bergamotcart.admission._lending import Grant, TargetLender, divide_fairly
 from bergamotcart.admission._quota import ConnectionQuota, QuotaReport
 from bergamotcart.admission._read_pacer import ReadPacer
+from bergamotcart.admission._reconnecting import Reconnecting
 from bergamotcart.admission._retries import Backoff, RetryBudgets, RetryLimits
 
 __all__ = (
@@ -23,6 +24,7 @@
     'Grant',
     'QuotaReport',
     'ReadPacer',
+    'Reconnecting',
     'RetryBudgets',
     'RetryLimits',
     'TargetLender',
--- a/packages/bergamotcart/src/bergamotcart/admission/_connection_sharing.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_connection_sharing.py
@@ -86,6 +86,11 @@
         """Record that the target refused a connection of this entry."""
         self._was_refused = True
 
+    def restore_quota(self) -> None:
+        """Return to the greatest quota, which was reduced for refusals that say nothing now."""
+        self._quota = float(_MAX_QUOTA)
+        self._was_refused = False
+
     def record_occupancy(self, now: float, occupancy: float) -> None:
         """Record which part of its connections a target has open, those of all entries together.
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
@@ -129,6 +129,8 @@
             if request.queue is limiter.queue:
                 # The read was queued again, because reads already use their share of the primary.
                 return
+        if limiter.is_scarce and limiter.has_capacity:
+            self._take_over_reads(limiter)
 
     def refresh_group(self, name: str) -> None:
         """End the past terms of a group and resume its waiting requests.
@@ -192,6 +194,26 @@
                 self._monitor.unwatch(target.key)
                 self._limiters.remove_unused(target.key)
 
+    def _take_over_reads(self, limiter: TargetLimiter) -> None:
+        """Route reads again that wait for instances of the group without a free connection."""
+        for target in self._context.targets.list_group(limiter.key.group):
+            waiting = self._limiters.get(target.key)
+            while limiter.has_capacity and not waiting.has_capacity:
+                if not self._reroute_read(waiting, limiter):
+                    break
+
+    def _reroute_read(self, waiting: TargetLimiter, free: TargetLimiter) -> bool:
+        """Route the next read that waits for an instance again, now that another one is free.
+
+        :returns: whether a read has left the queue.
+        """
+        request = self._primary_dispatcher.queues.pop_next(waiting.queue)
+        if request is None:
+            return False
+        request.failed_targets.discard(free.key)
+        _resume_requests([request])
+        return request.queue is not waiting.queue
+
     def _update_open_term(self, group: GroupState) -> None:
         """Clear the positions of a former primary of a group whose answers carry positions.
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -131,6 +131,7 @@
         self._running[execution_id] = running
         self._by_target.setdefault(plan.target, {})[execution_id] = running
         request.phase = RequestPhase.executing
+        request.awaits_connection = False
         request.execution_id = execution_id
         request.wait_generation += 1
         request.attempts += 1
@@ -209,11 +210,9 @@
         """Report the result of an execution to the monitor and the limiter of its target."""
         target = running.plan.target
         if _is_at_capacity(finished):
-            running.request.capacity_refusals += 1
-            is_over_limit = finished.error.kind is ErrorKind.busy
-            self._limiters.record_refusal(running.limiter, is_over_limit=is_over_limit)
+            self._record_capacity_refusal(running, finished)
         elif finished.status is ExecutionStatus.completed:
-            running.limiter.refusals = 0
+            self._limiters.record_answer(running.limiter)
         if finished.status is not ExecutionStatus.completed:
             self._publish_failed_attempt(running, finished)
         if finished.connection_refused and finished.status is ExecutionStatus.not_sent:
@@ -223,6 +222,17 @@
         elif finished.position is not None:
             self._monitor.record_answer(target, running.started_at, finished.position)
 
+    def _record_capacity_refusal(
+        self, running: RunningExecution, finished: ExecutionFinished
+    ) -> None:
+        is_over_limit = finished.error is not None and finished.error.kind is ErrorKind.busy
+        self._limiters.record_refusal(running.limiter, is_over_limit=is_over_limit)
+        is_unsent = is_over_limit and finished.status is ExecutionStatus.not_sent
+        if is_unsent and self._limiters.is_connection_expected(running.limiter):
+            running.request.awaits_connection = True
+        else:
+            running.request.capacity_refusals += 1
+
     def _publish_failed_attempt(
         self, running: RunningExecution, finished: ExecutionFinished
     ) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -52,6 +52,8 @@
     :param statement_id: the caller's identifier of the statement.
     :param prepared: prepared statement that it executes, if any.
     :param capacity_refusals: number of attempts that a full instance has refused.
+    :param awaits_connection: whether its last attempt was not sent, for want of a connection that is
+        expected soon.
     :param failed_targets: instances that refused the read or could not be reached for it.
     """
 
@@ -85,6 +87,7 @@
     statement_id: str = ''
     prepared: PreparedShape | None = None
     capacity_refusals: int = 0
+    awaits_connection: bool = False
     failed_targets: set[TargetKey] = msgspec.field(default_factory=set)
 
     @property
--- a/packages/bergamotcart/src/bergamotcart/entry/_retries.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_retries.py
@@ -44,6 +44,9 @@
         :param was_sent: whether that attempt put load on the target; only then the retry is charged
             to the budgets.
         """
+        if request.awaits_connection and request.route is not None:
+            self._wait_for_connection(request)
+            return
         if request.has_used_attempts:
             # More attempts would keep the instances full.
             self._replies.refuse(
@@ -59,20 +62,32 @@
         if was_sent and not self._spend_retry(request):
             self._replies.refuse(request, Reason.retry_budget, reason.value, retry_after=1.0)
             return
+        self._publish(request, 'retry', reason)
+        request.phase = RequestPhase.waiting
+        request.wait_generation += 1
+        request.wait_until = None
+        if request.wait_timer is not None:
+            request.wait_timer.cancel()
+        request.wait_timer = self._context.call_later(delay_s, lambda: _resume_request(request))
+
+    def _wait_for_connection(self, request: Request) -> None:
+        """Queue a request again that no instance has received; the pause of the target delays it.
+
+        A refusal would use up one of the few retries of its caller.
+        """
+        self._publish(request, 'wait', Reason.target_busy)
+        request.phase = RequestPhase.waiting
+        _resume_request(request)
+
+    def _publish(self, request: Request, action: str, reason: Reason) -> None:
         self._context.publish_decision(
             'retries',
-            'retry',
+            action,
             reason.value,
             request=request.request_id,
             caller=request.session.caller,
             group=request.group,
         )
-        request.phase = RequestPhase.waiting
-        request.wait_generation += 1
-        request.wait_until = None
-        if request.wait_timer is not None:
-            request.wait_timer.cancel()
-        request.wait_timer = self._context.call_later(delay_s, lambda: _resume_request(request))
 
     def _busy_retry_after_s(self) -> float:
         """Return when a refused caller may come back, spread so that not all return at once."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -242,7 +242,9 @@
         if status is ExecutionStatus.completed:
             self._finish_completed(running, finished)
         elif status is ExecutionStatus.not_sent:
-            request.failed_targets.add(running.plan.target)
+            if not request.awaits_connection:
+                # While the instance refuses connections, its pause keeps the read away.
+                request.failed_targets.add(running.plan.target)
             self._retries.retry(request, Reason.target_unreachable, was_sent=False)
         elif error is None:
             self._retries.retry(request, Reason.connection_lost)
--- a/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
@@ -12,6 +12,7 @@
     ConnectionSharing,
     FairQueue,
     ReadPacer,
+    Reconnecting,
 )
 from bergamotcart.discovery import KnownTarget, TargetKey
 from bergamotcart.documents import GroupSettings
@@ -43,6 +44,7 @@
     :param reported_connections: number of open connections that the adapter last reported.
     :param rank: tie-breaker between instances that are otherwise equal, from 0 to 1; it differs
         between entries, so that they do not all choose the same instance.
+    :param reconnecting: decides when connections are opened after a start or a refusal.
     :param sharing: decides on the connections of this entry while connections are scarce.
     :param refusals: number of consecutive refusals of a connection or its statement.
     :param is_pausing: whether opening another connection is on hold after a refusal.
@@ -59,6 +61,7 @@
         'rank',
         'read_pacer',
         'reads_in_flight',
+        'reconnecting',
         'refusals',
         'reported_connections',
         'sharing',
@@ -74,6 +77,7 @@
         self.key = key
         self.rank = _rank(key, entry)
         self.sharing = ConnectionSharing()
+        self.reconnecting = Reconnecting()
         self.refusals = 0
         self.is_pausing = False
         self.base_quota = 1
@@ -89,8 +93,11 @@
     @property
     def has_capacity(self) -> bool:
         """Whether another statement may be sent to the target now."""
-        needs_opening = self.concurrency.in_flight >= self.reported_connections
-        return self.concurrency.has_capacity and not (self.is_pausing and needs_opening)
+        opening = self.concurrency.in_flight - self.reported_connections
+        if opening >= 0:
+            if self.is_pausing or (self.is_scarce and not self.reconnecting.may_open(opening)):
+                return False
+        return self.concurrency.has_capacity
 
     @property
     def load(self) -> float:
@@ -171,12 +178,17 @@
         """
         if is_over_limit:
             limiter.sharing.record_refusal()
+            limiter.reconnecting.record_refusal(self._context.now)
         limiter.refusals += 1
-        limiter.read_pacer.record_refusal(self._context.now)
+        is_expected = is_over_limit and self.is_connection_expected(limiter)
+        if not is_expected:
+            limiter.read_pacer.record_refusal(self._context.now)
         if limiter.is_pausing:
             return
         limiter.is_pausing = True
         pause_s = _CONNECT_BACKOFF.delay_s(limiter.refusals, self._context.random)
+        if is_expected:
+            pause_s = self._reconnect_pause_s(limiter)
         self._context.publish_decision(
             'limits',
             'pause',
@@ -188,6 +200,18 @@
         )
         self._context.call_later(pause_s, lambda: self._end_pause(limiter))
 
+    def is_connection_expected(self, limiter: TargetLimiter) -> bool:
+        """Tell whether a target refuses connections that it is likely to accept soon."""
+        return limiter.is_scarce and limiter.reconnecting.is_expected(self._context.now)
+
+    def record_answer(self, limiter: TargetLimiter) -> None:
+        """Record that a target has served a statement, so it accepts connections."""
+        limiter.refusals = 0
+        if not limiter.reconnecting.has_connected:
+            # What was refused before were connections beside those of dead processes.
+            limiter.sharing.restore_quota()
+        limiter.reconnecting.record_answer()
+
     def record_connection_count(self, key: TargetKey, open_count: int) -> None:
         """Record the number of open connections to a target, as the adapter reports it."""
         limiter = self.get(key)
@@ -239,6 +263,12 @@
         quota_uses = [self._limiter_quota_use(limiter) for limiter in self._limiters.values()]
         return tuple(use for use in quota_uses if use.lent_in_use or use.demand)
 
+    def _reconnect_pause_s(self, limiter: TargetLimiter) -> float:
+        target = self._context.targets.get(limiter.key)
+        slots = target.announcement.slots if target else 1
+        entry_count = len(self._context.control_view.entries)
+        return limiter.reconnecting.pause_s(entry_count, slots, self._context.random)
+
     def _publish_keeping(self, limiter: TargetLimiter) -> None:
         sharing = limiter.sharing
         self._context.publish_decision(
