Admission: leave a free connection for each entry that starts anew

Entries that share the few connections of a primary let 0.85 of them be open. After a loss of power, the primary counts these for some seconds, so most entries found no free one.

The intended part now leaves one connection for each entry free, or allows each entry one where there are too few for that, and is 0.85 at most.

--- a/packages/bergamotcart/src/bergamotcart/admission/_connection_sharing.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_connection_sharing.py
@@ -18,9 +18,9 @@
 _INITIAL_IDLE_S: Final = 0.4
 _IDLE_GROWTH_FACTOR: Final = 1.1
 _IDLE_SHRINK_FACTOR: Final = 0.5
-# Part of the connections that all entries together should have open. The rest is free for entries
-# that have none. The idle time changes with the square of the deviation.
-_INTENDED_OCCUPANCY: Final = 0.85
+# Greatest part of the connections that all entries together should have open. The rest is free for
+# entries that have none. The idle time changes with the square of the deviation.
+_MAX_INTENDED_OCCUPANCY: Final = 0.85
 _OCCUPANCY_EXPONENT: Final = 2
 _MIN_OCCUPANCY: Final = 0.05
 # The occupancy comes with each lease. After this time without a report, refusals decide again.
@@ -41,13 +41,21 @@
     same idle time. Without reports, the idle time follows the refusals that the entry sees itself.
     """
 
-    __slots__ = ('_idle_s', '_occupancy', '_quota', '_reported_at', '_was_refused')
+    __slots__ = (
+        '_idle_s',
+        '_intended_occupancy',
+        '_occupancy',
+        '_quota',
+        '_reported_at',
+        '_was_refused',
+    )
 
     def __init__(self) -> None:
         """Start with the greatest quota."""
         self._quota = float(_MAX_QUOTA)
         self._idle_s = _INITIAL_IDLE_S
         self._was_refused = False
+        self._intended_occupancy = _MAX_INTENDED_OCCUPANCY
         self._occupancy: float | None = None
         self._reported_at = float('-inf')
 
@@ -82,6 +90,18 @@
         """
         return int(share * _KEPT_FRACTION + 1 - rank) if self.is_keeping else 0
 
+    def change_share(self, share: float) -> None:
+        """Replace the part of the connections that all entries together should have open.
+
+        It leaves one connection free for each entry, because after a loss of power all entries
+        connect anew while the target still counts the former connections. Where connections are too
+        few for that, each entry may have one.
+
+        :param share: connections of the target divided by the number of entries.
+        """
+        one_each = 1 / max(share, 1.0)
+        self._intended_occupancy = min(max(one_each, 1 - one_each), _MAX_INTENDED_OCCUPANCY)
+
     def record_refusal(self) -> None:
         """Record that the target refused a connection of this entry."""
         self._was_refused = True
@@ -121,6 +141,6 @@
             self._idle_s = max(self._idle_s * _IDLE_SHRINK_FACTOR, _MIN_IDLE_S)
 
     def _approach_intended_occupancy(self, occupancy: float) -> None:
-        ratio = _INTENDED_OCCUPANCY / max(occupancy, _MIN_OCCUPANCY)
+        ratio = self._intended_occupancy / max(occupancy, _MIN_OCCUPANCY)
         factor = min(max(ratio**_OCCUPANCY_EXPONENT, _MAX_IDLE_REDUCTION), _IDLE_GROWTH_FACTOR)
         self._idle_s = min(max(self._idle_s * factor, _MIN_SHARED_IDLE_S), _MAX_IDLE_S)
--- a/packages/bergamotcart/src/bergamotcart/admission/tests/test_connection_sharing.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/tests/test_connection_sharing.py
@@ -53,3 +53,13 @@
     sharing.adjust(60)
     assert sharing.occupancy is None
     assert sharing.is_keeping
+
+
+def test_each_entry_finds_a_free_connection():
+    """After a loss of power, all entries connect anew while the former connections are counted."""
+    sharing = ConnectionSharing()
+    sharing.change_share(46 / 27)
+    _adjust(sharing, 20, occupancy=0.8)
+    assert not sharing.is_keeping
+    _adjust(sharing, 40, occupancy=0.5)
+    assert sharing.is_keeping
--- a/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
@@ -255,6 +255,7 @@
             limiter.quota.apply_grant(self._context.now, lent.get(target.key, 0))
             kept = 0
             if limiter.is_scarce:
+                limiter.sharing.change_share(exact_share)
                 kept = limiter.sharing.count_kept(exact_share, limiter.rank)
             self._send_limits(limiter, target.announcement.address, kept)
 
