Admission: refuse what would only reach its deadline in a queue

In a crowd, requests waited in the queue of the primary or of an instance until their statement deadline and were then refused without a time to come back. Requests that were refused earlier got a constant or a uniform draw.

QueuePace measures the mean interval between departures from a queue, while requests wait in it. From the eighth interval on, a request of a route whose expected wait exceeds the time left until its deadline is refused at once with the new reason expected_wait. The time to come back is when the queue will be short enough for the objective of the route (target_latency_s); callers that are refused one after the other get times that are one interval apart. The log line of the refusal has the length of the queue, the expected wait, the time left and the time to come back. A queue without departures, or one that has been idle for 10 s, has no estimate, and is served as before. The heap of deadlines of a queue no longer grows while the queue is used.

--- a/packages/bergamotcart/src/bergamotcart/admission/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/__init__.py
@@ -8,6 +8,7 @@
 from bergamotcart.admission._connection_sharing import ConnectionSharing
 from bergamotcart.admission._fair_queue import FairQueue, Waiter
 from bergamotcart.admission._lending import Grant, TargetLender, divide_fairly
+from bergamotcart.admission._queue_pace import QueuePace
 from bergamotcart.admission._quota import ConnectionQuota, QuotaReport
 from bergamotcart.admission._read_pacer import ReadPacer
 from bergamotcart.admission._reconnecting import Reconnecting
@@ -22,6 +23,7 @@
     'ConnectionSharing',
     'FairQueue',
     'Grant',
+    'QueuePace',
     'QuotaReport',
     'ReadPacer',
     'Reconnecting',
--- a/packages/bergamotcart/src/bergamotcart/admission/_fair_queue.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_fair_queue.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from bergamotcart.admission._queue_pace import QueuePace
+
 
 class Waiter(msgspec.Struct, frozen=True):
     """A queued request.
@@ -18,9 +20,12 @@
 
 
 class FairQueue:
-    """Requests that wait for a connection or a slot of one group, served round-robin by caller."""
+    """Requests that wait for a connection or a slot of one group, served round-robin by caller.
+
+    :ivar pace: how fast the requests are served.
+    """
 
-    __slots__ = ('_request_ids_by_caller', '_capacity', '_deadlines', '_waiters')
+    __slots__ = ('_request_ids_by_caller', '_capacity', '_deadlines', '_waiters', 'pace')
 
     def __init__(self, capacity: int) -> None:
         """Initialize an empty queue.
@@ -28,6 +33,7 @@
         :param capacity: maximum number of queued requests.
         """
         self._capacity = capacity
+        self.pace = QueuePace()
         self._waiters: dict[int, Waiter] = {}
         # Callers in round-robin order, each with its queued requests, oldest first.
         self._request_ids_by_caller: OrderedDict[str, deque[int]] = OrderedDict()
@@ -53,6 +59,9 @@
         :returns: the rejected or evicted request, or ``None`` if there was capacity left.
         """
         rejected = None
+        if not self._waiters:
+            # The deadlines of removed requests are of no use any more.
+            self._deadlines.clear()
         if len(self._waiters) >= self._capacity:
             rejected = self._find_request_to_evict(waiter)
             if rejected is None:
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/admission/_queue_pace.py
@@ -0,0 +1,86 @@
+"""Expected wait in a queue, and the times at which refused callers may come back."""
+
+import random
+from typing import Final
+
+# Departures before the mean interval between them says how fast the queue is served.
+_MIN_DEPARTURES: Final = 8
+# Number of departures over which the interval is averaged.
+_AVERAGED_DEPARTURES: Final = 32
+# Longest counted interval, relative to the mean. A primary that is replaced serves nothing for a
+# second or two, which says nothing about the rate before and after.
+_MAX_DEVIATION: Final = 4.0
+# After a pause of this length, in seconds, the queue may be served at another rate.
+_FORGET_AFTER_S: Final = 10.0
+
+
+class QueuePace:
+    """Measures how fast a queue is served.
+
+    This answers a crowd: more requests than a target can serve for some seconds. A request that
+    would only reach its deadline in the queue is refused at once, and refused callers come back one
+    after the other, at the rate at which the queue is served, instead of all together.
+    """
+
+    __slots__ = ('_count', '_interval_s', '_is_draining', '_last_at', '_last_return_at')
+
+    def __init__(self) -> None:
+        """Start without an estimate."""
+        self._count = 0
+        self._interval_s = 0.0
+        self._is_draining = False
+        self._last_at = float('-inf')
+        self._last_return_at = float('-inf')
+
+    def record_arrival(self, now: float) -> None:
+        """Record that a request has entered the empty queue.
+
+        :param now: current time in seconds.
+        """
+        if now > self._last_at + _FORGET_AFTER_S:
+            self._count = 0
+        self._is_draining = False
+
+    def record_departure(self, now: float) -> None:
+        """Record that a request was sent from the queue.
+
+        :param now: current time in seconds.
+        """
+        interval_s = now - self._last_at
+        self._last_at = now
+        if not self._is_draining:
+            # How long the first request has waited depends on when it arrived.
+            self._is_draining = True
+            return
+        if self._count >= _MIN_DEPARTURES:
+            interval_s = min(interval_s, self._interval_s * _MAX_DEVIATION)
+        self._count = min(self._count + 1, _AVERAGED_DEPARTURES)
+        self._interval_s += (interval_s - self._interval_s) / self._count
+
+    def expected_wait_s(self, ahead: int) -> float | None:
+        """Return the expected wait of a request in seconds, or ``None`` without an estimate.
+
+        :param ahead: number of requests that are served before it.
+        """
+        return None if self._count < _MIN_DEPARTURES else ahead * self._interval_s
+
+    def return_after_s(
+        self, now: float, wait_s: float, objective_s: float, limit_s: float, rng: random.Random
+    ) -> float:
+        """Return the seconds after which a refused caller may come back.
+
+        The queue will then have drained so far that a new request is served within its objective.
+        Callers that are refused one after the other get later times in the same order.
+
+        :param now: current time in seconds.
+        :param wait_s: expected wait of a request that arrives now, in seconds.
+        :param objective_s: time within which a request should be served, in seconds.
+        :param limit_s: longest time that is of use to the caller, in seconds.
+        :param rng: spreads the callers for which no time within the limit is left.
+        """
+        drained_at = now + max(wait_s - objective_s, self._interval_s)
+        return_at = max(drained_at, self._last_return_at + self._interval_s)
+        if return_at > now + limit_s:
+            return rng.uniform(min(drained_at - now, limit_s), limit_s)
+        self._last_return_at = return_at
+        return return_at - now
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/admission/tests/test_queue_pace.py
@@ -0,0 +1,51 @@
+"""Tests the expected wait in a queue and the times at which refused callers come back."""
+
+import random
+
+import pytest
+
+from bergamotcart.admission import QueuePace
+
+_INTERVAL_S = 0.02
+
+
+def _build_pace(departures: int) -> QueuePace:
+    pace = QueuePace()
+    pace.record_arrival(0)
+    for number in range(departures + 1):
+        pace.record_departure(number * _INTERVAL_S)
+    return pace
+
+
+def test_no_wait_is_expected_without_departures():
+    """A guess would refuse requests that are served in time."""
+    assert _build_pace(7).expected_wait_s(100) is None
+    assert _build_pace(8).expected_wait_s(100) == pytest.approx(2)
+
+
+def test_wait_is_unknown_after_long_pause():
+    """The rate of an earlier load says little about a target that has changed since."""
+    pace = _build_pace(20)
+    pace.record_arrival(60)
+    assert pace.expected_wait_s(1) is None
+
+
+def test_outage_does_not_lengthen_the_expected_wait():
+    """A primary that was replaced is as fast as before, so requests must not be refused."""
+    pace = _build_pace(20)
+    pace.record_departure(3)
+    assert pace.expected_wait_s(10) == pytest.approx(0.2, rel=0.2)
+
+
+def test_refused_callers_return_in_order_at_the_rate_of_the_queue():
+    """Callers that come back together would be refused again, and the first ones lose most."""
+    pace, rng = _build_pace(20), random.Random(1)
+    times = [pace.return_after_s(1, 0.5, 0.3, 5, rng) for _ in range(10)]
+    assert times == pytest.approx([0.2 + number * _INTERVAL_S for number in range(10)])
+
+
+def test_no_caller_is_sent_away_beyond_its_deadline():
+    """A caller gives up at its deadline, so a later return is a refusal without a retry."""
+    pace, rng = _build_pace(20), random.Random(1)
+    times = [pace.return_after_s(1, 0.5, 0.3, 1, rng) for _ in range(200)]
+    assert max(times) <= 1
--- a/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
@@ -129,6 +129,7 @@
             if request.queue is limiter.queue:
                 # The read was queued again, because reads already use their share of the primary.
                 return
+            limiter.queue.pace.record_departure(self._context.now)
         if limiter.is_scarce and limiter.has_capacity:
             self._take_over_reads(limiter)
 
@@ -212,7 +213,10 @@
             return False
         request.failed_targets.discard(free.key)
         _resume_requests([request])
-        return request.queue is not waiting.queue
+        if request.queue is waiting.queue:
+            return False
+        waiting.queue.pace.record_departure(self._context.now)
+        return True
 
     def _update_open_term(self, group: GroupState) -> None:
         """Clear the positions of a former primary of a group whose answers carry positions.
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary_dispatcher.py
@@ -47,7 +47,7 @@
         self._context = context
         self._limiters = limiters
         self._monitor = monitor
-        self.queues = RequestQueues(requests, replies)
+        self.queues = RequestQueues(context, requests, replies)
         self._replies = replies
 
     @property
@@ -131,6 +131,7 @@
             request = self.queues.pop_next(queue)
             if request is None:
                 return
+            queue.pace.record_departure(self._context.now)
             self._dispatch(request, key)
 
     def refuse_queued(self, group: str, reason: Reason) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_queues.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_queues.py
@@ -1,28 +1,44 @@
 """Access to the fair queues of requests."""
 
+from typing import Final
+
 from bergamotcart.admission import FairQueue, Waiter
+from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Request, RequestTable
 from bergamotcart.outcomes import Reason
 
-_RETRY_AFTER_S = 0.5
+# Time after which a request that a full queue refused may come back, while it is not known how fast
+# the queue is served.
+_RETRY_AFTER_S: Final = 0.5
 
 
 class RequestQueues:
     """Adds requests to fair queues and removes them."""
 
-    __slots__ = ('_replies', '_requests')
+    __slots__ = ('_context', '_replies', '_requests')
 
-    def __init__(self, requests: RequestTable, replies: Replies) -> None:
+    def __init__(self, context: EngineContext, requests: RequestTable, replies: Replies) -> None:
         """Create the access to the queues.
 
         :param requests: table that maps the identifiers in the queues to requests.
         """
+        self._context = context
         self._requests = requests
         self._replies = replies
 
     def put(self, queue: FairQueue, request: Request) -> None:
-        """Add a request to a queue; if the queue is full, refuse this or another request of it."""
+        """Add a request to a queue, or refuse it if it would reach its deadline there.
+
+        If the queue is full, this or another request of it is refused.
+        """
+        now = self._context.now
+        if not len(queue):
+            queue.pace.record_arrival(now)
+        wait_s = queue.pace.expected_wait_s(len(queue))
+        if request.route is not None and wait_s is not None and now + wait_s > request.deadline:
+            self._refuse(queue, request, Reason.expected_wait)
+            return
         request.queue = queue
         waiter = Waiter(request.request_id, request.session.caller, request.deadline)
         rejected = queue.push(waiter)
@@ -30,7 +46,7 @@
             return
         rejected_request = self._requests.get(rejected.request_id)
         if rejected_request is not None:
-            self._replies.refuse(rejected_request, Reason.queue_full, retry_after=_RETRY_AFTER_S)
+            self._refuse(queue, rejected_request, Reason.queue_full)
 
     def pop_next(self, queue: FairQueue) -> Request | None:
         """Remove and return the next request of the caller whose turn it is, if any."""
@@ -50,3 +66,19 @@
             requests.append(request)
             request = self.pop_next(queue)
         return requests
+
+    def _refuse(self, queue: FairQueue, request: Request, reason: Reason) -> None:
+        """Refuse a request, and tell its caller when the queue will be shorter."""
+        wait_s = queue.pace.expected_wait_s(len(queue))
+        if wait_s is None or request.route is None:
+            self._replies.refuse(request, reason, retry_after=_RETRY_AFTER_S)
+            return
+        now, route = self._context.now, request.route
+        retry_after_s = queue.pace.return_after_s(
+            now, wait_s, route.target_latency_s, route.statement_timeout_s, self._context.random
+        )
+        detail = (
+            f'{len(queue)} queued, expected wait {wait_s:.3f} s, '
+            f'{request.deadline - now:.3f} s left, retry after {retry_after_s:.3f} s'
+        )
+        self._replies.refuse(request, reason, detail, retry_after=retry_after_s)
--- a/packages/bergamotcart/src/bergamotcart/entry/_retries.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_retries.py
@@ -50,7 +50,10 @@
         if request.has_used_attempts:
             # More attempts would keep the instances full.
             self._replies.refuse(
-                request, Reason.target_busy, reason.value, retry_after=self._busy_retry_after_s()
+                request,
+                Reason.target_busy,
+                reason.value,
+                retry_after=self._busy_retry_after_s(request),
             )
             return
         delay_s = _RETRY_BACKOFF.delay_s(request.attempts, self._context.random)
@@ -89,9 +92,19 @@
             group=request.group,
         )
 
-    def _busy_retry_after_s(self) -> float:
+    def _busy_retry_after_s(self, request: Request) -> float:
         """Return when a refused caller may come back, spread so that not all return at once."""
-        return self._context.random.uniform(_MIN_BUSY_RETRY_AFTER_S, _MAX_BUSY_RETRY_AFTER_S)
+        queue = self._context.groups.get(request.group).primary_queue
+        wait_s = queue.pace.expected_wait_s(len(queue))
+        if not wait_s or request.route is None:
+            return self._context.random.uniform(_MIN_BUSY_RETRY_AFTER_S, _MAX_BUSY_RETRY_AFTER_S)
+        return queue.pace.return_after_s(
+            self._context.now,
+            max(wait_s, _MIN_BUSY_RETRY_AFTER_S + request.route.target_latency_s),
+            request.route.target_latency_s,
+            request.route.statement_timeout_s,
+            self._context.random,
+        )
 
     def _spend_retry(self, request: Request) -> bool:
         caller, limits = request.session.caller, _retry_limits(request)
--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_crowds.py
@@ -0,0 +1,54 @@
+"""Replays of load beyond the capacity of the primary, at one entry."""
+
+from typing import Final
+
+from bergamotcart.entry.tests import routed_entry_harness as routed
+from bergamotcart.entry.tests.crowd import Crowd
+from bergamotcart.outcomes import Reason
+
+_SERVICE_S: Final = 0.02
+_CAPACITY_PER_S: Final = 1 / _SERVICE_S
+_CROWD_S: Final = 3.0
+_OBJECTIVE_S: Final = 0.3
+
+
+def _run_crowd(factor: float) -> Crowd:
+    crowd = Crowd(_SERVICE_S, strict={'target_latency_s': _OBJECTIVE_S})
+    crowd.run(1, 0.5 * _CAPACITY_PER_S, 'strict', routed.WRITE)
+    crowd.callers.clear()
+    crowd.run(_CROWD_S, factor * _CAPACITY_PER_S, 'strict', routed.WRITE)
+    return crowd
+
+
+def test_crowd_is_refused_at_once():
+    """A request that cannot be served in time must not wait for its deadline to be refused."""
+    crowd = _run_crowd(3)
+    crowd.run(2, 0, 'strict', routed.WRITE)
+    assert len(crowd.refusals(crowd.callers)) > len(crowd.callers) / 2
+    # Until the first departures show how fast the queue is served, requests are queued.
+    expired = len(crowd.refusals(crowd.callers, Reason.deadline))
+    assert expired < len(crowd.callers) / 50, f'{expired} of {len(crowd.callers)}'
+    assert len(crowd.served(crowd.callers)) > 0.9 * _CROWD_S * _CAPACITY_PER_S
+
+
+def test_refused_callers_come_back_one_after_the_other():
+    """Constant times to come back would repeat the crowd that caused the refusals."""
+    crowd = _run_crowd(2)
+    refused = [each for each in crowd.callers if crowd.refusals([each], Reason.expected_wait)]
+    waits_s = [refusal.retry_after for refusal in crowd.refusals(refused[:20])]
+    returns = [each.sent_at + wait_s for each, wait_s in zip(refused, waits_s, strict=False)]
+    assert len(returns) == 20
+    assert returns == sorted(returns)
+    assert returns[-1] - returns[0] > 15 * _SERVICE_S
+
+
+def test_no_queue_is_left_after_the_crowd():
+    """Overload must end with its cause: what waited longest must not keep delaying the others."""
+    crowd = _run_crowd(5)
+    crowd.run(2, 0.5 * _CAPACITY_PER_S, 'strict', routed.WRITE)
+    crowd.callers.clear()
+    crowd.run(1, 0.5 * _CAPACITY_PER_S, 'strict', routed.WRITE)
+    crowd.run(0.5, 0, 'strict', routed.WRITE)
+    served = crowd.served(crowd.callers)
+    assert len(served) == len(crowd.callers)
+    assert max(each.took_s for each in served) <= _OBJECTIVE_S
--- a/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
+++ b/packages/bergamotcart/src/bergamotcart/outcomes/_outcomes.py
@@ -27,6 +27,7 @@
     floor_unknown = 'floor_unknown'
     deadline = 'deadline'
     queue_full = 'queue_full'
+    expected_wait = 'expected_wait'
     caller_limit = 'caller_limit'
     retry_budget = 'retry_budget'
     draining = 'draining'
