--- a/packages/bergamotcart/src/bergamotcart/entry/_retries.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_retries.py
@@ -51,10 +51,16 @@
                 request, key_refusal.reason, key_refusal.detail, key_refusal.retry_after
             )
             return
+        if request.awaits_connection and request.route is not None:
+            self._wait_for_connection(request)
+            return
         if request.has_used_attempts:
             # More attempts would keep the instances full.
             self._replies.refuse(
-                request, Reason.target_busy, reason.value, retry_after=self._busy_retry_after_s()
+                request,
+                Reason.target_busy,
+                reason.value,
+                retry_after=self._busy_retry_after_s(request),
             )
             return
         delay_s = _RETRY_BACKOFF.delay_s(request.attempts, self._context.random)
@@ -66,24 +72,46 @@
         if was_sent and not self._spend_retry(request):
             self._replies.refuse(request, Reason.retry_budget, reason.value, retry_after=1.0)
             return
+        self._publish(request, 'retry', reason)
+        request.phase = RequestPhase.waiting
+        request.wait_generation += 1
+        request.wait_until = None
+        if request.wait_timer is not None:
+            request.wait_timer.cancel()
+        request.wait_timer = self._context.call_later(delay_s, lambda: _resume_request(request))
+
+    def _wait_for_connection(self, request: Request) -> None:
+        """Queue a request again that no instance has received; the pause of the target delays it.
+
+        A refusal would use up one of the few retries of its caller.
+        """
+        self._publish(request, 'wait', Reason.target_busy)
+        request.phase = RequestPhase.waiting
+        _resume_request(request)
+
+    def _publish(self, request: Request, action: str, reason: Reason) -> None:
         self._context.publish_decision(
             'retries',
-            'retry',
+            action,
             reason.value,
             request=request.request_id,
             caller=request.session.caller,
             group=request.group,
         )
-        request.phase = RequestPhase.waiting
-        request.wait_generation += 1
-        request.wait_until = None
-        if request.wait_timer is not None:
-            request.wait_timer.cancel()
-        request.wait_timer = self._context.call_later(delay_s, lambda: _resume_request(request))
 
-    def _busy_retry_after_s(self) -> float:
+    def _busy_retry_after_s(self, request: Request) -> float:
         """Return when a refused caller may come back, spread so that not all return at once."""
-        return self._context.random.uniform(_MIN_BUSY_RETRY_AFTER_S, _MAX_BUSY_RETRY_AFTER_S)
+        queue = self._context.groups.get(request.group).primary_queue
+        wait_s = queue.pace.expected_wait_s(len(queue))
+        if not wait_s or request.route is None:
+            return self._context.random.uniform(_MIN_BUSY_RETRY_AFTER_S, _MAX_BUSY_RETRY_AFTER_S)
+        return queue.pace.return_after_s(
+            self._context.now,
+            max(wait_s, _MIN_BUSY_RETRY_AFTER_S + request.route.target_latency_s),
+            request.route.target_latency_s,
+            request.route.statement_timeout_s,
+            self._context.random,
+        )
 
     def _spend_retry(self, request: Request) -> bool:
         caller, limits = request.session.caller, _retry_limits(request)
