--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -7,6 +7,8 @@
 _CONTROL_FUZZ: Final = 'bergamotcart/control/tests/test_fuzz.py'
 _ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
 _SYNCHRONOUS_ENTRY: Final = 'bergamotcart/entry/tests/test_synchronous_replicas.py'
+_CAP_RULES: Final = 'bergamotcart/workspaces/tests/test_caps.py'
+_CAP_FUZZ: Final = 'bergamotcart/workspaces/tests/test_fuzz.py'
 _SYNCHRONOUS_CONTROL: Final = 'bergamotcart/control/tests/test_synchronous_replicas.py'
 
 
@@ -314,4 +316,77 @@
         (Replacement('            not state.is_formed\n', '            state.may_form_group\n'),),
         'bergamotcart/consensus/tests/test_formation.py',
     ),
+    Fault(
+        'begin with a full bucket of credits',
+        'bergamotcart/workspaces/_token_bucket.py',
+        (Replacement('self._level = 0.0', 'self._level = cap.capacity'),),
+        _CAP_RULES,
+    ),
+    Fault(
+        'ignore the credits of a former leader',
+        'bergamotcart/workspaces/_lender.py',
+        (
+            Replacement(
+                'return elected_at + settings.validity_s * (1 + 2 * settings.drift_margin)',
+                'return elected_at',
+            ),
+        ),
+        _CAP_RULES,
+    ),
+    Fault(
+        'lend the reserve twice',
+        'bergamotcart/workspaces/_lender.py',
+        (Replacement('has_reserve=self._has_reserve', 'has_reserve=True'),),
+        _CAP_RULES,
+    ),
+    Fault(
+        'accept credits of a former leader',
+        'bergamotcart/workspaces/_holder.py',
+        (Replacement('        if term < self._term:\n            return False\n', ''),),
+        _CAP_RULES,
+    ),
+    Fault(
+        'count the validity of credits from their arrival',
+        'bergamotcart/workspaces/_holder.py',
+        (Replacement('valid_until = sent_at + loans', 'valid_until = now + loans'),),
+        _CAP_RULES,
+    ),
+    Fault(
+        'lend standing credits beside the bucket',
+        'bergamotcart/workspaces/_workspace_loans.py',
+        (Replacement('            self._bucket.take_spare(extra)\n', ''),),
+        _CAP_RULES,
+    ),
+    Fault(
+        'lend again for a repeated report',
+        'bergamotcart/workspaces/_lender.py',
+        (
+            Replacement(
+                'is_repeated = report.number == account.newest_report', 'is_repeated = False'
+            ),
+        ),
+        _CAP_RULES,
+    ),
+    Fault(
+        'lend without a limit of outstanding credits',
+        'bergamotcart/workspaces/_workspace_loans.py',
+        (Replacement('room = max(0, limit - self._outstanding)', 'room = needed'),),
+        _CAP_FUZZ,
+    ),
+    Fault(
+        'add up repeated loans',
+        'bergamotcart/workspaces/_holder.py',
+        (Replacement('held.total = max(held.total, loan.total)', 'held.total += loan.total'),),
+        _CAP_FUZZ,
+    ),
+    Fault(
+        'spend expired credits',
+        'bergamotcart/workspaces/_holder.py',
+        (
+            Replacement(
+                "if self._valid_until == float('-inf') or now < self._valid_until:", 'if True:'
+            ),
+        ),
+        _CAP_RULES,
+    ),
 )
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_token_bucket.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_token_bucket.py
@@ -11,6 +11,9 @@
 # Places are given away for this many seconds ahead. It is the longest time for which an operation
 # waits for a credit: half of the target latency of the slowest routes.
 _HORIZON_S: Final = 0.5
+# A place is for the tokens of this many seconds, divided among those that ask. Larger ones would
+# delay the first token until the last one is there.
+_PLACE_S: Final = 0.1
 # A place whose borrower does not come back within this time after it became due is void. It covers
 # the repetition of a lost request (0.1 s) and a round trip.
 _PLACE_EXPIRY_S: Final = 0.2
@@ -116,11 +119,11 @@
         if self._cap.admits_nothing:
             return math.inf
         rate = self._cap.rate_per_s
-        share = max(1, int(rate * _HORIZON_S / len(self._asking)))
+        share = max(1, int(rate * _PLACE_S / len(self._asking)))
         tokens = min(wanted, share)
         place = self._places.get(borrower)
         if place is None:
-            room_in_s = max(0.0, (self._placed + 1 - self._level) / rate)
+            room_in_s = max(0.0, (self._placed + tokens - self._level) / rate)
             if room_in_s > max(_HORIZON_S, 1 / rate):
                 return room_in_s
             place = _Place(now + room_in_s, 0)
--- a/packages/bergamotcart/src/bergamotcart/workspaces/tests/cap_world.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/tests/cap_world.py
@@ -47,16 +47,6 @@
     :ivar ran: true times at which operations were sent to an instance.
     """
 
-    @property
-    def cap(self) -> Cap:
-        """The cap in force."""
-        return self.caps[-1][1]
-
-    @property
-    def lender_now(self) -> float:
-        """Clock of the leader."""
-        return self.now * self.lender_speed
-
     def __init__(self, entries: int) -> None:
         """Start with the first leader of the domain."""
         self.now = 50.0
@@ -75,6 +65,16 @@
             self.start_entry(f'e{index}', SPEEDS[index % len(SPEEDS)])
         self.fail_over(1.0)
 
+    @property
+    def cap(self) -> Cap:
+        """The cap in force."""
+        return self.caps[-1][1]
+
+    @property
+    def lender_now(self) -> float:
+        """Clock of the leader."""
+        return self.now * self.lender_speed
+
     def clock(self, borrower: Borrower) -> float:
         """Return the clock of an entry."""
         return self.now * borrower.speed
