Admission: serve by priority, and share scarce connections after a crowd

The priority of a route decided nothing, so writes waited behind a crowd of reads. Transactions could take all connections of an entry, and reads stayed in the queue of an instance that refused connections while others were idle.

FairQueue serves the highest priority first, and one of four turns goes to a lower priority that has waited beyond its objective. A full queue evicts the lowest priority, and requests of the lowest priority that would reach their deadline in the queue are refused first. A request that is queued again keeps its place. Where connections are scarce, a transaction leaves one connection to single statements until half of its time is over. With one priority and plentiful connections, the order is as before.

An instance that refuses connections lets the others of its group take over its reads at once. Pacing no longer keeps reads from a primary that serves them while the replicas refuse connections. Unused connections beside a kept one are closed after 0.8 s at the latest. Requests wait for a connection that is expected soon only in the first 4 s after the entry learnt of the instance: later, living processes hold the connections, and trying again often takes slots in a crowd.

--- a/packages/bergamotcart/src/bergamotcart/admission/_connection_sharing.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_connection_sharing.py
@@ -16,6 +16,7 @@
 _MIN_IDLE_S: Final = 0.05
 _MAX_IDLE_S: Final = 1.6
 _INITIAL_IDLE_S: Final = 0.4
+_MAX_IDLE_BESIDE_KEPT_S: Final = 0.8
 _IDLE_GROWTH_FACTOR: Final = 1.1
 _IDLE_SHRINK_FACTOR: Final = 0.5
 # Greatest part of the connections that all entries together should have open. The rest is free for
@@ -106,6 +107,16 @@
         """Record that the target refused a connection of this entry."""
         self._was_refused = True
 
+    def idle_s_beside(self, kept: int) -> float:
+        """Return the seconds after which an unused connection is closed.
+
+        Those that an entry has beside a kept one serve peaks. After a peak, other entries may have
+        none, and entries that have some are not refused, so they close them soon.
+
+        :param kept: number of connections that stay open although they are unused.
+        """
+        return min(self._idle_s, _MAX_IDLE_BESIDE_KEPT_S) if kept else self._idle_s
+
     def restore_quota(self) -> None:
         """Return to the greatest quota, which was reduced for refusals that say nothing now."""
         self._quota = float(_MAX_QUOTA)
--- a/packages/bergamotcart/src/bergamotcart/admission/_fair_queue.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_fair_queue.py
@@ -1,31 +1,27 @@
-"""Bounded queue of one group that is fair between callers and drops expired requests."""
+"""Bounded queue of one group, by priority and fair between callers."""
 
 import heapq
-from collections import OrderedDict, deque
-
-import msgspec
+from typing import Final
 
 from bergamotcart.admission._queue_pace import QueuePace
+from bergamotcart.admission._waiting_level import Waiter, WaitingLevel
 
-
-class Waiter(msgspec.Struct, frozen=True):
-    """A queued request.
-
-    :param deadline: time in seconds at which the request expires.
-    """
-
-    request_id: int
-    caller: str
-    deadline: float
+# One of this number of turns goes to requests of a lower priority that have waited beyond their
+# objective, so that they are served in the end however many others arrive.
+_TURNS_PER_OVERDUE: Final = 4
 
 
 class FairQueue:
-    """Requests that wait for a connection or a slot of one group, served round-robin by caller.
+    """Requests that wait for a connection or a slot of one group.
+
+    Those of the highest priority are served first, and round-robin by caller within a priority.
+    This answers writes and transactions behind a crowd of reads, which would otherwise wait until
+    the reads that arrived before them are served.
 
     :ivar pace: how fast the requests are served.
     """
 
-    __slots__ = ('_request_ids_by_caller', '_capacity', '_deadlines', '_waiters', 'pace')
+    __slots__ = ('_capacity', '_deadlines', '_levels', '_turns', '_waiters', 'pace')
 
     def __init__(self, capacity: int) -> None:
         """Initialize an empty queue.
@@ -35,8 +31,9 @@
         self._capacity = capacity
         self.pace = QueuePace()
         self._waiters: dict[int, Waiter] = {}
-        # Callers in round-robin order, each with its queued requests, oldest first.
-        self._request_ids_by_caller: OrderedDict[str, deque[int]] = OrderedDict()
+        # Only priorities with requests.
+        self._levels: dict[int, WaitingLevel] = {}
+        self._turns = 0
         self._deadlines: list[tuple[float, int]] = []
 
     def __len__(self) -> int:
@@ -48,12 +45,17 @@
         """Earliest deadline in seconds; it may belong to a request that was already removed."""
         return self._deadlines[0][0] if self._deadlines else None
 
+    def count_ahead(self, priority: int) -> int:
+        """Return the number of requests that are served before a new one of a priority."""
+        return sum(len(level) for each, level in self._levels.items() if each <= priority)
+
     def push(self, waiter: Waiter) -> Waiter | None:
         """Add a request.
 
-        A caller that floods a full queue must not keep the others out: the newest request of
-        the caller with the most queued requests is evicted, provided that the caller of the added
-        request has no more queued requests than that caller afterwards.
+        A full queue evicts a request of the lowest priority. A caller that floods it must not keep
+        the others out: the newest request of the caller with the most requests of this priority is
+        evicted, provided that the caller of the added request has no more requests than that caller
+        afterwards or that the added request has a higher priority.
 
         :param waiter: the request.
         :returns: the rejected or evicted request, or ``None`` if there was capacity left.
@@ -68,24 +70,42 @@
                 return waiter
             self.remove(rejected.request_id)
         self._waiters[waiter.request_id] = waiter
-        self._request_ids_by_caller.setdefault(waiter.caller, deque()).append(waiter.request_id)
+        level = self._levels.get(waiter.priority)
+        if level is None:
+            level = WaitingLevel()
+            self._levels[waiter.priority] = level
+        level.push(waiter)
         heapq.heappush(self._deadlines, (waiter.deadline, waiter.request_id))
         return rejected
 
-    def pop(self) -> Waiter | None:
-        """Remove and return the oldest request of the next caller in round-robin order.
+    def pop(self, now: float = 0.0, *, may_pin: bool = True) -> Waiter | None:
+        """Remove and return the request whose turn it is.
 
-        :returns: the request, or ``None`` if the queue is empty.
+        :param now: current time in seconds.
+        :param may_pin: whether a request that begins a transaction may be returned although half of
+            its time is left.
+        :returns: the request, or ``None`` if there is none of the allowed kind.
         """
-        while self._request_ids_by_caller:
-            caller, request_ids = self._request_ids_by_caller.popitem(last=False)
-            waiter = self._pop_oldest(request_ids)
-            if request_ids:
-                self._request_ids_by_caller[caller] = request_ids
-            if waiter:
+        for priority in self._order_levels(now):
+            waiter = self._levels[priority].pop(now, may_pin=may_pin)
+            if waiter is not None:
+                self._waiters.pop(waiter.request_id)
+                self._remove_empty_level(priority)
                 return waiter
         return None
 
+    def shed_late(self, now: float) -> Waiter | None:
+        """Remove a request of the lowest of several priorities that would reach its deadline here.
+
+        :param now: current time in seconds.
+        :returns: the removed request, or ``None`` if there is none.
+        """
+        wait_s = self.pace.expected_wait_s(len(self._waiters))
+        if wait_s is None or len(self._levels) < 2:
+            return None
+        waiter = self._levels[max(self._levels)].newest_of_longest()[0]
+        return self.remove(waiter.request_id) if now + wait_s > waiter.deadline else None
+
     def remove(self, request_id: int) -> Waiter | None:
         """Remove a request, for instance of a caller that disconnected.
 
@@ -94,10 +114,8 @@
         """
         waiter = self._waiters.pop(request_id, None)
         if waiter:
-            request_ids = self._request_ids_by_caller[waiter.caller]
-            request_ids.remove(request_id)
-            if not request_ids:
-                self._request_ids_by_caller.pop(waiter.caller)
+            self._levels[waiter.priority].remove(waiter)
+            self._remove_empty_level(waiter.priority)
         return waiter
 
     def remove_expired(self, now: float) -> tuple[Waiter, ...]:
@@ -112,12 +130,30 @@
                 expired.append(waiter)
         return tuple(expired)
 
-    def _pop_oldest(self, request_ids: deque[int]) -> Waiter:
-        return self._waiters.pop(request_ids.popleft())
+    def _order_levels(self, now: float) -> list[int]:
+        """Return the priorities in the order in which they are served in this turn."""
+        if len(self._levels) <= 1:
+            return list(self._levels)
+        order = sorted(self._levels)
+        self._turns += 1
+        if self._turns >= _TURNS_PER_OVERDUE:
+            most_overdue = max(order[1:], key=lambda priority: self._levels[priority].overdue(now))
+            if self._levels[most_overdue].overdue(now) >= 1:
+                self._turns = 0
+                order.remove(most_overdue)
+                order.insert(0, most_overdue)
+        return order
+
+    def _remove_empty_level(self, priority: int) -> None:
+        if not len(self._levels[priority]):
+            self._levels.pop(priority)
 
     def _find_request_to_evict(self, waiter: Waiter) -> Waiter | None:
-        own_count = len(self._request_ids_by_caller.get(waiter.caller, ()))
-        longest_queue = max(self._request_ids_by_caller.values(), key=len, default=deque())
-        if len(longest_queue) < own_count + 2:
+        lowest = max(self._levels, default=waiter.priority)
+        if waiter.priority > lowest or lowest not in self._levels:
+            return None
+        level = self._levels[lowest]
+        newest, count = level.newest_of_longest()
+        if waiter.priority == lowest and count < level.count(waiter.caller) + 2:
             return None
-        return self._waiters[longest_queue[-1]]
+        return newest
--- a/packages/bergamotcart/src/bergamotcart/admission/_reconnecting.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_reconnecting.py
@@ -5,8 +5,8 @@
 
 # Time of a slot that a target needs to open a connection.
 _OPENING_S: Final = 0.012
-# Instances notice after 3 s that the machine of a caller is gone. Once connections have been
-# refused for longer, living processes hold them.
+# Instances notice after 3 s that the machine of a caller is gone. After that, connections are refused
+# because living processes hold them, and trying again often would only take slots in a crowd.
 _DEAD_CONNECTIONS_S: Final = 4.0
 # Below the lower bound, refused connections would keep an entry busy; above the upper one, free
 # connections would stay unused.
@@ -27,13 +27,17 @@
     connection before its first one has served a statement.
     """
 
-    __slots__ = ('_has_connected', '_is_careful', '_refused_since')
+    __slots__ = ('_has_connected', '_is_careful', '_is_refused', '_started_at')
 
-    def __init__(self) -> None:
-        """Start as a process that has not connected to the target yet."""
+    def __init__(self, now: float) -> None:
+        """Start as a process that has not connected to the target yet.
+
+        :param now: time in seconds at which the process learnt of the target.
+        """
+        self._started_at = now
         self._has_connected = False
         self._is_careful = True
-        self._refused_since: float | None = None
+        self._is_refused = False
 
     @property
     def has_connected(self) -> bool:
@@ -52,22 +56,18 @@
 
         :param now: current time in seconds.
         """
-        return self._refused_since is not None and now < self._refused_since + _DEAD_CONNECTIONS_S
-
-    def record_refusal(self, now: float) -> None:
-        """Record that the target refused a connection.
+        return self._is_refused and now < self._started_at + _DEAD_CONNECTIONS_S
 
-        :param now: current time in seconds.
-        """
+    def record_refusal(self) -> None:
+        """Record that the target refused a connection."""
         self._is_careful = True
-        if self._refused_since is None:
-            self._refused_since = now
+        self._is_refused = True
 
     def record_answer(self) -> None:
         """Record that the target has served a statement."""
         self._has_connected = True
         self._is_careful = False
-        self._refused_since = None
+        self._is_refused = False
 
     def pause_s(self, entry_count: int, slots: int, rng: random.Random) -> float:
         """Return the seconds until the next attempt after a refusal.
--- a/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
@@ -122,7 +122,9 @@
         if len(self._context.groups.get(limiter.key.group).primary_queue):
             self._primary_dispatcher.send_queued(limiter.key.group)
         while len(limiter.queue) and limiter.has_capacity:
-            request = self._primary_dispatcher.queues.pop_next(limiter.queue)
+            request = self._primary_dispatcher.queues.pop_next(
+                limiter.queue, may_pin=limiter.may_pin
+            )
             if request is None:
                 return
             _resume_requests([request])
@@ -208,7 +210,7 @@
 
         :returns: whether a read has left the queue.
         """
-        request = self._primary_dispatcher.queues.pop_next(waiting.queue)
+        request = self._primary_dispatcher.queues.pop_next(waiting.queue, may_pin=free.may_pin)
         if request is None:
             return False
         request.failed_targets.discard(free.key)
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -119,6 +119,7 @@
         limiter = self._limiters.get(plan.target)
         if plan.use in {ConnectionUse.shared, ConnectionUse.pin}:
             limiter.acquire_slot(is_read=plan.is_read)
+            limiter.pinned += int(plan.use is ConnectionUse.pin)
         execution_id = next(self._execution_ids)
         remaining_s = request.deadline - self._context.now
         timeout_s = max(
@@ -204,7 +205,9 @@
 
     def release_pinned_slot(self, target: TargetKey) -> None:
         """Release the slot of a transaction that ended."""
-        self._limiters.release(self._limiters.get(target), is_read=False)
+        limiter = self._limiters.get(target)
+        limiter.pinned -= 1
+        self._limiters.release(limiter, is_read=False)
 
     def _report_result(self, running: RunningExecution, finished: ExecutionFinished) -> None:
         """Report the result of an execution to the monitor and the limiter of its target."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_primary_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_primary_dispatcher.py
@@ -3,13 +3,14 @@
 import abc
 from typing import Final
 
+from bergamotcart.admission import FairQueue
 from bergamotcart.discovery import TargetKey
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._monitor import TargetMonitor
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._request_queues import RequestQueues
 from bergamotcart.entry._requests import Request, RequestHandler, RequestPhase, RequestTable
-from bergamotcart.entry._target_limits import TargetLimiters
+from bergamotcart.entry._target_limits import TargetLimiter, TargetLimiters
 from bergamotcart.messages import TargetRole
 from bergamotcart.outcomes import Reason
 
@@ -128,7 +129,7 @@
             key = self.usable_primary(group)
             if key is None or not self._limiters.get(key).has_capacity:
                 return
-            request = self.queues.pop_next(queue)
+            request = self._pop_next(queue, self._limiters.get(key))
             if request is None:
                 return
             queue.pace.record_departure(self._context.now)
@@ -139,6 +140,16 @@
         for request in self.queues.pop_all(self._context.groups.get(group).primary_queue):
             self._replies.refuse(request, reason, retry_after=1.0)
 
+    def _pop_next(self, queue: FairQueue, limiter: TargetLimiter) -> Request | None:
+        """Return the next request, a single statement if a transaction would hold it up."""
+        if not limiter.is_scarce:
+            return self.queues.pop_next(queue)
+        is_shared = limiter.concurrency.limit == 1
+        request = self.queues.pop_next(queue, may_pin=limiter.may_pin and not is_shared)
+        if request is None and is_shared:
+            request = self.queues.pop_next(queue)
+        return request
+
     def _observe_primary(self, group: str) -> None:
         """Record since when the primary is unusable, and end the hold of its requests in time."""
         state = self._context.groups.get(group)
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_queues.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_queues.py
@@ -35,22 +35,23 @@
         now = self._context.now
         if not len(queue):
             queue.pace.record_arrival(now)
-        wait_s = queue.pace.expected_wait_s(len(queue))
+        wait_s = queue.pace.expected_wait_s(queue.count_ahead(request.priority))
         if request.route is not None and wait_s is not None and now + wait_s > request.deadline:
             self._refuse(queue, request, Reason.expected_wait)
             return
         request.queue = queue
-        waiter = Waiter(request.request_id, request.session.caller, request.deadline)
-        rejected = queue.push(waiter)
-        if rejected is None:
-            return
-        rejected_request = self._requests.get(rejected.request_id)
-        if rejected_request is not None:
-            self._refuse(queue, rejected_request, Reason.queue_full)
+        rejected = queue.push(_build_waiter(request))
+        request.was_queued = True
+        self._refuse_removed(queue, rejected, Reason.queue_full)
+        # The new request may delay those of a lower priority beyond their deadlines.
+        self._refuse_removed(queue, queue.shed_late(now), Reason.expected_wait)
+
+    def pop_next(self, queue: FairQueue, *, may_pin: bool = True) -> Request | None:
+        """Remove and return the request whose turn it is, if any.
 
-    def pop_next(self, queue: FairQueue) -> Request | None:
-        """Remove and return the next request of the caller whose turn it is, if any."""
-        waiter = queue.pop()
+        :param may_pin: whether it may begin a transaction.
+        """
+        waiter = queue.pop(self._context.now, may_pin=may_pin)
         if waiter is None:
             return None
         request = self._requests.get(waiter.request_id)
@@ -67,9 +68,15 @@
             request = self.pop_next(queue)
         return requests
 
+    def _refuse_removed(self, queue: FairQueue, waiter: Waiter | None, reason: Reason) -> None:
+        request = None if waiter is None else self._requests.get(waiter.request_id)
+        if request is not None:
+            self._refuse(queue, request, reason)
+
     def _refuse(self, queue: FairQueue, request: Request, reason: Reason) -> None:
         """Refuse a request, and tell its caller when the queue will be shorter."""
-        wait_s = queue.pace.expected_wait_s(len(queue))
+        ahead = queue.count_ahead(request.priority)
+        wait_s = queue.pace.expected_wait_s(ahead)
         if wait_s is None or request.route is None:
             self._replies.refuse(request, reason, retry_after=_RETRY_AFTER_S)
             return
@@ -78,7 +85,20 @@
             now, wait_s, route.target_latency_s, route.statement_timeout_s, self._context.random
         )
         detail = (
-            f'{len(queue)} queued, expected wait {wait_s:.3f} s, '
+            f'priority {request.priority}, {ahead} of {len(queue)} ahead, expected wait {wait_s:.3f} s, '
             f'{request.deadline - now:.3f} s left, retry after {retry_after_s:.3f} s'
         )
         self._replies.refuse(request, reason, detail, retry_after=retry_after_s)
+
+
+def _build_waiter(request: Request) -> Waiter:
+    return Waiter(
+        request_id=request.request_id,
+        caller=request.session.caller,
+        deadline=request.deadline,
+        arrived_at=request.arrived_at,
+        priority=request.priority,
+        objective_s=0.0 if request.route is None else request.route.target_latency_s,
+        is_pinning=request.is_pinning,
+        is_returning=request.was_queued,
+    )
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -54,6 +54,7 @@
     :param capacity_refusals: number of attempts that a full instance has refused.
     :param awaits_connection: whether its last attempt was not sent, for want of a connection that is
         expected soon.
+    :param was_queued: whether it has waited in a queue before.
     :param failed_targets: instances that refused the read or could not be reached for it.
     """
 
@@ -88,8 +89,29 @@
     prepared: PreparedShape | None = None
     capacity_refusals: int = 0
     awaits_connection: bool = False
+    was_queued: bool = False
     failed_targets: set[TargetKey] = msgspec.field(default_factory=set)
 
+    @property
+    def priority(self) -> int:
+        """Priority of its route; 0 is served first."""
+        return 0 if self.route is None else self.route.priority
+
+    @property
+    def is_pinning(self) -> bool:
+        """Whether it is the first statement of a transaction on a route."""
+        session = self.session
+        return session.begun_transaction is not None and session.transaction is None
+
+    def may_take_last(self, now: float) -> bool:
+        """Tell whether it may take the last connection that is left for single statements.
+
+        A transaction may do that once half of its time is over, so that it does not wait forever.
+
+        :param now: current time in seconds.
+        """
+        return not self.is_pinning or now > (self.arrived_at + self.deadline) / 2
+
     @property
     def has_used_attempts(self) -> bool:
         """Whether full instances have refused it as often as its route allows."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -143,10 +143,21 @@
         """
         pacer = self._limiters.get(primary.key).read_pacer
         if pacer.delay_s(self._context.now) > 0:
-            return choose_instance([each for each in candidates if not each.is_primary])
+            replica = choose_instance([each for each in candidates if not each.is_primary])
+            if replica is None or not self._is_only_primary_free(primary.key, replica.key):
+                return replica
         pacer.record_read(self._context.now, self._context.random)
         return primary
 
+    def _is_only_primary_free(self, primary: TargetKey, replica: TargetKey) -> bool:
+        """Tell whether a replica refuses connections, while the primary serves what it gets.
+
+        Pacing would then keep reads waiting for connections although the overload is over.
+        """
+        limiter, other = self._limiters.get(primary), self._limiters.get(replica)
+        is_refused = other.is_pausing and not other.reported_connections
+        return is_refused and limiter.has_capacity and not limiter.refusals
+
     def _refuse_paced_read(self, request: Request, primary: TargetKey) -> None:
         delay_s = self._limiters.get(primary).read_pacer.delay_s(self._context.now)
         self._replies.refuse(
@@ -205,7 +216,8 @@
         reason: str,
     ) -> None:
         limiter = self._limiters.get(key)
-        if not limiter.has_capacity:
+        may_take = limiter.may_pin or request.may_take_last(self._context.now)
+        if not (limiter.has_capacity and may_take):
             self._primary_dispatcher.queues.put(limiter.queue, request)
             return
         row = self._context.control_view.groups.get(request.group)
--- a/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_target_limits.py
@@ -38,6 +38,7 @@
     :param queue: reads that wait for a free slot.
     :param read_pacer: spaces the reads that fall back to this target while it is the primary.
     :param reads_in_flight: running reads.
+    :param pinned: connections that transactions keep.
     :param sent_limits: connection limit, idle time in seconds or ``None``, and number of kept
         connections that were last sent to the adapter.
     :param is_scarce: whether connections are scarce, so that unused ones are closed early.
@@ -56,6 +57,7 @@
         'is_pausing',
         'is_scarce',
         'key',
+        'pinned',
         'queue',
         'quota',
         'rank',
@@ -77,7 +79,7 @@
         self.key = key
         self.rank = _rank(key, entry)
         self.sharing = ConnectionSharing()
-        self.reconnecting = Reconnecting()
+        self.reconnecting = Reconnecting(now)
         self.refusals = 0
         self.is_pausing = False
         self.base_quota = 1
@@ -87,6 +89,7 @@
         self.queue = FairQueue(MAX_QUEUED_READS)
         self.read_pacer = ReadPacer()
         self.reads_in_flight = 0
+        self.pinned = 0
         self.reported_connections = 0
         self.sent_limits: tuple[int, float | None, int] = (0, None, 0)
 
@@ -99,6 +102,16 @@
                 return False
         return self.concurrency.has_capacity
 
+    @property
+    def may_pin(self) -> bool:
+        """Whether a new transaction leaves a connection for single statements.
+
+        An idle transaction keeps its connection, and many single statements could use it meanwhile.
+        Where the entry has one connection only, transactions and single statements share it.
+        """
+        limit = self.concurrency.limit
+        return not self.is_scarce or limit == 1 or self.pinned + 1 < limit
+
     @property
     def load(self) -> float:
         """Running and queued statements, relative to the concurrency limit."""
@@ -178,7 +191,7 @@
         """
         if is_over_limit:
             limiter.sharing.record_refusal()
-            limiter.reconnecting.record_refusal(self._context.now)
+            limiter.reconnecting.record_refusal()
         limiter.refusals += 1
         is_expected = is_over_limit and self.is_connection_expected(limiter)
         if not is_expected:
@@ -199,6 +212,8 @@
             f'{limiter.reported_connections} connections, {len(limiter.queue)} queued',
         )
         self._context.call_later(pause_s, lambda: self._end_pause(limiter))
+        if limiter.is_scarce and len(limiter.queue):
+            self._context.call_later(0, lambda: self._offer_reads(limiter))
 
     def is_connection_expected(self, limiter: TargetLimiter) -> bool:
         """Tell whether a target refuses connections that it is likely to accept soon."""
@@ -282,6 +297,12 @@
             f'{sharing.idle_s:.2f} s',
         )
 
+    def _offer_reads(self, limiter: TargetLimiter) -> None:
+        """Let the other instances of the group take over the reads of one that is full."""
+        for target in self._context.targets.list_group(limiter.key.group):
+            if target.key != limiter.key:
+                self._on_capacity_available(self.get(target.key))
+
     def _end_pause(self, limiter: TargetLimiter) -> None:
         limiter.is_pausing = False
         self._on_capacity_available(limiter)
@@ -326,7 +347,7 @@
 
     def _send_limits(self, limiter: TargetLimiter, address: str, kept: int) -> None:
         limit = limiter.quota.limit
-        idle_s = limiter.sharing.idle_s if limiter.is_scarce else None
+        idle_s = limiter.sharing.idle_s_beside(kept) if limiter.is_scarce else None
         limits = (limit, idle_s, kept)
         if limiter.sent_limits == limits:
             return
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_crowds.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_crowds.py
@@ -52,3 +52,22 @@
     served = crowd.served(crowd.callers)
     assert len(served) == len(crowd.callers)
     assert max(each.took_s for each in served) <= _OBJECTIVE_S
+
+
+def test_writes_are_served_during_a_crowd_of_reads():
+    """Reads that arrived before a write must not delay it beyond its objective."""
+    crowd = Crowd(
+        _SERVICE_S,
+        strict={'priority': 1, 'target_latency_s': _OBJECTIVE_S},
+        own={'priority': 2, 'target_latency_s': 0.5, 'consistency': 'primary'},
+    )
+    writes = []
+    for _ in range(30):
+        crowd.run(0.1, 3 * _CAPACITY_PER_S, 'own', routed.READ)
+        writes.append(crowd.send('strict', routed.WRITE))
+    crowd.run(0.5, 0, 'own', routed.READ)
+    times_s = [each.took_s for each in crowd.served(writes)]
+    assert len(times_s) == len(writes)
+    assert max(times_s) <= _OBJECTIVE_S
+    # The reads are not starved: they get what the writes leave.
+    assert len(crowd.served(crowd.callers)) > 0.9 * _CROWD_S * _CAPACITY_PER_S
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_connections.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_refused_connections.py
@@ -1,6 +1,6 @@
 """Tests of requests while instances refuse connections that they will probably accept soon."""
 
-from bergamotcart.entry import Execute, ExecutionFinished, ExecutionStatus
+from bergamotcart.entry import ConnectionCount, Execute, ExecutionFinished, ExecutionStatus
 from bergamotcart.entry.tests import routed_entry_harness as routed
 from bergamotcart.entry.tests.routed_entry_harness import RoutedEntryHarness, key
 from bergamotcart.messages import EntryRow
@@ -70,3 +70,19 @@
     harness.finish_execution(harness.next_execution())
     harness.advance(0.26)
     assert _last_limit(harness) == before
+
+
+def test_transactions_leave_one_connection_to_single_statements():
+    """Idle transactions on all connections of an entry would hold up every single statement."""
+    harness = _harness_with_ten_entries()
+    for number in range(3):
+        session = harness.open_session('strict')
+        harness.send_statement(session, routed.BEGIN)
+        harness.send_statement(session, routed.WRITE, f'WRITE x {number}')
+        harness.advance(0.01)
+        if harness.executions:
+            harness.step(ConnectionCount(key('a'), number + 1))
+            harness.finish_execution(harness.next_execution())
+    assert not harness.executions
+    write = harness.send_statement(harness.open_session('strict'), routed.WRITE, 'WRITE x 9')
+    assert harness.next_execution().request_id == write
