--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection_pool.py
@@ -37,6 +37,7 @@
         '_connect',
         '_idle',
         '_idle_timeout_s',
+        '_is_target_full',
         '_kept',
         '_limit',
         '_on_count_change',
@@ -69,6 +70,8 @@
         self._open: dict[TargetConnection, str] = {}
         # Least recently used first; empty while others wait.
         self._idle: list[TargetConnection] = []
+        # Whether the target refused the last connection because it accepts no further ones.
+        self._is_target_full = False
         self._reserved_count = 0
         self._release_counts: dict[TargetConnection, int] = {}
         self._waiters: collections.deque[_Waiter] = collections.deque()
@@ -116,7 +119,8 @@
         if idle is not None:
             return idle
         if not self._waiters:
-            if self._connection_count >= self._limit and self._idle:
+            is_full = self._is_target_full or self._connection_count >= self._limit
+            if is_full and self._idle:
                 self.discard(self._idle[0])
             if self._connection_count < self._limit:
                 self._reserved_count += 1
@@ -199,6 +203,7 @@
             self._grant_reservations()
             raise
         self._reserved_count -= 1
+        self._is_target_full = False
         self._open[connection] = workspace
         connection.on_connection_lost = self._on_connection_lost
         self._on_count_change(self._connection_count)
@@ -211,7 +216,8 @@
 
     def _make_room(self, workspace: str, error: ConnectError) -> None:
         """Close an idle connection of another workspace if the target accepts no further ones."""
-        if error.error is None or error.error.kind is not ErrorKind.busy:
+        self._is_target_full = error.error is not None and error.error.kind is ErrorKind.busy
+        if not self._is_target_full:
             return
         others = [unused for unused in self._idle if self._open[unused] != workspace]
         if others:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_session_keys.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_session_keys.py
@@ -201,3 +201,15 @@
     harness.step(entry.SessionClosed(session))
     assert [each.caller for each in harness.decisions if each.system == 'routing'] == ['north']
     assert _KEY not in repr(harness.decisions)
+
+
+def test_key_of_a_session_without_a_route_is_its_caller_name():
+    """MySQL callers select a group; with workspaces, their user name is the key."""
+    harness = _build_harness()
+    for session, key in ((101, _KEY), (102, 'never-valid')):
+        harness.step(entry.SessionOpened(session, key, routed.GROUP))
+        harness.step(entry.RequestArrived(session, session, 'INSERT INTO t VALUES (1)'))
+    assert harness.replies[102].outcome.reason is Reason.unauthenticated
+    assert harness.next_execution().workspace == 'north'
+    _change_keys(harness, south='other')
+    assert not harness.closed_sessions
