Admission: keep queues short enough for the objectives of routes

When the load exceeds the capacity, a queue that is bounded by the statement deadline alone makes every request late, and callers that come back at the rate at which the queue is served keep it full together with new ones.

A queue in which new requests have been late for longer than their objective now refuses what would be late, as such a queue serves no more than a short one. Refused callers return at half the rate at which the queue is served. Six deliberate faults of admission are in the table of mutants; all six are caught.

--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -6,6 +6,7 @@
 _CONSENSUS_FUZZ: Final = 'bergamotcart/consensus/tests/test_fuzz.py'
 _CONTROL_FUZZ: Final = 'bergamotcart/control/tests/test_fuzz.py'
 _ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
+_FAIR_QUEUE: Final = 'bergamotcart/admission/tests/test_fair_queue.py'
 _SYNCHRONOUS_ENTRY: Final = 'bergamotcart/entry/tests/test_synchronous_replicas.py'
 _SYNCHRONOUS_CONTROL: Final = 'bergamotcart/control/tests/test_synchronous_replicas.py'
 
@@ -314,4 +315,49 @@
         (Replacement('            not state.is_formed\n', '            state.may_form_group\n'),),
         'bergamotcart/consensus/tests/test_formation.py',
     ),
+    Fault(
+        'serve requests of a low priority first',
+        'bergamotcart/admission/_fair_queue.py',
+        (
+            Replacement(
+                'order = sorted(self._levels)', 'order = sorted(self._levels, reverse=True)'
+            ),
+        ),
+        _FAIR_QUEUE,
+    ),
+    Fault(
+        'let overdue requests of a low priority starve',
+        'bergamotcart/admission/_fair_queue.py',
+        (Replacement('if self._turns >= _TURNS_PER_OVERDUE:', 'if False:'),),
+        _FAIR_QUEUE,
+    ),
+    Fault(
+        'let all refused callers come back at the same time',
+        'bergamotcart/admission/_queue_pace.py',
+        (
+            Replacement(
+                'max(drained_at, self._last_return_at + self._interval_s * _RETURN_SPACING)',
+                'drained_at',
+            ),
+        ),
+        'bergamotcart/admission/tests/test_queue_pace.py',
+    ),
+    Fault(
+        'queue requests that would only reach their deadline',
+        'bergamotcart/entry/_request_queues.py',
+        (Replacement('if self._is_hopeless(queue, request):', 'if False:'),),
+        'bergamotcart/entry/tests/test_crowds.py',
+    ),
+    Fault(
+        'let transactions take the last connection',
+        'bergamotcart/entry/_target_limits.py',
+        (Replacement('self.pinned + 1 < limit', 'self.pinned < limit'),),
+        'bergamotcart/entry/tests/test_refused_connections.py',
+    ),
+    Fault(
+        'let all entries connect at the same time',
+        'bergamotcart/admission/_reconnecting.py',
+        (Replacement('interval_s * rng.uniform(1 - _SPREAD, 1 + _SPREAD)', 'interval_s'),),
+        'bergamotcart/admission/tests/test_reconnecting.py',
+    ),
 )
--- a/packages/bergamotcart/src/bergamotcart/admission/_queue_pace.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_queue_pace.py
@@ -10,6 +10,8 @@
 # Longest counted interval, relative to the mean. A primary that is replaced serves nothing for a
 # second or two, which says nothing about the rate before and after.
 _MAX_DEVIATION: Final = 4.0
+# Intervals between departures for each caller that comes back.
+_RETURN_SPACING: Final = 2
 # After a pause of this length, in seconds, the queue may be served at another rate.
 _FORGET_AFTER_S: Final = 10.0
 
@@ -22,7 +24,14 @@
     after the other, at the rate at which the queue is served, instead of all together.
     """
 
-    __slots__ = ('_count', '_interval_s', '_is_draining', '_last_at', '_last_return_at')
+    __slots__ = (
+        '_count',
+        '_interval_s',
+        '_is_draining',
+        '_last_at',
+        '_last_return_at',
+        '_late_since',
+    )
 
     def __init__(self) -> None:
         """Start without an estimate."""
@@ -31,6 +40,7 @@
         self._is_draining = False
         self._last_at = float('-inf')
         self._last_return_at = float('-inf')
+        self._late_since: float | None = None
 
     def record_arrival(self, now: float) -> None:
         """Record that a request has entered the empty queue.
@@ -40,6 +50,7 @@
         if now > self._last_at + _FORGET_AFTER_S:
             self._count = 0
         self._is_draining = False
+        self._late_since = None
 
     def record_departure(self, now: float) -> None:
         """Record that a request was sent from the queue.
@@ -64,13 +75,31 @@
         """
         return None if self._count < _MIN_DEPARTURES else ahead * self._interval_s
 
+    def is_standing(self, now: float, wait_s: float, objective_s: float) -> bool:
+        """Tell whether new requests have been late for longer than their objective.
+
+        Such a queue is no peak that drains by itself: it makes every request late, while the rate
+        of answers is the same with a queue that lets them be in time.
+
+        :param now: current time in seconds.
+        :param wait_s: expected wait of a new request, in seconds.
+        :param objective_s: time within which it should be served, in seconds, or 0 for none.
+        """
+        if wait_s <= objective_s or objective_s <= 0:
+            self._late_since = None
+            return False
+        if self._late_since is None:
+            self._late_since = now
+        return now >= self._late_since + objective_s
+
     def return_after_s(
         self, now: float, wait_s: float, objective_s: float, limit_s: float, rng: random.Random
     ) -> float:
         """Return the seconds after which a refused caller may come back.
 
         The queue will then have drained so far that a new request is served within its objective.
-        Callers that are refused one after the other get later times in the same order.
+        Callers that are refused one after the other get later times in the same order. They come
+        back at half the rate at which the queue is served, since others arrive as well.
 
         :param now: current time in seconds.
         :param wait_s: expected wait of a request that arrives now, in seconds.
@@ -79,7 +108,7 @@
         :param rng: spreads the callers for which no time within the limit is left.
         """
         drained_at = now + max(wait_s - objective_s, self._interval_s)
-        return_at = max(drained_at, self._last_return_at + self._interval_s)
+        return_at = max(drained_at, self._last_return_at + self._interval_s * _RETURN_SPACING)
         if return_at > now + limit_s:
             return rng.uniform(min(drained_at - now, limit_s), limit_s)
         self._last_return_at = return_at
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_queues.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_queues.py
@@ -35,8 +35,7 @@
         now = self._context.now
         if not len(queue):
             queue.pace.record_arrival(now)
-        wait_s = queue.pace.expected_wait_s(queue.count_ahead(request.priority))
-        if request.route is not None and wait_s is not None and now + wait_s > request.deadline:
+        if self._is_hopeless(queue, request):
             self._refuse(queue, request, Reason.expected_wait)
             return
         request.queue = queue
@@ -68,6 +67,15 @@
             request = self.pop_next(queue)
         return requests
 
+    def _is_hopeless(self, queue: FairQueue, request: Request) -> bool:
+        """Tell whether a request would reach its deadline, or prolong a queue that stays long."""
+        wait_s = queue.pace.expected_wait_s(queue.count_ahead(request.priority))
+        if request.route is None or wait_s is None:
+            return False
+        now = self._context.now
+        is_standing = queue.pace.is_standing(now, wait_s, request.route.target_latency_s)
+        return now + wait_s > request.deadline or (is_standing and not request.was_queued)
+
     def _refuse_removed(self, queue: FairQueue, waiter: Waiter | None, reason: Reason) -> None:
         request = None if waiter is None else self._requests.get(waiter.request_id)
         if request is not None:
