--- /dev/null
+++ b/packages/bergamotcart/src/bergamotcart/resources/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits on resources."""
