Limits on clients of all ports

The server for callers splits messages itself, as an asyncio protocol: a long message is read once memory for it is reserved, nothing is read while answers are not taken, and connections over a limit are closed, with RETRY or TOOMANY where that is true. HTTP servers reserve memory for long bodies, and limit the number of connections, the time of a request and of an answer. The MySQL port has the same limits as far as its library allows, and statements over 2048 characters are no longer cached (4096 of them were kept).

Without memory and descriptors in the settings, only the time limits (60 s for a message and for an answer) are new.

Tests of split and pipelined input compare what a connection reports for any division of the bytes with the same lines one by one.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -23,14 +23,20 @@
 from bergamotcart.outcomes import Outcome
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.callers._connection import CallerConnection
+from bergamotcart_daemon.callers._connection_limits import CallerConnectionLimits, LimitedCaller
 from bergamotcart_daemon.callers._session import (
     CallerSession,
     StatementHandler,
     UncheckedIdentityProvider,
 )
-from bergamotcart_daemon.callers._stream_reader import CallerReader
+from bergamotcart_daemon.callers._stream_reader import CallerProtocol, CallerReader
 from bergamotcart_daemon.entry import CallerFrontend
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.resources import (
+    ACCEPTED_AT_ONCE,
+    ResourceGuard,
+    limit_kernel_buffers,
+)
 
 # When another entry shuts down, all callers of a VM may reconnect here at the same time.
 _LISTEN_BACKLOG: Final = 1024
@@ -64,6 +70,7 @@
 
     :param listen: listening address, as ``host:port``.
     :param submit: takes the inputs of the engine.
+    :param guard: limits of the process and of each connection.
     """
 
     def __init__(
@@ -71,12 +78,14 @@
         listen: str,
         metrics: Metrics,
         submit: Callable[[EntryInput], None],
+        guard: ResourceGuard | None = None,
     ) -> None:
         """Store the parameters; the socket is opened at start."""
         super().__init__()
         self._listen = Address.parse(listen)
         self._metrics = metrics
         self._submit = submit
+        self._limits = CallerConnectionLimits(guard or ResourceGuard.build_unlimited(metrics))
         self._session_ids = itertools.count(1)
         self._request_ids = itertools.count(1)
         self._pending_requests: dict[int, _PendingRequest] = {}
@@ -93,8 +102,11 @@
             self._build_protocol,
             self._listen.host,
             self._listen.port,
-            backlog=_LISTEN_BACKLOG,
+            backlog=ACCEPTED_AT_ONCE if self._limits.guard.is_limited else _LISTEN_BACKLOG,
         )
+        if self._limits.guard.is_limited:
+            limit_kernel_buffers(server, _LISTEN_BACKLOG)
+        self.exit_stack.callback(self._limits.close)
         self.exit_stack.callback(server.close)
         self._listener = server
 
@@ -154,11 +166,22 @@
             pending.outcome_future.set_result(outcome)
         return pending
 
-    def _build_protocol(self) -> asyncio.StreamReaderProtocol:
-        return asyncio.StreamReaderProtocol(CallerReader(), self._serve_connection)
+    def _build_protocol(self) -> CallerProtocol:
+        return CallerProtocol(CallerReader(), self._serve_connection)
 
     async def _serve_connection(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
-        session = CallerSession(self)
+        limited = LimitedCaller(writer.transport, self._limits)
+        reader.limited = limited
+        writer.transport.get_protocol().limited = limited
+        with contextlib.ExitStack() as stack:
+            stack.callback(limited.close)
+            if self._limits.open(limited):
+                await self._serve_admitted(reader, writer, limited)
+
+    async def _serve_admitted(
+        self, reader: CallerReader, writer: asyncio.StreamWriter, limited: LimitedCaller
+    ) -> None:
+        session = CallerSession(self, lambda name: self._limits.identify(limited, name))
         connection = CallerConnection(
             stream=MysqlStream(reader, writer),
             session=session,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_session.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_session.py
@@ -1,6 +1,7 @@
 """Sessions and authentication of callers, as the MySQL library requires them."""
 
 import abc
+from collections.abc import Callable
 
 from mysql_mimic.auth import AuthInfo, AuthPlugin, AuthState, IdentityProvider, Success, User
 from mysql_mimic.session import BaseSession
@@ -32,8 +33,14 @@
 class CallerSession(BaseSession):
     """Associates a connection with a session of the engine."""
 
-    def __init__(self, handler: StatementHandler) -> None:
-        """Create the object; the session of the engine starts after the handshake."""
+    def __init__(
+        self, handler: StatementHandler, identify: Callable[[str], bool] | None = None
+    ) -> None:
+        """Create the object; the session of the engine starts after the handshake.
+
+        :param identify: counts the connection to a caller, or refuses it.
+        """
+        self._identify = identify
         self.variables = SessionVariables(_GLOBAL_VARIABLES)
         self.username: str | None = None
         self.database: str | None = None
@@ -46,7 +53,12 @@
         return self._session_id
 
     async def init(self, connection: object) -> None:
-        """Start the session of the engine after the handshake."""
+        """Start the session of the engine after the handshake.
+
+        :raises ConnectionAbortedError: if there are too many connections.
+        """
+        if self._identify is not None and not self._identify(self.username or ''):
+            raise ConnectionAbortedError('too many connections')
         self.start_engine_session()
 
     async def close(self) -> None:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_adapters.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_adapters.py
@@ -9,6 +9,7 @@
 from bergamotcart.control import ControlInput
 from bergamotcart_daemon.operators import OperatorGateway
 from bergamotcart_daemon.orders import TargetAdmin
+from bergamotcart_daemon.resources import ResourceGuard
 
 if TYPE_CHECKING:
     # Elections and leases would otherwise wait for the HTTP library to be loaded.
@@ -40,6 +41,7 @@
         gateway: OperatorGateway,
         read_leader: Callable[[], str | None],
         submit: Callable[[ControlInput], None],
+        guard: ResourceGuard,
     ) -> tuple[Service, ...]:
         """Build additional services that use HTTP, which start last; none by default."""
         return ()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
@@ -20,6 +20,7 @@
 from bergamotcart_daemon.metrics import Metrics
 from bergamotcart_daemon.operators import OperatorGateway
 from bergamotcart_daemon.orders import OrderSender
+from bergamotcart_daemon.resources import ResourceGuard
 from bergamotcart_daemon.runtime import (
     Daemon,
     DeferredServices,
@@ -45,6 +46,9 @@
         durable = state_storage.load()
         self._engine = ControlEngine(_build_configuration(settings), durable)
         self._metrics = Metrics(self._read_gauges)
+        limits = settings.limits
+        self._guard = ResourceGuard.build(limits, limits.control_shares, self._metrics)
+        self.exit_stack.callback(self._guard.budget.close)
         self._decision_log = DecisionLog()
         self.exit_stack.callback(self._decision_log.flush)
         self._engine_loop = EngineLoop(self._engine)
@@ -62,6 +66,7 @@
             translation,
             self._metrics,
             submit,
+            self._guard,
         )
         self._order_sender = OrderSender(adapters.build_admin(), submit)
         self._gateway = OperatorGateway(submit)
@@ -91,7 +96,12 @@
     def _build_http_services(self) -> tuple[Service, ...]:
         module = importlib.import_module(_HTTP_MODULE)
         services = module.ControlHttpServices(
-            self._http_listen, self._adapters, self._metrics, self._read_health, self._read_leader
+            self._http_listen,
+            self._adapters,
+            self._metrics,
+            self._read_health,
+            self._read_leader,
+            self._guard,
         )
         return services.build(self._gateway, self._engine_loop.submit)
 
@@ -135,6 +145,7 @@
     def _read_gauges(self) -> dict[str, float]:
         status = self._read_status()
         return {
+            **self._guard.read_gauges(),
             'leads': int(status.leads),
             'voter': int(status.voter),
             'voters': status.voters,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_http_services.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_http_services.py
@@ -10,6 +10,7 @@
 from bergamotcart_daemon.http import HttpServer
 from bergamotcart_daemon.metrics import Metrics
 from bergamotcart_daemon.operators import OperatorGateway
+from bergamotcart_daemon.resources import ResourceGuard
 
 
 class ControlHttpServices:
@@ -17,9 +18,10 @@
 
     :param listen: listening address of the server, as ``host:port``.
     :param read_leader: returns the name of the leader, or ``None`` if it is not known.
+    :param guard: limits of the process.
     """
 
-    __slots__ = ('_adapters', '_listen', '_metrics', '_read_health', '_read_leader')
+    __slots__ = ('_adapters', '_guard', '_listen', '_metrics', '_read_health', '_read_leader')
 
     def __init__(
         self,
@@ -28,6 +30,7 @@
         metrics: Metrics,
         read_health: Callable[[], Health],
         read_leader: Callable[[], str | None],
+        guard: ResourceGuard,
     ) -> None:
         """Store the parameters."""
         self._listen = listen
@@ -35,6 +38,7 @@
         self._metrics = metrics
         self._read_health = read_health
         self._read_leader = read_leader
+        self._guard = guard
 
     def build(
         self, gateway: OperatorGateway, submit: Callable[[ControlInput], None]
@@ -45,6 +49,6 @@
         :param submit: takes the inputs of the engine.
         """
         operator_services, routes = self._adapters.build_operators(gateway, self._read_leader)
-        services = self._adapters.build_services(gateway, self._read_leader, submit)
-        server = HttpServer(self._listen, routes, self._metrics, self._read_health)
+        services = self._adapters.build_services(gateway, self._read_leader, submit, self._guard)
+        server = HttpServer(self._listen, routes, self._metrics, self._read_health, self._guard)
         return (*operator_services, *services, server)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_adapters.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_adapters.py
@@ -9,6 +9,7 @@
 from bergamotcart import entry
 from bergamotcart_daemon.health import Health
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.resources import ResourceGuard
 from bergamotcart_daemon.targets import TargetDriver
 
 if TYPE_CHECKING:
@@ -40,10 +41,12 @@
         self,
         metrics: Metrics,
         submit: Callable[[entry.EntryInput], None],
+        guard: ResourceGuard,
     ) -> CallerFrontend:
         """Build the server for callers.
 
         :param submit: takes the inputs of the engine.
+        :param guard: limits of the process.
         """
 
     @abc.abstractmethod
@@ -58,6 +61,8 @@
         """Build additional routes of the HTTP server."""
         return ()
 
-    def build_services(self, read_health: Callable[[], Health]) -> tuple[Service, ...]:
+    def build_services(
+        self, read_health: Callable[[], Health], guard: ResourceGuard
+    ) -> tuple[Service, ...]:
         """Build additional services that use HTTP, which start after the server for callers."""
         return ()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -15,6 +15,7 @@
 from bergamotcart_daemon.health import Health
 from bergamotcart_daemon.logs import DecisionLog
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.resources import ResourceGuard
 from bergamotcart_daemon.runtime import Daemon, DeferredServices, EngineLoop, read_clock
 from bergamotcart_daemon.settings import AnnouncementPlace, EntrySettings
 from bergamotcart_daemon.targets import Targets, TargetSettings
@@ -40,6 +41,9 @@
         configuration = _build_configuration(settings)
         self._engine = entry.EntryEngine(configuration)
         self._metrics = Metrics(self._read_gauges)
+        limits = settings.limits
+        self._guard = ResourceGuard.build(limits, limits.entry_shares, self._metrics)
+        self.exit_stack.callback(self._guard.budget.close)
         self._decision_log = DecisionLog()
         self.exit_stack.callback(self._decision_log.flush)
         self._engine_loop = EngineLoop(self._engine, _TICK_SLACK_SHARE)
@@ -56,6 +60,7 @@
             translation,
             self._metrics,
             submit,
+            self._guard,
         )
         target_settings = TargetSettings(
             translation=translation,
@@ -63,7 +68,7 @@
             driver=adapters.build_driver(),
         )
         self._targets = Targets(target_settings, submit)
-        self._caller_frontend = adapters.build_callers(self._metrics, submit)
+        self._caller_frontend = adapters.build_callers(self._metrics, submit, self._guard)
         self._adapters = adapters
         self._http_services = DeferredServices(
             _HTTP_MODULE,
@@ -98,6 +103,7 @@
             self._metrics,
             self._read_health,
             self._engine_loop.submit,
+            self._guard,
         )
 
     def _build_handlers(self) -> dict[type, Callable[[Any], None]]:
@@ -138,6 +144,7 @@
     def _read_gauges(self) -> dict[str, float]:
         status = self._engine.status(read_clock())
         return {
+            **self._guard.read_gauges(),
             'lease_left_s': status.lease_left_s,
             'applied_index': status.applied_index,
             'state_age_seconds': status.state_age_s,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_flags.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_flags.py
@@ -127,5 +127,21 @@
         _ENTRY,
         'Seconds after which a draining entry rolls back open transactions; unlimited by default.',
     ),
+    Flag(
+        'memory-limit-mb',
+        _BOTH,
+        'Resident memory that the process may use, in MB; unlimited by default.',
+    ),
+    Flag(
+        'descriptor-limit',
+        _BOTH,
+        'Descriptors that the process may open; unlimited by default.',
+    ),
+    Flag(
+        'message-timeout',
+        _BOTH,
+        'Seconds for a whole message once its first byte has arrived, default 60.',
+    ),
+    Flag('answer-timeout', _BOTH, 'Seconds in which a client must take an answer, default 60.'),
     Flag('log-level', _BOTH, 'debug, info, warning or error; default info.'),
 )
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
@@ -1,12 +1,13 @@
 """Validated models of the settings of both roles."""
 
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import AfterValidator, BeforeValidator, Field, SecretStr, field_validator
 from pydantic_core.core_schema import ValidationInfo
 from pydantic_settings import BaseSettings, NoDecode, SettingsConfigDict
 
+from bergamotcart.resources import ResourceLimits
 from bergamotcart_daemon import settings
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.flags._flags import ENVIRONMENT_PREFIX
@@ -74,8 +75,26 @@
     silence_timeout: Seconds = 0.8
     announce_to: settings.AnnouncementPlace = settings.AnnouncementPlace.entry
     target_expiry: Seconds = 3.0
+    memory_limit_mb: Annotated[int, Field(ge=1)] | None = None
+    descriptor_limit: Annotated[int, Field(ge=1)] | None = None
+    message_timeout: Seconds = ResourceLimits().message_timeout_s
+    answer_timeout: Seconds = ResourceLimits().answer_timeout_s
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
 
+    def build_common(self, excluded: set[str]) -> dict[str, Any]:
+        """Return the checked settings by name.
+
+        :param excluded: fields that the caller adds itself.
+        """
+        given = self.model_dump(exclude={'role', *excluded})
+        given['limits'] = ResourceLimits(
+            memory_mb=given.pop('memory_limit_mb'),
+            max_fds=given.pop('descriptor_limit'),
+            message_timeout_s=given.pop('message_timeout'),
+            answer_timeout_s=given.pop('answer_timeout'),
+        )
+        return given
+
 
 class EntryModel(CommonModel):
     """Validates the settings of an entry."""
@@ -98,7 +117,7 @@
 
     def build(self) -> settings.MysqlEntrySettings:
         """Return the checked settings."""
-        given = self.model_dump(exclude={'role', 'session_key'})
+        given = self.build_common({'session_key'})
         key = self.session_key.get_secret_value().encode()
         return settings.MysqlEntrySettings(session_key=key, **given)
 
@@ -156,7 +175,7 @@
 
     def build(self) -> settings.ControlSettings:
         """Return the checked settings."""
-        given = self.model_dump(exclude={'role', 'admin_token'})
+        given = self.build_common({'admin_token'})
         return settings.ControlSettings(
             admin_token=self.admin_token.get_secret_value(),
             **given,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_server.py
@@ -9,10 +9,10 @@
 
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.health import Health
+from bergamotcart_daemon.http._limited_site import MAX_BODY_BYTES, LimitedServer
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.resources import ResourceGuard
 
-# The largest request body is a section of the operator document.
-MAX_BODY_BYTES: Final = 1024 * 1024
 _SHUTDOWN_TIMEOUT_S: Final = 2.0
 
 
@@ -30,6 +30,7 @@
 
     :param listen: listening address, as ``host:port``.
     :param read_health: returns the current health.
+    :param guard: limits of the process.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         routes: Sequence[web.RouteDef],
         metrics: Metrics,
         read_health: Callable[[], Health],
+        guard: ResourceGuard | None = None,
     ) -> None:
         """Store the parameters; the socket is opened at start."""
         super().__init__()
@@ -45,6 +47,7 @@
         self._routes = routes
         self._metrics = metrics
         self._read_health = read_health
+        self._guard = guard or ResourceGuard.build_unlimited(metrics)
 
     async def on_start(self) -> None:
         """Start to listen for requests."""
@@ -56,10 +59,9 @@
                 *self._routes,
             ],
         )
-        runner = web.AppRunner(application, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
-        self.async_exit_stack.push_async_callback(runner.cleanup)
-        await runner.setup()
-        await web.TCPSite(runner, self._listen.host, self._listen.port).start()
+        server = LimitedServer(application, self._guard)
+        self.async_exit_stack.push_async_callback(server.stop)
+        await server.start(self._listen.host, self._listen.port, _SHUTDOWN_TIMEOUT_S)
 
     async def _handle_health(self, request: web.Request) -> web.Response:
         health = self._read_health()
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/__init__.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/logs/__init__.py
@@ -1,5 +1,6 @@
 """JSON log lines of the daemon."""
 
 from bergamotcart_daemon.logs._logs import DecisionLog, configure_logging
+from bergamotcart_daemon.logs._rate_limited_log import RateLimitedLog
 
-__all__ = ('DecisionLog', 'configure_logging')
+__all__ = ('DecisionLog', 'RateLimitedLog', 'configure_logging')
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/protocols.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/protocols.py
@@ -16,6 +16,7 @@
 from bergamotcart_daemon.operator_api import OperatorApi
 from bergamotcart_daemon.operators import OperatorGateway
 from bergamotcart_daemon.orders import TargetAdmin
+from bergamotcart_daemon.resources import ResourceGuard
 from bergamotcart_daemon.runtime import Daemon, read_clock
 from bergamotcart_daemon.settings import ControlSettings, MysqlEntrySettings
 from bergamotcart_daemon.targets import TargetDriver
@@ -34,9 +35,10 @@
         self,
         metrics: Metrics,
         submit: Callable[[entry.EntryInput], None],
+        guard: ResourceGuard,
     ) -> CallerFrontend:
         """Build a MySQL server."""
-        return CallerServer(self._settings.mysql_listen, metrics, submit)
+        return CallerServer(self._settings.mysql_listen, metrics, submit, guard)
 
     def build_driver(self) -> TargetDriver:
         """Build a MySQL client."""
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import ClassVar
 
+from bergamotcart.resources import ResourceLimits
+
 
 @enum.unique
 class Role(enum.StrEnum):
@@ -31,6 +33,7 @@
     :param address_translation: addresses to connect to, by advertised address.
     :param silence_timeout: time without an answer after which a target counts as unreachable.
     :param target_expiry: age at which an announcement expires.
+    :param limits: limits on memory, descriptors and connections of the process.
     """
 
     name: str
@@ -45,6 +48,7 @@
     silence_timeout: float = 0.8
     announce_to: AnnouncementPlace = AnnouncementPlace.entry
     target_expiry: float = 3.0
+    limits: ResourceLimits = ResourceLimits()
     log_level: str = 'info'
 
     @property
--- a/packages/bergamotcart/src/bergamotcart/statements/_classification.py
+++ b/packages/bergamotcart/src/bergamotcart/statements/_classification.py
@@ -10,6 +10,8 @@
 import msgspec
 
 _CACHE_SIZE: Final = 4096
+# 4096 statements of 1 MiB would take all the memory of a small process.
+_MAX_CACHED_CHARS: Final = 2048
 
 # Quoted text and comments come first, so that words and semicolons inside them are ignored.
 _TOKEN_PATTERN: Final = re.compile(
@@ -122,13 +124,16 @@
     read_only: bool = False
 
 
-@functools.lru_cache(maxsize=_CACHE_SIZE)
 def classify(sql: str) -> Statement:
     """Classify a statement; a statement with an unknown verb counts as a write.
 
     :param sql: text of the statement, with or without comments.
     :returns: the classified statement.
     """
+    return _classify_cached(sql) if len(sql) <= _MAX_CACHED_CHARS else _classify(sql)
+
+
+def _classify(sql: str) -> Statement:
     words: list[str] = []
     after_separator = False
     for match in _TOKEN_PATTERN.finditer(sql):
@@ -144,6 +149,9 @@
     return _classify_words(words, sql)
 
 
+_classify_cached = functools.lru_cache(maxsize=_CACHE_SIZE)(_classify)
+
+
 def _refuse_statement(reason: str) -> Statement:
     return Statement(StatementKind.refused, transactional=False, detail=reason)
 
