--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -7,6 +7,8 @@
 _CONTROL_FUZZ: Final = 'bergamotcart/control/tests/test_fuzz.py'
 _ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
 _SYNCHRONOUS_ENTRY: Final = 'bergamotcart/entry/tests/test_synchronous_replicas.py'
+_MEMORY_BUDGET: Final = 'bergamotcart/resources/tests/test_memory_budget.py'
+_CONNECTION_SLOTS: Final = 'bergamotcart/resources/tests/test_connection_slots.py'
 _SYNCHRONOUS_CONTROL: Final = 'bergamotcart/control/tests/test_synchronous_replicas.py'
 
 
@@ -314,4 +316,42 @@
         (Replacement('            not state.is_formed\n', '            state.may_form_group\n'),),
         'bergamotcart/consensus/tests/test_formation.py',
     ),
+    Fault(
+        'admit a long message without room for it',
+        'bergamotcart/resources/_memory_budget.py',
+        (
+            Replacement(
+                'return is_reservable and self._total + size <= self._capacity', 'return True'
+            ),
+        ),
+        _MEMORY_BUDGET,
+    ),
+    Fault(
+        'close a connection of the caller that holds least',
+        'bergamotcart/resources/_memory_budget.py',
+        (Replacement('greatest = max(totals', 'greatest = min(totals'),),
+        _MEMORY_BUDGET,
+    ),
+    Fault(
+        'forget what a connection held when it is charged anew',
+        'bergamotcart/resources/_memory_budget.py',
+        (Replacement('self._total += size - holder.held', 'self._total += size'),),
+        _MEMORY_BUDGET,
+    ),
+    Fault(
+        'let a connection that is being served give way',
+        'bergamotcart/resources/_connection_slots.py',
+        (Replacement("self._identified[key] = ''", 'self._pending[key] = 0.0'),),
+        _CONNECTION_SLOTS,
+    ),
+    Fault(
+        'let a caller with more sessions displace one with fewer',
+        'bergamotcart/resources/_connection_slots.py',
+        (
+            Replacement(
+                'if counts[greatest] <= counts.get(share, 0) + 1:', 'if share not in counts:'
+            ),
+        ),
+        _CONNECTION_SLOTS,
+    ),
 )
