--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection_limits.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection_limits.py
@@ -4,17 +4,15 @@
 import logging
 from typing import Final
 
-from bergamotcart.resources import ConnectionSlots
+from bergamotcart.resources import MAX_MESSAGE_BYTES, ConnectionSlots
 from bergamotcart_daemon.callers._errors import CallerError
 from bergamotcart_daemon.logs import RateLimitedLog
 from bergamotcart_daemon.resources import BudgetMember, ResourceGuard, Timeouts
 
-# Where memory is limited, no longer command is received.
-_MAX_COMMAND_BYTES: Final = 1024 * 1024
 # A longer command is received only after memory for it has been reserved.
 _UNRESERVED_BYTES: Final = 65_536
 # A command is held as received, as text, and as encoded for the target.
-_RESERVED_BYTES: Final = 4 * _MAX_COMMAND_BYTES
+_RESERVED_BYTES: Final = 4 * MAX_MESSAGE_BYTES
 _TOO_MANY: Final = CallerError(1040, '08004', 'too many connections; verdict=not_run')
 
 _logger = logging.getLogger(__name__)
@@ -127,7 +125,7 @@
         """
         if not self._limits.guard.is_limited:
             return
-        if size > _MAX_COMMAND_BYTES:
+        if size > self._limits.guard.limits.max_message_bytes:
             self.abort('caller_message_too_long')
             raise ConnectionAbortedError(f'command of {size} bytes')
         self._limits.start_message(self)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -40,8 +40,6 @@
 
 # When another entry shuts down, all callers of a VM may reconnect here at the same time.
 _LISTEN_BACKLOG: Final = 1024
-# A connection that has not logged in after this time is closed.
-_HANDSHAKE_TIMEOUT_S: Final = 10.0
 # A caller whose VM is lost does not close its connection; keepalive probes detect that.
 _KEEPALIVE_OPTIONS: Final = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -194,7 +192,7 @@
         for option in _KEEPALIVE_OPTIONS:
             writer.get_extra_info('socket').setsockopt(*option)
         handshake_timer = asyncio.get_running_loop().call_later(
-            _HANDSHAKE_TIMEOUT_S,
+            self._limits.guard.limits.startup_timeout_s,
             _close_without_session,
             session,
             writer,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_caller_limits.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/tests/test_caller_limits.py
@@ -15,9 +15,10 @@
 from bergamotcart_daemon.resources import ResourceGuard
 
 _MAX_CALLERS = 4
-_LOST_CONNECTION_CODES = {2006, 2013}
+_LOST_CONNECTION_CODES = frozenset((2006, 2013))
 _TIMEOUT_S = 5
-_COMMAND_HEADER = (900_000).to_bytes(3, 'little') + b'\0'
+# Length and number of a packet whose rest does not follow.
+_COMMAND_HEADER = (900_000).to_bytes(4, 'little')
 
 
 class _Engine:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_flags.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_flags.py
@@ -143,5 +143,12 @@
         'Seconds for a whole message once its first byte has arrived, default 60.',
     ),
     Flag('answer-timeout', _BOTH, 'Seconds in which a client must take an answer, default 60.'),
+    Flag('startup-timeout', _BOTH, 'Seconds in which a caller must log in, default 10.'),
+    Flag(
+        'max-message-bytes',
+        _BOTH,
+        'Greatest size of a command of a caller where memory or descriptors are limited, '
+        'default and maximum 1048576.',
+    ),
     Flag('log-level', _BOTH, 'debug, info, warning or error; default info.'),
 )
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
@@ -7,7 +7,7 @@
 from pydantic_core.core_schema import ValidationInfo
 from pydantic_settings import BaseSettings, NoDecode, SettingsConfigDict
 
-from bergamotcart.resources import ResourceLimits
+from bergamotcart.resources import MAX_MESSAGE_BYTES, ResourceLimits
 from bergamotcart_daemon import settings
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.flags._flags import ENVIRONMENT_PREFIX
@@ -79,6 +79,8 @@
     descriptor_limit: Annotated[int, Field(ge=1)] | None = None
     message_timeout: Seconds = ResourceLimits().message_timeout_s
     answer_timeout: Seconds = ResourceLimits().answer_timeout_s
+    startup_timeout: Seconds = ResourceLimits().startup_timeout_s
+    max_message_bytes: Annotated[int, Field(ge=1, le=MAX_MESSAGE_BYTES)] = MAX_MESSAGE_BYTES
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
 
     def build_common(self, excluded: set[str]) -> dict[str, Any]:
@@ -92,6 +94,8 @@
             max_fds=given.pop('descriptor_limit'),
             message_timeout_s=given.pop('message_timeout'),
             answer_timeout_s=given.pop('answer_timeout'),
+            startup_timeout_s=given.pop('startup_timeout'),
+            max_message_bytes=given.pop('max_message_bytes'),
         )
         return given
 
--- a/packages/bergamotcart/src/bergamotcart/resources/_limits.py
+++ b/packages/bergamotcart/src/bergamotcart/resources/_limits.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+MAX_MESSAGE_BYTES: Final = 1024 * 1024
 _BYTES_PER_MB: Final = 1_000_000
 # A process with its modules, its tables and a few hundred sessions needs 50 to 90 MB.
 _PROCESS_BYTES: Final = 95 * _BYTES_PER_MB
@@ -34,12 +35,16 @@
     :param message_timeout_s: seconds for a whole message once its first byte has arrived. A message
         of 1 MiB takes 4.2 s over a link of 2 Mbit/s.
     :param answer_timeout_s: seconds in which a client must take an answer.
+    :param startup_timeout_s: seconds in which a caller must identify itself.
+    :param max_message_bytes: greatest size of a message of a caller, at most 1 MiB.
     """
 
     memory_mb: Annotated[int, msgspec.Meta(ge=1)] | None = None
     max_fds: Annotated[int, msgspec.Meta(ge=1)] | None = None
     message_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = _DEFAULT_TIMEOUT_S
     answer_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = _DEFAULT_TIMEOUT_S
+    startup_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    max_message_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_MESSAGE_BYTES)] = MAX_MESSAGE_BYTES
 
     @property
     def connection_bytes(self) -> int | None:
