Routing: decision on the share of reads that leave a zone

Cause: each entry decides on its own by load and fixed penalties when a read leaves its availability zone, whatever that costs, and all do so at once.

Change: ZoneSpillover decides for all zones from their waits, departure rates and path latencies whether a read saves more than a stated price.

--- a/packages/bergamotcart/src/bergamotcart/routing/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/routing/__init__.py
@@ -12,6 +12,14 @@
     choose_instance,
     route_read,
 )
+from bergamotcart.routing._zone_spillover import (
+    ShareChange,
+    ShareReason,
+    SpilloverSettings,
+    ZoneMeasure,
+    ZoneShare,
+    ZoneSpillover,
+)
 
 __all__ = (
     'REASON_CATCH_UP',
@@ -22,6 +30,12 @@
     'ReplicaCandidate',
     'RoutingAction',
     'RoutingDecision',
+    'ShareChange',
+    'ShareReason',
+    'SpilloverSettings',
+    'ZoneMeasure',
+    'ZoneShare',
+    'ZoneSpillover',
     'choose_instance',
     'route_read',
 )
--- a/packages/bergamotcart/src/bergamotcart/routing/_read_routing.py
+++ b/packages/bergamotcart/src/bergamotcart/routing/_read_routing.py
@@ -174,6 +174,7 @@
     :param load: statements running and queued per allowed connection.
     :param rank: tie-breaker from 0 to 1; it differs between processes, so that they do not all
         choose the same instance.
+    :param zone: its availability zone.
     """
 
     key: TargetKey
@@ -184,6 +185,7 @@
     load: float
     own_region: bool = False
     rank: float = 0.0
+    zone: str = ''
 
     @property
     def reason(self) -> str:
@@ -207,14 +209,33 @@
         return cost + _FAILED_PENALTY * self.has_failed
 
 
-def choose_instance(candidates: Sequence[InstanceCandidate]) -> InstanceCandidate | None:
+def choose_instance(
+    candidates: Sequence[InstanceCandidate], preferred_zone: str | None = None
+) -> InstanceCandidate | None:
     """Choose the instance for a read that carries the position it needs.
 
     :param candidates: instances that accept new statements.
+    :param preferred_zone: zone whose replicas are chosen whatever their load, unless they have
+        failed the read; ``None`` if the cost alone decides.
     :returns: the chosen instance, or ``None`` if there is none.
     """
     return min(
         candidates,
-        key=lambda candidate: (candidate.cost, candidate.rank, candidate.key),
+        key=lambda candidate: (
+            _is_outside(candidate, preferred_zone),
+            candidate.cost,
+            candidate.rank,
+            candidate.key,
+        ),
         default=None,
     )
+
+
+def _is_outside(candidate: InstanceCandidate, preferred_zone: str | None) -> bool:
+    """Tell whether others are chosen first because a zone is preferred.
+
+    The primary is, since only the primary can execute writes.
+    """
+    if preferred_zone is None:
+        return False
+    return candidate.zone != preferred_zone or candidate.is_primary or candidate.has_failed
