Reads leave their zone by a share that control decides

Cause: entries of a zone must decide together, and a price must be stated.

The leader sends the zone's share with each grant; entries that have one report waits, rates and fastest answers by zone twice a second. The share is applied by a running remainder and ends with its grant. A new leader continues with the shares that entries report. All new fields are UNSET without a price, so messages and sections have the same bytes as before.

--- a/packages/bergamotcart/src/bergamotcart/control/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_configuration.py
@@ -27,6 +27,8 @@
     :param tolerated_losses: number of members that may be lost at once. Newcomers are admitted
         until there are enough voters for that, and replace members that are gone. ``None``
         leaves all changes of members to the operator.
+    :param cross_zone_cost_ms: milliseconds that a read must save in another availability zone,
+        where the operator document states none; ``None`` for no price.
     """
 
     name: str
@@ -47,6 +49,7 @@
     may_bootstrap: bool = True
     started_at: float | None = None
     tolerated_losses: int | None = None
+    cross_zone_cost_ms: float | None = None
 
 
 class ControlStepResult(msgspec.Struct, frozen=True):
@@ -69,6 +72,8 @@
     :param voters: number of voters of the replicated log.
     :param seconds_without_leader: seconds for which this member has known no leader.
     :param revision: revision of the document that this member has applied.
+    :param zone_shares: share of the reads that leave each availability zone, as the leader has
+        decided where a price of traffic between zones is stated.
     """
 
     leader: str | None
@@ -79,3 +84,4 @@
     revision: int
     voters: int = 0
     seconds_without_leader: float = 0
+    zone_shares: dict[str, float] = msgspec.field(default_factory=dict)
--- a/packages/bergamotcart/src/bergamotcart/control/_leases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leases.py
@@ -14,6 +14,7 @@
 from bergamotcart.control._record_application import is_retired
 from bergamotcart.control._state_updates import push_state_before_admission, push_state_update
 from bergamotcart.control._step_context import StepContext
+from bergamotcart.control._zone_traffic import grant_zone_share, record_zone_report
 
 # An entry that renews its lease again within this time keeps its roster row.
 ENTRY_IDLE_TIMEOUT_S: Final = 60.0
@@ -48,6 +49,7 @@
         _refuse_lease(context, envelope, request, context.leadership.reason)
         return
     entry_status = context.local.entries.record_request(envelope, request, context.now)
+    record_zone_report(context, entry_status.key, entry_status.availability_zone, request)
     pull_announcements_from_entry(context, entry_status)
     reason = _find_refusal_reason(context, entry_status, request)
     if reason == _NOT_IN_ROSTER:
@@ -138,6 +140,7 @@
         reports_version=entry_status.reports_version,
         heads=find_primary_positions(context),
         suspects=tuple(sorted(context.local.suspected_primary_groups)),
+        zone_share=grant_zone_share(context, entry_status.availability_zone),
     )
     context.send(entry_status.key.name, entry_status.address, grant)
 
--- a/packages/bergamotcart/src/bergamotcart/control/_local_tables.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local_tables.py
@@ -9,6 +9,7 @@
 from bergamotcart.control._orders import OrderTable
 from bergamotcart.control._proposals import Proposals
 from bergamotcart.control._roster_changes import RosterChanges
+from bergamotcart.control._zone_traffic import ZoneTraffic
 
 
 @dataclass(slots=True)
@@ -27,6 +28,7 @@
     :param members_pulled_at: time of the newest pull from the other members.
     :param members_heard_at: send time of the newest answered pull, by member.
     :param positions_polled_at: time at which the primaries were last asked for their positions.
+    :param zone_traffic: shares of reads that leave their availability zone.
     """
 
     proposals: Proposals
@@ -46,6 +48,7 @@
     members_pulled_at: float = 0
     members_heard_at: dict[str, float] = field(default_factory=dict)
     positions_polled_at: float = 0
+    zone_traffic: ZoneTraffic = field(default_factory=ZoneTraffic)
 
     def reset_for_leadership(self, now: float, former_lease_end: float) -> None:
         """Reset the tables when this member becomes the leader.
@@ -68,4 +71,5 @@
         self.last_cleanup_at = now
         self.members_pulled_at = 0
         self.positions_polled_at = 0
+        self.zone_traffic.clear()
         self.suspected_primary_groups = frozenset()
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -32,6 +32,7 @@
 from bergamotcart.control._state import ReplicatedState, decode_state, encode_state
 from bergamotcart.control._state_updates import handle_state_ack, push_state_updates
 from bergamotcart.control._step_context import StepContext
+from bergamotcart.control._zone_traffic import decide_zone_shares
 from bergamotcart.discovery import TargetKey, TargetTable, answer_pull
 
 # A snapshot is taken after this many records; replaying them at a start takes a few milliseconds.
@@ -128,6 +129,9 @@
             term=self._node.term,
             commit_index=self._node.commit_index,
             revision=self._state.revision,
+            zone_shares={
+                zone: share.share for zone, share in self._local.zone_traffic.shares.items()
+            },
         )
 
     def _step_consensus(self, now: float, pending_inputs: tuple[events.ControlInput, ...]) -> None:
@@ -253,6 +257,7 @@
             remove_expired_instances(context)
         advance_groups(context)
         poll_primary_positions(context)
+        decide_zone_shares(context)
 
     def _process_consensus_outputs(self, context: StepContext) -> None:
         """Emit the outputs of the replicated log and apply the committed records."""
@@ -296,6 +301,7 @@
         context.leadership = find_leadership(self._node, self._state, context.now)
         if change.role != consensus.Role.leader:
             self._local.proposals.clear()
+            self._local.zone_traffic.clear()
             self._operator_requests.fail_pending(context)
         context.publish_decision(
             Decision(
--- a/packages/bergamotcart/src/bergamotcart/documents/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/__init__.py
@@ -20,6 +20,7 @@
 from bergamotcart.documents._schema import (
     Acknowledgement,
     Consistency,
+    CostMilliseconds,
     Fencing,
     GroupSettings,
     InsufficientInstances,
@@ -45,6 +46,7 @@
     'ChangeOutcome',
     'Conflict',
     'Consistency',
+    'CostMilliseconds',
     'Document',
     'DocumentError',
     'Fencing',
--- a/packages/bergamotcart/src/bergamotcart/documents/_document.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_document.py
@@ -52,6 +52,7 @@
     """
 
     __slots__ = (
+        '_cross_zone_cost_ms',
         '_groups',
         '_operations',
         '_owners',
@@ -74,6 +75,7 @@
         self._owners: dict[str, str] = {}
         self._routes: dict[str, ResolvedRoute] = {}
         self._workspaces = WorkspaceDirectory()
+        self._cross_zone_cost_ms: float | None = None
         self.revision = revision
         problems = [
             problem for name in sorted(bodies) for problem in self._add_section(name, bodies[name])
@@ -118,6 +120,11 @@
         """Return the route of a database name, or ``None`` if there is none."""
         return self._routes.get(database)
 
+    @property
+    def cross_zone_cost_ms(self) -> float | None:
+        """Milliseconds that a read must save in another availability zone, or ``None``."""
+        return self._cross_zone_cost_ms
+
     @property
     def has_workspaces(self) -> bool:
         """Whether callers belong to workspaces and need a key, except on public routes."""
@@ -164,6 +171,8 @@
         return []
 
     def _add_routes(self, name: str, body: schema.RoutesBody) -> list[Problem]:
+        if body.cross_zone_cost_ms is not msgspec.UNSET:
+            self._cross_zone_cost_ms = body.cross_zone_cost_ms
         problems: list[Problem] = []
         for index, route in enumerate(body.routes):
             path = f'sections.{name}.routes[{index}]'
--- a/packages/bergamotcart/src/bergamotcart/documents/_schema.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_schema.py
@@ -10,6 +10,7 @@
 Name = Annotated[str, msgspec.Meta(pattern='^[A-Za-z0-9_.-]{1,64}$')]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=31_536_000)]
+CostMilliseconds = Annotated[float, msgspec.Meta(ge=0, le=60_000)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Sha256Hex = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
 
@@ -288,11 +289,14 @@
     The body is JSON, which parses much faster than YAML, as there may be hundreds of routes.
 
     :param idle_in_transaction_s: maximum pause inside a transaction, in seconds.
+    :param cross_zone_cost_ms: milliseconds that a read must save in another availability zone to
+        be sent there; left out if no price is stated, so that older releases read the section.
     """
 
     routes: tuple[Route, ...]
     groups: dict[str, GroupSettings]
     idle_in_transaction_s: Seconds = 5.0
+    cross_zone_cost_ms: CostMilliseconds | msgspec.UnsetType = msgspec.UNSET
 
 
 SectionBody = GroupsBody | PoliciesBody | OperationsBody | OwnersBody | RoutesBody | WorkspacesBody
--- a/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
@@ -70,6 +70,9 @@
         infinite before the first confirmation.
     :param open_connections: connections to targets that are open or being opened.
     :param opened_connections: connections to targets opened since the start.
+    :param cross_zone_share: share of reads that leave the availability zone, or ``None`` if control
+        has granted none lately.
+    :param cross_zone_reads: reads that instances of other zones answered while shares were granted.
     """
 
     health: EntryHealth
@@ -82,3 +85,5 @@
     open_connections: int = 0
     opened_connections: int = 0
     state_age_s: float = 0
+    cross_zone_share: float | None = None
+    cross_zone_reads: int = 0
--- a/packages/bergamotcart/src/bergamotcart/entry/_context.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_context.py
@@ -15,6 +15,7 @@
 from bergamotcart.entry._lease import LeaseHolder
 from bergamotcart.entry._lease_watch import LeaseWatch
 from bergamotcart.entry._timers import Timer, Timers
+from bergamotcart.entry._zone_reads import ZoneReads
 from bergamotcart.outcomes import NotRun, Reason
 
 _CONTROL_RETRY_AFTER_S: Final = 1.0
@@ -45,6 +46,7 @@
         'targets',
         'timers',
         'control_view',
+        'zone_reads',
     )
 
     def __init__(self, configuration: EntryConfiguration) -> None:
@@ -63,6 +65,7 @@
         self.lease = LeaseHolder(configuration.drift_margin)
         self.lease_watch = LeaseWatch()
         self.targets = TargetTable(configuration.target_expiry_s)
+        self.zone_reads = ZoneReads(configuration.availability_zone, self.targets, self.random)
 
     @property
     def lease_valid(self) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from bergamotcart import messages
+from bergamotcart.discovery import TargetKey
 from bergamotcart.documents import DocumentError
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._freeze_acknowledgement import FreezeAcknowledgement
@@ -27,6 +28,10 @@
 # Limits the requests that a target with unstable reachability causes. With more of them, the
 # leader would answer lease requests so late that no lease could be renewed in time.
 _MAX_CHANGE_REPORTS_PER_S: Final = 10.0
+# Least time between probes that measure the path to another zone, and the number of entries up to
+# which each may send them at this interval.
+_PATH_PROBE_INTERVAL_S: Final = 5.0
+_FULL_RATE_ENTRIES: Final = 16
 # Least time between requests for the whole state, which may be refused as well.
 _WHOLE_STATE_INTERVAL_S: Final = 2.0
 
@@ -109,6 +114,7 @@
             self._answer_due_at = now + self._answer_timeout_s
         self._requested_at = now
         self._context.lease.record_request(now)
+        self._update_zone_reads()
         request = self._build_request()
         recipients = self._recipients()
         self._context.lease_watch.record_request(recipients)
@@ -139,6 +145,7 @@
         self._context.lease_watch.record_grant(envelope.sender, accepted=accepted)
         if not accepted:
             return
+        self._accept_zone_share(grant)
         self._renew_after_s = grant.renew_after_s
         self._delivered_reports = (envelope.sender, grant.reports_version)
         if grant.echo_sent_at > self._granted_request_at:
@@ -291,8 +298,33 @@
             reports_version=version,
             quota_use=self._limiters.quota_use(),
             needs_whole_state=self._needs_whole_state,
+            zone_report=self._context.zone_reads.build_report(
+                self._context.now, self._count_waiting_reads
+            ),
         )
 
+    def _count_waiting_reads(self, key: TargetKey) -> int | None:
+        return len(self._limiters.get(key).queue) if self._monitor.is_reachable(key) else None
+
+    def _update_zone_reads(self) -> None:
+        """Report an expired share, and probe a zone whose answer times are not known."""
+        zone_reads = self._context.zone_reads
+        if zone_reads.end_expired_share(self._context.now):
+            self._context.publish_decision('zone_shares', 'fall_back', 'expired')
+        entries = len(self._context.control_view.entries)
+        interval_s = _PATH_PROBE_INTERVAL_S * max(1.0, entries / _FULL_RATE_ENTRIES)
+        unmeasured = zone_reads.find_unmeasured(self._context.now, interval_s)
+        if unmeasured is not None:
+            self._monitor.probe_now(unmeasured)
+
+    def _accept_zone_share(self, grant: messages.LeaseGrant) -> None:
+        if self._context.zone_reads.accept_grant(grant):
+            share = grant.zone_share or messages.GrantedZoneShare()
+            destination = share.destination or 'no zone'
+            self._context.publish_decision(
+                'zone_shares', 'apply', 'granted', detail=f'{share.share:.2f} to {destination}'
+            )
+
     def _known_members(self) -> tuple[tuple[str, str], ...]:
         # The members in the control state may all have been replaced, also under their names, so
         # those of the settings are included.
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -59,7 +59,7 @@
             inputs.SessionClosed: self._close_session,
             inputs.RequestArrived: self._handle_request,
             inputs.ExecutionFinished: self._components.executions.finish_execution,
-            inputs.ProbeFinished: self._components.monitor.finish_probe,
+            inputs.ProbeFinished: self._finish_probe,
             inputs.ConnectionCount: self._update_connection_count,
             inputs.PinLost: self._on_pin_lost,
             inputs.DrainRequested: self._start_drain,
@@ -100,6 +100,7 @@
         :param now: time of the monotonic clock, in seconds.
         """
         context, view = self._context, self._context.control_view
+        zone_share = context.zone_reads.share(now)
         if context.draining:
             health = EntryHealth.draining
         else:
@@ -119,6 +120,8 @@
             open_connections=self._components.limiters.open_connections,
             opened_connections=self._components.limiters.opened_connections,
             state_age_s=context.lease.state_age(now),
+            cross_zone_share=None if zone_share is None else zone_share.share,
+            cross_zone_reads=context.zone_reads.reads_sent_away,
         )
 
     def _start(self) -> None:
@@ -224,6 +227,12 @@
             self._components.request_handlers.transactions.abort(session, 'session_closed')
             self._components.cancel_waiting_requests(session)
 
+    def _finish_probe(self, finished: inputs.ProbeFinished) -> None:
+        context = self._context
+        if finished.report is not None:
+            context.zone_reads.record_probe(finished.target, context.now, finished.sent_at)
+        self._components.monitor.finish_probe(finished)
+
     def _on_pin_lost(self, lost: inputs.PinLost) -> None:
         session = self._components.sessions.get(lost.session_id)
         if session is not None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -214,6 +214,9 @@
             self._limiters.record_refusal(running.limiter, is_over_limit=is_over_limit)
         elif finished.status is ExecutionStatus.completed:
             running.limiter.refusals = 0
+            now = self._context.now
+            answer_s = now - running.started_at
+            self._context.zone_reads.record_answer(target, running.request, now, answer_s)
         if finished.status is not ExecutionStatus.completed:
             self._publish_failed_attempt(running, finished)
         if finished.connection_refused and finished.status is ExecutionStatus.not_sent:
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -53,6 +53,10 @@
     :param prepared: prepared statement that it executes, if any.
     :param capacity_refusals: number of attempts that a full instance has refused.
     :param failed_targets: instances that refused the read or could not be reached for it.
+    :param preferred_zone: availability zone that should serve the read, by the share of reads that
+        leave their zone, if one is in force.
+    :param placed_at: time since which the read waits for an instance or its answer, in seconds, if
+        it is measured.
     """
 
     request_id: int
@@ -86,6 +90,8 @@
     prepared: PreparedShape | None = None
     capacity_refusals: int = 0
     failed_targets: set[TargetKey] = msgspec.field(default_factory=set)
+    preferred_zone: str | None = None
+    placed_at: float | None = None
 
     @property
     def has_used_attempts(self) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -21,7 +21,7 @@
 from bergamotcart.entry._writes import BEGIN, NOT_RUN_ERRORS, ROLLBACK
 from bergamotcart.executions import ExecutionStatus, Step
 from bergamotcart.outcomes import ErrorKind, Ran, Reason
-from bergamotcart.routing import InstanceCandidate, choose_instance
+from bergamotcart.routing import InstanceCandidate
 
 # A request added to ``ReportWaits`` with this time is not resumed by the answer to any probe.
 _NO_PROBE_S: Final = float('inf')
@@ -124,18 +124,20 @@
             for target in self._context.targets.list_group(request.group)
             if (candidate := self._build_candidate(request, target, floor)) is not None
         ]
-        chosen = choose_instance(candidates)
+        chosen = self._context.zone_reads.choose(request, candidates, self._context.now)
         if chosen is None:
             self._wait_for_candidate(request)
             return
-        paced = self._pace_primary_read(chosen, candidates) if chosen.is_primary else chosen
+        paced = chosen
+        if chosen.is_primary:
+            paced = self._pace_primary_read(request, chosen, candidates)
         if paced is None:
             self._refuse_paced_read(request, chosen.key)
         else:
             self._send_read(request, paced.key, floor, paced.reason)
 
     def _pace_primary_read(
-        self, primary: InstanceCandidate, candidates: list[InstanceCandidate]
+        self, request: Request, primary: InstanceCandidate, candidates: list[InstanceCandidate]
     ) -> InstanceCandidate | None:
         """Return the primary, or a replica if the primary must keep its slots for other statements.
 
@@ -143,7 +145,8 @@
         """
         pacer = self._limiters.get(primary.key).read_pacer
         if pacer.delay_s(self._context.now) > 0:
-            return choose_instance([each for each in candidates if not each.is_primary])
+            replicas = [each for each in candidates if not each.is_primary]
+            return self._context.zone_reads.choose(request, replicas, self._context.now)
         pacer.record_read(self._context.now, self._context.random)
         return primary
 
@@ -195,6 +198,7 @@
                 target.announcement.availability_zone
             ),
             rank=self._limiters.get(key).rank,
+            zone=target.announcement.availability_zone,
         )
 
     def _send_read(
@@ -239,6 +243,8 @@
         if request.done:
             return
         status, error = finished.status, finished.error
+        # Another attempt is measured on its own.
+        request.placed_at = None
         if status is ExecutionStatus.completed:
             self._finish_completed(running, finished)
         elif status is ExecutionStatus.not_sent:
--- a/packages/bergamotcart/src/bergamotcart/messages/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/__init__.py
@@ -24,6 +24,7 @@
 from bergamotcart.messages._control import (
     ControlMemberRow,
     EntryRow,
+    GrantedZoneShare,
     GroupPhase,
     GroupRow,
     LeaseGrant,
@@ -37,6 +38,8 @@
     StateAck,
     StateUpdate,
     TargetReport,
+    ZoneFigures,
+    ZoneReport,
 )
 from bergamotcart.messages._discovery import (
     Announcement,
@@ -66,6 +69,7 @@
     'DecodeError',
     'EntryRow',
     'Envelope',
+    'GrantedZoneShare',
     'GroupPhase',
     'GroupRow',
     'JoinRequest',
@@ -93,6 +97,8 @@
     'TargetRole',
     'VoteRequest',
     'VoteResponse',
+    'ZoneFigures',
+    'ZoneReport',
     'decode',
     'decode_external',
     'encode',
--- a/packages/bergamotcart/src/bergamotcart/messages/_control.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/_control.py
@@ -117,6 +117,49 @@
     lent: int
 
 
+class ZoneFigures(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Reads of one entry at the instances of one availability zone, since its last report.
+
+    :param reads: reads that these instances have answered.
+    :param wait_s: mean time from the choice of the instance to its answer, in seconds.
+    :param waiting: reads that wait for a free slot.
+    :param fastest_s: shortest time in which they answered a statement lately, in seconds, or
+        ``None`` without an answer.
+    """
+
+    zone: str
+    reads: int = 0
+    wait_s: float = 0.0
+    waiting: int = 0
+    fastest_s: float | None = None
+
+
+class GrantedZoneShare(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Share of the reads of an availability zone that another zone serves.
+
+    :param destination: zone that receives them; empty if all stay.
+    :param share: from 0 to 1.
+    """
+
+    destination: str = ''
+    share: float = 0.0
+
+
+class ZoneReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Figures of one entry for the decision on the shares of reads that leave their zone.
+
+    :param window_s: time that the figures cover, in seconds.
+    :param arrived: reads of callers, wherever they were sent.
+    :param applied: share that the entry was granted last, for a new leader.
+    :param zones: figures of each zone with an instance that the entry can reach.
+    """
+
+    window_s: float
+    arrived: int = 0
+    applied: GrantedZoneShare = GrantedZoneShare()
+    zones: tuple[ZoneFigures, ...] = ()
+
+
 class LeaseRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Asks control to renew an entry's lease.
 
@@ -126,6 +169,8 @@
     :param reports: reachability of all targets, or ``None`` if control has this version.
     :param reports_version: version of the reports; the entry raises it with each change.
     :param needs_whole_state: whether the entry could not apply an update with changed rows only.
+    :param zone_report: figures of reads by zone, if the last grant contained a share; left out of
+        the encoded message otherwise.
     """
 
     sent_at: float
@@ -138,6 +183,7 @@
     reports_version: int = 0
     quota_use: tuple[QuotaUse, ...] = ()
     needs_whole_state: bool = False
+    zone_report: ZoneReport | msgspec.UnsetType = msgspec.UNSET
 
 
 class PrimaryPosition(msgspec.Struct, frozen=True, kw_only=True):
@@ -165,6 +211,8 @@
     :param heads: newest log positions of the primaries whose answers contain positions.
     :param suspects: groups whose primary the control leader or some entry cannot reach; the entry
         should probe it itself.
+    :param zone_share: share of the entry's reads that leave its zone, if a price of traffic
+        between zones is stated; left out of the encoded message otherwise.
     """
 
     echo_sent_at: float
@@ -176,6 +224,7 @@
     reports_version: int = 0
     heads: tuple[PrimaryPosition, ...] = ()
     suspects: tuple[str, ...] = ()
+    zone_share: GrantedZoneShare | msgspec.UnsetType = msgspec.UNSET
 
 
 class LeaseRefusal(msgspec.Struct, frozen=True, kw_only=True, tag=True):
