--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
@@ -142,6 +142,7 @@
             'term': status.term,
             'commit_index': status.commit_index,
             'revision': status.revision,
+            **{f'cross_zone_share_{zone}': share for zone, share in status.zone_shares.items()},
         }
 
 
@@ -162,6 +163,7 @@
         may_bootstrap=settings.found_domain,
         started_at=read_process_start(),
         tolerated_losses=settings.tolerated_losses,
+        cross_zone_cost_ms=settings.cross_zone_cost_ms,
         targets_announce_to_control=settings.announce_to is AnnouncementPlace.control,
         leader_heartbeat_interval_s=settings.leader_heartbeat,
         election_timeout_s=(settings.election_timeout_min, settings.election_timeout_max),
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -137,7 +137,7 @@
 
     def _read_gauges(self) -> dict[str, float]:
         status = self._engine.status(read_clock())
-        return {
+        gauges = {
             'lease_left_s': status.lease_left_s,
             'applied_index': status.applied_index,
             'state_age_seconds': status.state_age_s,
@@ -148,6 +148,10 @@
             'opened_connections': status.opened_connections,
             'serving': int(status.health == entry.EntryHealth.serving),
         }
+        if status.cross_zone_share is not None:
+            gauges['cross_zone_share'] = status.cross_zone_share
+            gauges['cross_zone_reads'] = status.cross_zone_reads
+        return gauges
 
 
 def _build_configuration(settings: EntrySettings) -> entry.EntryConfiguration:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_flags.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_flags.py
@@ -104,6 +104,12 @@
         'Control members that may fail at the same time; new members join automatically until '
         'there are enough voters for that. By default, the operator changes the members.',
     ),
+    Flag(
+        'cross-zone-cost-ms',
+        _CONTROL,
+        'Milliseconds that a read must save in another availability zone to be sent there, where '
+        'the operator document states none; without it, the load alone decides.',
+    ),
     Flag('admin-token', _CONTROL, 'Bearer token of the administrator.'),
     Flag('lease-duration', _CONTROL, 'Length of a lease in seconds, default 1.0.'),
     Flag('lease-renewal', _CONTROL, 'Seconds between lease renewals, default 0.25.'),
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/flags/_models.py
@@ -110,6 +110,7 @@
     data_folder: Path
     found_domain: bool = True
     tolerated_losses: Annotated[int, Field(ge=0, le=10)] | None = None
+    cross_zone_cost_ms: Annotated[float, Field(ge=0, le=60_000)] | None = None
     admin_token: Annotated[SecretStr, Field(min_length=1)]
     lease_duration: Seconds = 1.0
     lease_renewal: Seconds = 0.25
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
@@ -88,6 +88,8 @@
     :param found_domain: whether the control members may form a new control domain.
     :param tolerated_losses: members that may fail at the same time; ``None`` leaves all changes
         of members to the operator.
+    :param cross_zone_cost_ms: milliseconds that a read must save in another availability zone,
+        where the operator document states none; ``None`` for no price.
     """
 
     role: ClassVar[Role] = Role.control
@@ -96,6 +98,7 @@
     control_zone: dict[str, str] = field(default_factory=dict)
     found_domain: bool = True
     tolerated_losses: int | None = None
+    cross_zone_cost_ms: float | None = None
     lease_duration: float = 1.0
     lease_renewal: float = 0.25
     leader_heartbeat: float = 0.1
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -6,6 +6,9 @@
 _CONSENSUS_FUZZ: Final = 'bergamotcart/consensus/tests/test_fuzz.py'
 _CONTROL_FUZZ: Final = 'bergamotcart/control/tests/test_fuzz.py'
 _ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
+_SPILLOVER: Final = 'bergamotcart/routing/tests/test_zone_spillover.py'
+_ZONE_READS: Final = 'bergamotcart/entry/tests/test_zone_reads.py'
+_ZONE_TRAFFIC: Final = 'bergamotcart/control/tests/test_zone_traffic.py'
 _SYNCHRONOUS_ENTRY: Final = 'bergamotcart/entry/tests/test_synchronous_replicas.py'
 _SYNCHRONOUS_CONTROL: Final = 'bergamotcart/control/tests/test_synchronous_replicas.py'
 
@@ -314,4 +317,195 @@
         (Replacement('            not state.is_formed\n', '            state.may_form_group\n'),),
         'bergamotcart/consensus/tests/test_formation.py',
     ),
+    Fault(
+        'zone share: let a zone that receives reads send some',
+        'bergamotcart/routing/_zone_spillover.py',
+        (
+            Replacement(
+                'destination not in self._shares and not receives',
+                'destination not in self._shares',
+            ),
+        ),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: let a zone send to one that sends',
+        'bergamotcart/routing/_zone_spillover.py',
+        (
+            Replacement(
+                'zone != destination and destination not in self._shares and',
+                'zone != destination and',
+            ),
+        ),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: ignore the price',
+        'bergamotcart/routing/_zone_spillover.py',
+        (Replacement('if saving_s >= price_s:', 'if saving_s >= 0:'),),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: send without a price',
+        'bergamotcart/routing/_zone_spillover.py',
+        (Replacement('return self._set_share(zone, 0, ShareReason.no_price)', 'price_s = 0.0'),),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: leave out the latency of the path',
+        'bergamotcart/routing/_zone_spillover.py',
+        (Replacement('measures[destination].wait_s - path_s', 'measures[destination].wait_s'),),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: use figures of any age',
+        'bergamotcart/routing/_zone_spillover.py',
+        (Replacement('if now - measure.measured_at <= self._settings.max_age_s', 'if True'),),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: keep a share although the zone cannot be reached',
+        'bergamotcart/routing/_zone_spillover.py',
+        (
+            Replacement(
+                'return self._set_share(zone, 0, ShareReason.unreachable)',
+                'return self._set_share(zone, current.share, ShareReason.unreachable)',
+            ),
+        ),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: move a share without steps',
+        'bergamotcart/routing/_zone_spillover.py',
+        (
+            Replacement(
+                'change = max(-settings.step, min(settings.step, target - current.share))',
+                'change = target - current.share',
+            ),
+        ),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: flood a small zone',
+        'bergamotcart/routing/_zone_spillover.py',
+        (
+            Replacement(
+                'limited = min(change, self._growth[destination] / demand_per_s)',
+                'limited = change',
+            ),
+        ),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: start after one decision',
+        'bergamotcart/routing/_zone_spillover.py',
+        (Replacement('self._streaks[saving.path] >= self._settings.confirmations', 'True'),),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: never return while the other zone is fast',
+        'bergamotcart/routing/_zone_spillover.py',
+        (Replacement('if is_slower or now >= due_at:', 'if is_slower:'),),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: adopt a share that contradicts another',
+        'bergamotcart/routing/_zone_spillover.py',
+        (
+            Replacement(
+                'is_free = zone not in self._shares and self._may_send(zone, share.destination)',
+                'is_free = zone not in self._shares',
+            ),
+        ),
+        _SPILLOVER,
+    ),
+    Fault(
+        'zone share: forget the shares of a former leader',
+        'bergamotcart/control/_zone_traffic.py',
+        (Replacement('and traffic.adopt(zone, report)', 'and False'),),
+        _ZONE_TRAFFIC,
+    ),
+    Fault(
+        'zone share: let a late report replace a newer one',
+        'bergamotcart/control/_zone_traffic.py',
+        (Replacement('if stored is None or request.sent_at > stored.sent_at:', 'if True:'),),
+        _ZONE_TRAFFIC,
+    ),
+    Fault(
+        'zone share: prefer the setting to the document',
+        'bergamotcart/control/_zone_traffic.py',
+        (
+            Replacement(
+                'if price_ms is None:', 'if context.configuration.cross_zone_cost_ms is not None:'
+            ),
+        ),
+        _ZONE_TRAFFIC,
+    ),
+    Fault(
+        'zone share: grant shares without a price',
+        'bergamotcart/control/_zone_traffic.py',
+        (Replacement('        return msgspec.UNSET\n', '        pass\n'),),
+        _ZONE_TRAFFIC,
+    ),
+    Fault(
+        'zone share: let reads leave in clumps',
+        'bergamotcart/entry/_zone_reads.py',
+        (
+            Replacement(
+                'remainder = (self._remainder or 0) + share.share',
+                'remainder = self._random.random() + share.share',
+            ),
+        ),
+        _ZONE_READS,
+    ),
+    Fault(
+        'zone share: apply a share after its grant has expired',
+        'bergamotcart/entry/_zone_reads.py',
+        (
+            Replacement(
+                'return self._share if now < self._valid_until else None', 'return self._share'
+            ),
+        ),
+        _ZONE_READS,
+    ),
+    Fault(
+        'zone share: apply a late grant',
+        'bergamotcart/entry/_zone_reads.py',
+        (Replacement('if grant.echo_sent_at < self._granted_at:', 'if False:'),),
+        _ZONE_READS,
+    ),
+    Fault(
+        'zone share: report without being asked',
+        'bergamotcart/entry/_zone_reads.py',
+        (
+            Replacement(
+                'if self._share is None or now < self._reported_at + REPORT_INTERVAL_S:',
+                'if now < self._reported_at + REPORT_INTERVAL_S:',
+            ),
+        ),
+        _ZONE_READS,
+    ),
+    Fault(
+        'zone share: never probe a zone that has not answered',
+        'bergamotcart/entry/_zone_reads.py',
+        (Replacement('if fastest is None or fastest.read(now) is None:', 'if False:'),),
+        _ZONE_READS,
+    ),
+    Fault(
+        'zone share: choose a zone by load as well',
+        'bergamotcart/routing/_read_routing.py',
+        (
+            Replacement(
+                'candidate.zone != preferred_zone or candidate.is_primary or candidate.has_failed',
+                'candidate.has_failed',
+            ),
+        ),
+        _ZONE_READS,
+    ),
+    Fault(
+        'zone share: prefer a zone whose instance has failed the read',
+        'bergamotcart/routing/_read_routing.py',
+        (Replacement('candidate.is_primary or candidate.has_failed', 'candidate.is_primary'),),
+        _ZONE_READS,
+    ),
 )
