--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
@@ -153,6 +153,7 @@
             'term': status.term,
             'commit_index': status.commit_index,
             'revision': status.revision,
+            **{f'cross_zone_share_{zone}': share for zone, share in status.zone_shares.items()},
         }
 
 
@@ -176,6 +177,7 @@
         cap_window_s=settings.cap_window,
         cap_overage=settings.cap_overage,
         cap_slack=settings.cap_slack,
+        cross_zone_cost_ms=settings.cross_zone_cost_ms,
         targets_announce_to_control=settings.announce_to is AnnouncementPlace.control,
         leader_heartbeat_interval_s=settings.leader_heartbeat,
         election_timeout_s=(settings.election_timeout_min, settings.election_timeout_max),
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -143,7 +143,7 @@
 
     def _read_gauges(self) -> dict[str, float]:
         status = self._engine.status(read_clock())
-        return {
+        gauges = {
             **self._guard.read_gauges(),
             'lease_left_s': status.lease_left_s,
             'applied_index': status.applied_index,
@@ -157,6 +157,10 @@
             'cap_refused': status.cap_refused,
             'serving': int(status.health == entry.EntryHealth.serving),
         }
+        if status.cross_zone_share is not None:
+            gauges['cross_zone_share'] = status.cross_zone_share
+            gauges['cross_zone_reads'] = status.cross_zone_reads
+        return gauges
 
 
 def _build_configuration(settings: EntrySettings) -> entry.EntryConfiguration:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/settings/_settings.py
@@ -95,6 +95,8 @@
     :param cap_window: time in which the operations of a capped workspace are counted.
     :param cap_overage: share by which they may exceed those of the cap in it.
     :param cap_slack: number of operations by which they may exceed the cap besides.
+    :param cross_zone_cost_ms: milliseconds that a read must save in another availability zone,
+        where the operator document states none; ``None`` for no price.
     """
 
     role: ClassVar[Role] = Role.control
@@ -103,6 +105,7 @@
     control_zone: dict[str, str] = field(default_factory=dict)
     found_domain: bool = True
     tolerated_losses: int | None = None
+    cross_zone_cost_ms: float | None = None
     lease_duration: float = 1.0
     lease_renewal: float = 0.25
     leader_heartbeat: float = 0.1
--- a/packages/bergamotcart/src/bergamotcart/control/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_configuration.py
@@ -30,6 +30,8 @@
     :param cap_window_s: span in which the operations of a capped workspace are counted.
     :param cap_overage: share by which they may exceed those of the cap in it.
     :param cap_slack: number of operations by which they may exceed the cap besides.
+    :param cross_zone_cost_ms: milliseconds that a read must save in another availability zone,
+        where the operator document states none; ``None`` for no price.
     """
 
     name: str
@@ -53,6 +55,7 @@
     cap_window_s: float = 5.0
     cap_overage: float = 0.1
     cap_slack: int = 20
+    cross_zone_cost_ms: float | None = None
 
 
 class ControlStepResult(msgspec.Struct, frozen=True):
@@ -75,6 +78,8 @@
     :param voters: number of voters of the replicated log.
     :param seconds_without_leader: seconds for which this member has known no leader.
     :param revision: revision of the document that this member has applied.
+    :param zone_shares: share of the reads that leave each availability zone, as the leader has
+        decided where a price of traffic between zones is stated.
     """
 
     leader: str | None
@@ -85,3 +90,4 @@
     revision: int
     voters: int = 0
     seconds_without_leader: float = 0
+    zone_shares: dict[str, float] = msgspec.field(default_factory=dict)
--- a/packages/bergamotcart/src/bergamotcart/control/_local_tables.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_local_tables.py
@@ -9,6 +9,7 @@
 from bergamotcart.control._orders import OrderTable
 from bergamotcart.control._proposals import Proposals
 from bergamotcart.control._roster_changes import RosterChanges
+from bergamotcart.control._zone_traffic import ZoneTraffic
 from bergamotcart.workspaces import CapLender
 
 
@@ -31,6 +32,7 @@
     :param cap_lender: lender of the credits of capped workspaces, once the document has any.
     :param caps_revision: revision of the document whose caps it uses.
     :param former_term: term of the last record before those of the newest term.
+    :param zone_traffic: shares of reads that leave their availability zone.
     """
 
     proposals: Proposals
@@ -53,6 +55,7 @@
     cap_lender: CapLender | None = None
     caps_revision: int = 0
     former_term: int = 0
+    zone_traffic: ZoneTraffic = field(default_factory=ZoneTraffic)
 
     def reset_for_leadership(self, now: float, former_lease_end: float) -> None:
         """Reset the tables when this member becomes the leader.
@@ -75,5 +78,6 @@
         self.last_cleanup_at = now
         self.members_pulled_at = 0
         self.positions_polled_at = 0
+        self.zone_traffic.clear()
         self.suspected_primary_groups = frozenset()
         self.cap_lender = None
--- a/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_configuration.py
@@ -72,6 +72,9 @@
     :param opened_connections: connections to targets opened since the start.
     :param cap_admitted: operations of capped workspaces sent to an instance since the start.
     :param cap_refused: operations refused because their workspace had no credit.
+    :param cross_zone_share: share of reads that leave the availability zone, or ``None`` if control
+        has granted none lately.
+    :param cross_zone_reads: reads that instances of other zones answered while shares were granted.
     """
 
     health: EntryHealth
@@ -86,3 +89,5 @@
     state_age_s: float = 0
     cap_admitted: int = 0
     cap_refused: int = 0
+    cross_zone_share: float | None = None
+    cross_zone_reads: int = 0
--- a/packages/bergamotcart/src/bergamotcart/entry/_context.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_context.py
@@ -16,6 +16,7 @@
 from bergamotcart.entry._lease_watch import LeaseWatch
 from bergamotcart.entry._sessions import Session
 from bergamotcart.entry._timers import Timer, Timers
+from bergamotcart.entry._zone_reads import ZoneReads
 from bergamotcart.outcomes import NotRun, Reason
 from bergamotcart.workspaces import CreditHolder
 
@@ -50,6 +51,7 @@
         'timers',
         'control_view',
         'credits',
+        'zone_reads',
     )
 
     def __init__(self, configuration: EntryConfiguration) -> None:
@@ -70,6 +72,7 @@
         self.targets = TargetTable(configuration.target_expiry_s)
         first_number = self.random.randrange(1, _FIRST_REPORT_RANGE)
         self.credits = CreditHolder(configuration.drift_margin, first_number)
+        self.zone_reads = ZoneReads(configuration.availability_zone, self.targets, self.random)
 
     @property
     def lease_valid(self) -> bool:
--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -238,6 +238,9 @@
             self._record_capacity_refusal(running, finished)
         elif finished.status is ExecutionStatus.completed:
             self._limiters.record_answer(running.limiter)
+            now = self._context.now
+            answer_s = now - running.started_at
+            self._context.zone_reads.record_answer(target, running.request, now, answer_s)
         if finished.status is not ExecutionStatus.completed:
             self._publish_failed_attempt(running, finished)
         if finished.connection_refused and finished.status is ExecutionStatus.not_sent:
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -59,6 +59,10 @@
     :param credit: account of the credit that it holds until it is sent, if any.
     :param is_charged: whether it has spent a credit, which covers all its attempts.
     :param credit_wait_until: time until which it waits for a credit, in seconds.
+    :param preferred_zone: availability zone that should serve the read, by the share of reads that
+        leave their zone, if one is in force.
+    :param placed_at: time since which the read waits for an instance or its answer, in seconds, if
+        it is measured.
     """
 
     request_id: int
@@ -97,6 +101,8 @@
     credit: int | None = None
     is_charged: bool = False
     credit_wait_until: float = 0
+    preferred_zone: str | None = None
+    placed_at: float | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/bergamotcart/src/bergamotcart/messages/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/messages/__init__.py
@@ -32,6 +32,7 @@
 from bergamotcart.messages._control import (
     ControlMemberRow,
     EntryRow,
+    GrantedZoneShare,
     GroupPhase,
     GroupRow,
     LeaseGrant,
@@ -45,6 +46,8 @@
     StateAck,
     StateUpdate,
     TargetReport,
+    ZoneFigures,
+    ZoneReport,
 )
 from bergamotcart.messages._discovery import (
     Announcement,
@@ -80,6 +83,7 @@
     'DecodeError',
     'EntryRow',
     'Envelope',
+    'GrantedZoneShare',
     'GroupPhase',
     'GroupRow',
     'JoinRequest',
@@ -107,6 +111,8 @@
     'TargetRole',
     'VoteRequest',
     'VoteResponse',
+    'ZoneFigures',
+    'ZoneReport',
     'decode',
     'decode_external',
     'encode',
