Tests of crowds: order of returns without chance, and recovery within 2 s after each crowd

test_no_queue_is_left_after_the_crowd had 3.5 s for larger crowds, a bound from the measured figure. The requirement is 2 s.

--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_crowds.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_crowds.py
@@ -1,5 +1,6 @@
 """Replays of load beyond the capacity of the primary, at one entry."""
 
+import itertools
 from typing import Final
 
 import pytest
@@ -12,6 +13,10 @@
 _CAPACITY_PER_S: Final = 1 / _SERVICE_S
 _CROWD_S: Final = 3.0
 _OBJECTIVE_S: Final = 0.3
+# Callers whose times to come back lie before their time-out.
+_ORDERED_RETURNS: Final = 15
+# Time after a crowd within which requests must be served as before it.
+_RECOVERY_S: Final = 2.0
 # Time of the statements that the primary has received before one that leaves the queue.
 _IN_FLIGHT_S: Final = 4 * _SERVICE_S
 
@@ -39,21 +44,23 @@
     """Constant times to come back would repeat the crowd that caused the refusals."""
     crowd = _run_crowd(2)
     refused = [each for each in crowd.callers if crowd.refusals([each], Reason.expected_wait)]
-    waits_s = [refusal.retry_after for refusal in crowd.refusals(refused[:20])]
-    returns = [each.sent_at + wait_s for each, wait_s in zip(refused, waits_s, strict=False)]
-    assert len(returns) == 20
-    assert returns == sorted(returns)
-    assert returns[-1] - returns[0] > 15 * _SERVICE_S
+    returns = [
+        each.sent_at + each.took_s + crowd.refusals([each])[0].retry_after for each in refused
+    ]
+    # Later callers would come back after their time-out, and are spread over the time until then.
+    ordered = returns[:_ORDERED_RETURNS]
+    gaps_s = [later - earlier for earlier, later in itertools.pairwise(ordered)]
+    assert len(gaps_s) == _ORDERED_RETURNS - 1
+    assert min(gaps_s) > _SERVICE_S
 
 
-# Callers of a larger crowd need up to 1.5 s more for their second retries.
-@pytest.mark.parametrize(('factor', 'settle_s'), [(2, 2), (3, 3.5), (5, 3.5)])
-def test_no_queue_is_left_after_the_crowd(factor: int, settle_s: float):
+@pytest.mark.parametrize('factor', [2, 3, 5])
+def test_no_queue_is_left_after_the_crowd(factor: int):
     """Overload must end with its cause, also if refused callers come back twice."""
     crowd = Crowd(_SERVICE_S, strict={'target_latency_s': _OBJECTIVE_S})
     crowd.retries = 2
     crowd.run(_CROWD_S, factor * _CAPACITY_PER_S, 'strict', routed.WRITE)
-    crowd.run(settle_s, 0.5 * _CAPACITY_PER_S, 'strict', routed.WRITE)
+    crowd.run(_RECOVERY_S, 0.5 * _CAPACITY_PER_S, 'strict', routed.WRITE)
     crowd.callers.clear()
     crowd.run(1, 0.5 * _CAPACITY_PER_S, 'strict', routed.WRITE)
     crowd.run(0.5, 0, 'strict', routed.WRITE)
