Limits on clients: a refused caller that waited for memory no longer stops the time limits

Cause: a caller that was refused while it waited for memory stayed in the queue of reservations, got one after its session had ended, was refused again, and the write after the end of the stream raised in the timer of all time limits, which then ended.

Batches of accepted connections, and refused ones that stay open for a moment, are a 32nd of the descriptors at most: with 32 of 200, slow senders reached 235 descriptors.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_server.py
@@ -33,7 +33,6 @@
 from bergamotcart_daemon.entry import CallerFrontend
 from bergamotcart_daemon.metrics import Metrics
 from bergamotcart_daemon.resources import (
-    ACCEPTED_AT_ONCE,
     ResourceGuard,
     limit_kernel_buffers,
 )
@@ -100,7 +99,9 @@
             self._build_protocol,
             self._listen.host,
             self._listen.port,
-            backlog=ACCEPTED_AT_ONCE if self._limits.guard.is_limited else _LISTEN_BACKLOG,
+            backlog=self._limits.guard.accepted_at_once
+            if self._limits.guard.is_limited
+            else _LISTEN_BACKLOG,
         )
         if self._limits.guard.is_limited:
             limit_kernel_buffers(server, _LISTEN_BACKLOG)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_limited_site.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/http/_limited_site.py
@@ -13,7 +13,6 @@
 from bergamotcart_daemon.http._limited_connection import LimitedConnection, SiteLimits
 from bergamotcart_daemon.logs import RateLimitedLog
 from bergamotcart_daemon.resources import (
-    ACCEPTED_AT_ONCE,
     ResourceGuard,
     Timeouts,
     limit_kernel_buffers,
@@ -69,7 +68,7 @@
             self._build_connection,
             host,
             port,
-            backlog=ACCEPTED_AT_ONCE if self._guard.is_limited else _BACKLOG,
+            backlog=self._guard.accepted_at_once if self._guard.is_limited else _BACKLOG,
         )
         if self._guard.is_limited:
             limit_kernel_buffers(self._listener, _BACKLOG)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/resources/__init__.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/resources/__init__.py
@@ -2,11 +2,10 @@
 
 from bergamotcart_daemon.resources._connection_budget import BudgetMember, ConnectionBudget
 from bergamotcart_daemon.resources._guard import ResourceGuard
-from bergamotcart_daemon.resources._listening import ACCEPTED_AT_ONCE, limit_kernel_buffers
+from bergamotcart_daemon.resources._listening import limit_kernel_buffers
 from bergamotcart_daemon.resources._timeouts import Timeouts
 
 __all__ = (
-    'ACCEPTED_AT_ONCE',
     'BudgetMember',
     'ConnectionBudget',
     'ResourceGuard',
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/resources/_listening.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/resources/_listening.py
@@ -4,9 +4,6 @@
 import socket
 from typing import Final
 
-# Connections accepted in one iteration of the event loop. Those above the limit are closed before
-# more are accepted.
-ACCEPTED_AT_ONCE: Final = 32
 # What has arrived and is not read yet counts to the memory of a process on some platforms. The
 # kernel doubles this size; 64 KiB are enough for 4 MB/s at a round-trip time of 16 ms.
 _KERNEL_BUFFER_BYTES: Final = 65_536
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/resources/_timeouts.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/resources/_timeouts.py
@@ -54,9 +54,8 @@
             if deadline > now:
                 break
             expired.append(key)
+        # An error in a callback must not end the checks.
+        self._timer = loop.call_later(_CHECK_INTERVAL_S, self._check) if self._deadlines else None
         for expired_key in expired:
             self.stop(expired_key)
             self._expire(expired_key)
-        self._timer = None
-        if self._deadlines:
-            self._timer = loop.call_later(_CHECK_INTERVAL_S, self._check)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_connections.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_connections.py
@@ -13,7 +13,7 @@
 from bergamotcart.resources import ConnectionSlots
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.logs import RateLimitedLog
-from bergamotcart_daemon.resources import ACCEPTED_AT_ONCE, ResourceGuard
+from bergamotcart_daemon.resources import ResourceGuard
 
 # Connections from which no valid message has come may hold this part of the memory. Each may hold
 # one message that has arrived in part.
@@ -84,7 +84,7 @@
 
     def _accept(self) -> None:
         self._forget_unadded()
-        for _ in range(ACCEPTED_AT_ONCE):
+        for _ in range(self._guard.accepted_at_once):
             try:
                 accepted, _ = self._listener.accept()
             except OSError:
