Documents: one check of errors and warnings for control and tools

Cause: whether control refuses a document was known only by sending it, and entries that never match or limits that contradict each other were accepted without a word.

Change: check_sections returns the errors for which control refuses a document, now of all malformed sections and in a fixed order, and warnings; control uses the same function (find_errors). compare_documents tells what a change does and counts keys without showing them.

--- a/packages/bergamotcart/src/bergamotcart/control/_document_replacement.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_document_replacement.py
@@ -32,11 +32,8 @@
         return ((f'sections.{ROUTES_SECTION}', problem),)
     sections = dict(state.sections)
     sections[ROUTES_SECTION] = _make_section_row(command, state.index)
-    try:
-        documents.Document.from_sections(sections.values(), revision=0)
-    except documents.DocumentError as error:
-        return tuple((problem.path, problem.message) for problem in error.problems)
-    return ()
+    errors = documents.find_errors(sections.values())
+    return tuple((problem.path, problem.message) for problem in errors)
 
 
 def replace_document(
--- a/packages/bergamotcart/src/bergamotcart/documents/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/__init__.py
@@ -10,6 +10,8 @@
     evaluate_change,
     hash_token,
 )
+from bergamotcart.documents._checks import CheckedDocument, check_sections, find_errors
+from bergamotcart.documents._comparison import ChangeKind, Difference, compare_documents
 from bergamotcart.documents._document import (
     Document,
     DocumentError,
@@ -43,10 +45,13 @@
     'Accepted',
     'Acknowledgement',
     'Change',
+    'ChangeKind',
     'ChangeOutcome',
+    'CheckedDocument',
     'Conflict',
     'Consistency',
     'CostMilliseconds',
+    'Difference',
     'Document',
     'DocumentError',
     'Fencing',
@@ -69,8 +74,11 @@
     'Workspace',
     'WorkspaceDirectory',
     'WorkspacesBody',
+    'check_sections',
+    'compare_documents',
     'digest_key',
     'evaluate_change',
+    'find_errors',
     'hash_token',
     'parse_section',
 )
--- a/packages/bergamotcart/src/bergamotcart/documents/_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_changes.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from bergamotcart.documents._document import Document, DocumentError, Problem
+from bergamotcart.documents._checks import find_errors
+from bergamotcart.documents._document import Document, Problem
 from bergamotcart.documents._schema import SectionKind
 from bergamotcart.messages import SectionRow
 
@@ -107,11 +108,8 @@
     diff = _unified_diff(body, change.body, change.section)
     if change.base_version != version:
         return Conflict(version, body, diff)
-    try:
-        Document.from_sections(_apply_change(sections, change), revision=0)
-    except DocumentError as error:
-        return Invalid(error.problems)
-    return Accepted(version + 1, diff)
+    errors = find_errors(_apply_change(sections, change))
+    return Invalid(errors) if errors else Accepted(version + 1, diff)
 
 
 def _may_change(
