bergamotctl config check: errors, warnings and differences of a file

Files of the platform are checked where its package is installed, which is imported only for them.

Reading /api/Config.Get was not tried against a process.

--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/__init__.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/__init__.py
@@ -2,6 +2,7 @@
 
 from bergamotcart_ctl.commands._apply import ApplyCommand
 from bergamotcart_ctl.commands._base import ExitStatus
+from bergamotcart_ctl.commands._config_check import CheckCommand
 from bergamotcart_ctl.commands._diff import DiffCommand
 from bergamotcart_ctl.commands._document import GetCommand, HistoryCommand
 from bergamotcart_ctl.commands._members import (
@@ -16,6 +17,7 @@
 __all__ = (
     'AdmitCommand',
     'ApplyCommand',
+    'CheckCommand',
     'DiffCommand',
     'ExitStatus',
     'GetCommand',
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_base.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/_base.py
@@ -82,9 +82,12 @@
         :returns: exit status.
         """
 
-    def _build_client(self) -> ControlClient:
+    def _list_servers(self) -> list[str]:
         servers = self.option('server') or os.environ.get(SERVER_VARIABLE, '').split(',')
-        addresses = [server.strip() for server in servers if server.strip()]
+        return [server.strip() for server in servers if server.strip()]
+
+    def _build_client(self) -> ControlClient:
+        addresses = self._list_servers()
         if not addresses:
             raise UsageError(f'no server address: give --server or set {SERVER_VARIABLE}')
         return ControlClient(addresses, self._read_token())
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/tests/test_commands.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/tests/test_commands.py
@@ -110,6 +110,16 @@
     assert len(control.received_changes) == 1
 
 
+def test_check_compares_with_the_version_in_force(control, document, capsys):
+    """A group that a change drops no longer replaces its primary."""
+    _edit_section(document, 'databases', {'groups': {'orders': {}}})
+    assert _run_command(control, 'config', 'check', '--json', str(document)) == 0
+    output = capsys.readouterr().out
+    report = json.loads(output[output.index('{"file"') :])
+    found = [(each['kind'], each['subject']) for each in report['differences']]
+    assert found == [('removed', 'group tickets'), ('added', 'group orders')]
+
+
 def test_conflict_keeps_base_version(control, document, capsys):
     """If two operators edit the same version, the second must not overwrite the first.
 
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/documents/__init__.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/documents/__init__.py
@@ -6,6 +6,12 @@
     load_base_copy,
     store_base_copy,
 )
+from bergamotcart_ctl.documents._checked_file import (
+    CheckedFile,
+    check_configuration,
+    check_document,
+    check_file,
+)
 from bergamotcart_ctl.documents._document import (
     FileError,
     Section,
@@ -18,9 +24,13 @@
 
 __all__ = (
     'BaseCopy',
+    'CheckedFile',
     'FileError',
     'PendingChange',
     'Section',
+    'check_configuration',
+    'check_document',
+    'check_file',
     'diff_section',
     'dump_document',
     'find_changed_sections',
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/documents/_document.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/documents/_document.py
@@ -41,11 +41,19 @@
     :raises FileError: if the file is missing or malformed.
     """
     try:
-        document = msgspec.convert(yaml.safe_load(path.read_text()), _FileDocument)
+        return parse_document(path.read_text())
     except OSError as error:
         raise FileError(f'cannot read {path}: {error.strerror}') from error
     except (yaml.YAMLError, ValueError) as error:
         raise FileError(f'malformed document {path}: {error}') from error
+
+
+def parse_document(text: str) -> dict[str, Section]:
+    """Parse the text of a document file.
+
+    :raises ValueError: if its structure is wrong; ``yaml.YAMLError`` if it is malformed.
+    """
+    document = msgspec.convert(yaml.safe_load(text), _FileDocument)
     return {
         name: Section(kind=section.kind, body=_dump_body(section.body))
         for name, section in document.sections.items()
--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/main.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/main.py
@@ -25,6 +25,7 @@
         commands.GetCommand,
         commands.HistoryCommand,
         commands.DiffCommand,
+        commands.CheckCommand,
         commands.ApplyCommand,
         commands.WaitCommand,
     ):
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -6,6 +6,7 @@
 _CONSENSUS_FUZZ: Final = 'bergamotcart/consensus/tests/test_fuzz.py'
 _CONTROL_FUZZ: Final = 'bergamotcart/control/tests/test_fuzz.py'
 _ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
+_CHECKS: Final = 'bergamotcart/documents/tests/test_checks.py'
 _SPILLOVER: Final = 'bergamotcart/routing/tests/test_zone_spillover.py'
 _ZONE_READS: Final = 'bergamotcart/entry/tests/test_zone_reads.py'
 _ZONE_TRAFFIC: Final = 'bergamotcart/control/tests/test_zone_traffic.py'
@@ -508,4 +509,32 @@
         (Replacement('candidate.is_primary or candidate.has_failed', 'candidate.is_primary'),),
         _ZONE_READS,
     ),
+    Fault(
+        'check of a document: overlook sections that contradict each other',
+        'bergamotcart/documents/_checks.py',
+        (Replacement('            Document(bodies, revision=0)\n', '            pass\n'),),
+        _CHECKS,
+    ),
+    Fault(
+        'check of a document: show keys that change',
+        'bergamotcart/documents/_comparison.py',
+        (
+            Replacement(
+                'before != after and field not in _SECRET_FIELDS and', 'before != after and'
+            ),
+        ),
+        _CHECKS,
+    ),
+    Fault(
+        'check of a document: show tokens that change',
+        'bergamotcart/documents/_comparison.py',
+        (Replacement("'changes' if old.is_secret else", "'changes' if False else"),),
+        _CHECKS,
+    ),
+    Fault(
+        'check of a document: accept policies that never match',
+        'bergamotcart/documents/_checks.py',
+        (Replacement('        if reason:\n', '        if False:\n'),),
+        _CHECKS,
+    ),
 )
