--- a/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/__init__.py
+++ b/packages/bergamotcart-ctl/src/bergamotcart_ctl/commands/__init__.py
@@ -3,6 +3,7 @@
 from bergamotcart_ctl.commands._apply import ApplyCommand
 from bergamotcart_ctl.commands._base import ExitStatus
 from bergamotcart_ctl.commands._caps import CapsCommand
+from bergamotcart_ctl.commands._config_check import CheckCommand
 from bergamotcart_ctl.commands._diff import DiffCommand
 from bergamotcart_ctl.commands._document import GetCommand, HistoryCommand
 from bergamotcart_ctl.commands._members import (
@@ -18,6 +19,7 @@
     'AdmitCommand',
     'ApplyCommand',
     'CapsCommand',
+    'CheckCommand',
     'DiffCommand',
     'ExitStatus',
     'GetCommand',
--- a/packages/bergamotcart/src/bergamotcart/control/_document_replacement.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_document_replacement.py
@@ -37,11 +37,8 @@
         )
         return ((f'sections.{ROUTES_SECTION}', problem),)
     sections = _make_sections(state, command, state.index)
-    try:
-        documents.Document.from_sections(sections.values(), revision=0)
-    except documents.DocumentError as error:
-        return tuple((problem.path, problem.message) for problem in error.problems)
-    return ()
+    errors = documents.find_errors(sections.values())
+    return tuple((problem.path, problem.message) for problem in errors)
 
 
 def replace_document(
