--- a/packages/bergamotcart/src/bergamotcart/entry/_retries.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_retries.py
@@ -15,6 +15,12 @@
 # Bounds of the time after which a request that full instances have refused may come back.
 _MIN_BUSY_RETRY_AFTER_S: Final = 0.2
 _MAX_BUSY_RETRY_AFTER_S: Final = 1.0
+# Bounds of the time after which a request whose connection broke may come back, spread so that the
+# callers of a lost instance do not all return at once.
+_MIN_LOST_RETRY_AFTER_S: Final = 0.05
+_MAX_LOST_RETRY_AFTER_S: Final = 0.25
+# Time after which a request may come back if its retries would add to the load of full instances.
+_SPENT_BUDGET_RETRY_AFTER_S: Final = 1.0
 
 
 class Retries:
@@ -70,7 +76,10 @@
             )
             return
         if was_sent and not self._spend_retry(request):
-            self._replies.refuse(request, Reason.retry_budget, reason.value, retry_after=1.0)
+            retry_after_s = self._budget_retry_after_s(reason)
+            self._replies.refuse(
+                request, Reason.retry_budget, reason.value, retry_after=retry_after_s
+            )
             return
         self._publish(request, 'retry', reason)
         request.phase = RequestPhase.waiting
@@ -99,6 +108,16 @@
             group=request.group,
         )
 
+    def _budget_retry_after_s(self, reason: Reason) -> float:
+        """Return when a caller may come back whose request has no retry left in the budget.
+
+        An answer that was lost says nothing of the load, and another entry has a budget of its own, so
+        the caller comes back within its latency objective.
+        """
+        if reason is Reason.connection_lost:
+            return self._context.random.uniform(_MIN_LOST_RETRY_AFTER_S, _MAX_LOST_RETRY_AFTER_S)
+        return _SPENT_BUDGET_RETRY_AFTER_S
+
     def _busy_retry_after_s(self, request: Request) -> float:
         """Return when a refused caller may come back, spread so that not all return at once."""
         queue = self._context.groups.get(request.group).primary_queue
