--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+# Condition that disables a branch.
+_NEVER: Final = 'if False:'
 _CONSENSUS_FUZZ: Final = 'bergamotcart/consensus/tests/test_fuzz.py'
 _CONTROL_FUZZ: Final = 'bergamotcart/control/tests/test_fuzz.py'
 _ENTRY_FUZZ: Final = 'bergamotcart/entry/tests/test_fuzz.py'
@@ -57,7 +59,7 @@
     Fault(
         'skip the lease check before a write is acknowledged',
         'bergamotcart/entry/_replication_acknowledgements.py',
-        (Replacement('if not self._context.lease_valid:', 'if False:'),),
+        (Replacement('if not self._context.lease_valid:', _NEVER),),
         # The fixed examples of the fuzz test do not trigger this fault.
         'bergamotcart/entry/tests/test_engine.py'
         '::test_write_replicated_after_lease_expiry_is_not_acknowledged',
@@ -96,7 +98,7 @@
         'bergamotcart/consensus/_election.py',
         # Either check alone keeps the tests passing, so the fault removes both.
         (
-            Replacement('if state.own_id not in state.voters | listed_voters:', 'if False:'),
+            Replacement('if state.own_id not in state.voters | listed_voters:', _NEVER),
             Replacement(
                 'return is_majority(ids, state.voters)',
                 'return len(ids) * 2 > len(state.voters)',
@@ -118,7 +120,7 @@
     Fault(
         'renew a lease although the entry is behind a freeze',
         'bergamotcart/control/_leases.py',
-        (Replacement('if request.applied_index < context.state.frozen_index:', 'if False:'),),
+        (Replacement('if request.applied_index < context.state.frozen_index:', _NEVER),),
         'bergamotcart/control/tests/test_groups.py::test_entry_behind_freeze_gets_no_lease',
     ),
     Fault(
@@ -135,7 +137,7 @@
     Fault(
         'accept a position from a probe that was sent before the group opened',
         'bergamotcart/entry/_change_handler.py',
-        (Replacement('if sent_at < self._context.groups.get(key.group).open_since:', 'if False:'),),
+        (Replacement('if sent_at < self._context.groups.get(key.group).open_since:', _NEVER),),
         'bergamotcart/entry/tests/test_unfenced_primaries.py',
     ),
     Fault(
@@ -183,7 +185,7 @@
     Fault(
         'ask again at once after the leader itself has refused a lease',
         'bergamotcart/entry/_control_link.py',
-        (Replacement('if refusal.leader == envelope.sender:', 'if False:'),),
+        (Replacement('if refusal.leader == envelope.sender:', _NEVER),),
         'bergamotcart/entry/tests/test_failover.py',
     ),
     Fault(
@@ -195,7 +197,7 @@
     Fault(
         'begin a transaction anew at the drain limit',
         'bergamotcart/entry/_transactions.py',
-        (Replacement('if self._context.draining:', 'if False:'),),
+        (Replacement('if self._context.draining:', _NEVER),),
         'bergamotcart/entry/tests/test_rolled_back_sessions.py',
     ),
     Fault(
@@ -212,7 +214,7 @@
     Fault(
         'accept integers that no message can hold',
         'bergamotcart/discovery/_positions.py',
-        (Replacement('if not 0 <= count <= messages.MAX_INTEGER:', 'if False:'),),
+        (Replacement('if not 0 <= count <= messages.MAX_INTEGER:', _NEVER),),
         'bergamotcart/discovery/tests/test_positions.py',
     ),
     Fault(
@@ -329,7 +331,7 @@
     Fault(
         'keep the workspaces of sessions when the document changes',
         'bergamotcart/entry/_control_link.py',
-        (Replacement('if view.document is not document:', 'if False:'),),
+        (Replacement('if view.document is not document:', _NEVER),),
         _KEY_CHANGES,
     ),
     Fault(
@@ -338,10 +340,10 @@
         (
             Replacement('        if view.document is not document:\n', '        if applied:\n'),
             Replacement(
-                '            self._on_document_changed()\n        if applied:\n'
+                '            self._callbacks.on_document_changed()\n        if applied:\n'
                 '            self._use_applied_state(before)\n',
                 '            self._use_applied_state(before)\n'
-                '            self._on_document_changed()\n',
+                '            self._callbacks.on_document_changed()\n',
             ),
         ),
         _SESSION_KEYS,
@@ -349,7 +351,7 @@
     Fault(
         'repeat an attempt of a withdrawn key',
         'bergamotcart/entry/_retries.py',
-        (Replacement('if key_refusal is not None:', 'if False:'),),
+        (Replacement('if key_refusal is not None:', _NEVER),),
         _SESSION_KEYS,
     ),
     Fault(
@@ -480,7 +482,7 @@
     Fault(
         'let overdue requests of a low priority starve',
         'bergamotcart/admission/_fair_queue.py',
-        (Replacement('if self._turns >= _TURNS_PER_OVERDUE:', 'if False:'),),
+        (Replacement('if self._turns >= _TURNS_PER_OVERDUE:', _NEVER),),
         _FAIR_QUEUE,
     ),
     Fault(
@@ -497,7 +499,7 @@
     Fault(
         'queue requests that would only reach their deadline',
         'bergamotcart/entry/_request_queues.py',
-        (Replacement('if self._is_hopeless(queue, request):', 'if False:'),),
+        (Replacement('if self._is_hopeless(queue, request):', _NEVER),),
         'bergamotcart/entry/tests/test_crowds.py',
     ),
     Fault(
@@ -704,7 +706,7 @@
     Fault(
         'zone share: apply a late grant',
         'bergamotcart/entry/_zone_reads.py',
-        (Replacement('if grant.echo_sent_at < self._granted_at:', 'if False:'),),
+        (Replacement('if grant.echo_sent_at < self._granted_at:', _NEVER),),
         _ZONE_READS,
     ),
     Fault(
@@ -721,7 +723,7 @@
     Fault(
         'zone share: never probe a zone that has not answered',
         'bergamotcart/entry/_zone_reads.py',
-        (Replacement('if fastest is None or fastest.read(now) is None:', 'if False:'),),
+        (Replacement('if fastest is None or fastest.read(now) is None:', _NEVER),),
         _ZONE_READS,
     ),
     Fault(
--- a/packages/bergamotcart/src/bergamotcart/control/_caps.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_caps.py
@@ -42,25 +42,6 @@
     return lender.answer_report(context.now, f'{key.name}/{key.incarnation}', report)
 
 
-def handle_cap_request(
-    context: StepContext, envelope: messages.Envelope, request: messages.CapRequest
-) -> None:
-    """Lend credits to an entry whose operations wait for them.
-
-    :param context: context of the current step.
-    :param envelope: envelope of the request; its sender is the entry.
-    :param request: request of the entry.
-    """
-    row = context.state.entry(envelope.sender, envelope.incarnation)
-    if not context.leadership.may_act_as_leader or row is None:
-        return
-    key = EntryKey(envelope.sender, envelope.incarnation)
-    loans = answer_cap_report(context, key, request.report)
-    if loans is not None:
-        grant = messages.CapGrant(control_term=context.leadership.term, loans=loans)
-        context.send(envelope.sender, envelope.sender_address, grant)
-
-
 def record_settled_caps(context: StepContext) -> None:
     """Record once that no credits of former leaders are in use any more."""
     lender = find_cap_lender(context)
--- a/packages/bergamotcart/src/bergamotcart/control/_leases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_leases.py
@@ -6,10 +6,10 @@
 
 from bergamotcart import messages
 from bergamotcart.actions import Decision
-from bergamotcart.control._caps import answer_cap_report
+from bergamotcart.control._caps import answer_cap_report, record_settled_caps
 from bergamotcart.control._commands import AdmitEntry, RemoveEntry
 from bergamotcart.control._configuration import ControlConfiguration
-from bergamotcart.control._entry_table import EntryStatus
+from bergamotcart.control._entry_table import EntryKey, EntryStatus
 from bergamotcart.control._known_instances import pull_announcements_from_entry
 from bergamotcart.control._leadership import NO_QUORUM
 from bergamotcart.control._primary_positions import find_primary_positions
@@ -65,6 +65,32 @@
         _grant_lease(context, entry_status, request)
 
 
+def handle_cap_request(
+    context: StepContext, envelope: messages.Envelope, request: messages.CapRequest
+) -> None:
+    """Lend credits to an entry whose operations wait for them.
+
+    :param context: context of the current step.
+    :param envelope: envelope of the request; its sender is the entry.
+    :param request: request of the entry.
+    """
+    row = context.state.entry(envelope.sender, envelope.incarnation)
+    if not context.leadership.may_act_as_leader or row is None:
+        return
+    key = EntryKey(envelope.sender, envelope.incarnation)
+    loans = answer_cap_report(context, key, request.report)
+    if loans is not None:
+        grant = messages.CapGrant(control_term=context.leadership.term, loans=loans)
+        context.send(envelope.sender, envelope.sender_address, grant)
+
+
+def clean_up(context: StepContext) -> None:
+    """Remove what entries that are gone have left, and record that their former credits expired."""
+    remove_idle_entries(context)
+    remove_stale_entry_statuses(context)
+    record_settled_caps(context)
+
+
 def remove_idle_entries(context: StepContext) -> None:
     """Remove entries from the roster once they cannot hold a lease any more."""
     for row in context.state.roster():
--- a/packages/bergamotcart/src/bergamotcart/control/_runtime.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_runtime.py
@@ -6,7 +6,6 @@
 
 from bergamotcart import consensus, documents, messages
 from bergamotcart.actions import Decision, MessageReceived
-from bergamotcart.control import _caps as caps
 from bergamotcart.control import _events as events
 from bergamotcart.control import _leases as leases
 from bergamotcart.control._configuration import (
@@ -188,7 +187,7 @@
             case messages.LeaseRequest() as request:
                 leases.handle_lease_request(context, envelope, request)
             case messages.CapRequest() as cap_request:
-                caps.handle_cap_request(context, envelope, cap_request)
+                leases.handle_cap_request(context, envelope, cap_request)
             case messages.StateAck() as ack:
                 handle_state_ack(context, envelope, ack)
             case messages.RelayBatch() as batch:
@@ -255,10 +254,8 @@
             push_state_updates(context)
         if context.now >= self._local.last_cleanup_at + CLEANUP_INTERVAL_S:
             self._local.last_cleanup_at = context.now
-            leases.remove_idle_entries(context)
-            leases.remove_stale_entry_statuses(context)
+            leases.clean_up(context)
             remove_expired_instances(context)
-            caps.record_settled_caps(context)
         advance_groups(context)
         poll_primary_positions(context)
         decide_zone_shares(context)
--- a/packages/bergamotcart/src/bergamotcart/entry/_components.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_components.py
@@ -8,7 +8,7 @@
 from bergamotcart.entry._change_handler import ChangeHandler
 from bergamotcart.entry._configuration import EntryConfiguration
 from bergamotcart.entry._context import EngineContext
-from bergamotcart.entry._control_link import ControlLink
+from bergamotcart.entry._control_link import ControlLink, LinkCallbacks
 from bergamotcart.entry._executions import Executions
 from bergamotcart.entry._freeze_acknowledgement import FreezeAcknowledgement
 from bergamotcart.entry._monitor import MonitoredTarget, TargetMonitor
@@ -20,15 +20,14 @@
     RequestHandlerDependencies,
     build_request_handlers,
 )
-from bergamotcart.entry._requests import RequestPhase, RequestTable
+from bergamotcart.entry._requests import RequestTable
 from bergamotcart.entry._retries import Retries
 from bergamotcart.entry._routed_request_dispatcher import RoutedRequestDispatcher
 from bergamotcart.entry._session_authentication import SessionAuthentication
 from bergamotcart.entry._session_errors import SessionErrors
 from bergamotcart.entry._session_floors import SessionFloors
-from bergamotcart.entry._sessions import Session, SessionTable
+from bergamotcart.entry._sessions import SessionTable
 from bergamotcart.entry._target_limits import TargetLimiters
-from bergamotcart.outcomes import Reason
 
 
 class EngineComponents:
@@ -36,7 +35,7 @@
 
     __slots__ = (
         '_on_state_update',
-        '_replies',
+        'replies',
         'cap_gate',
         'control_link',
         'executions',
@@ -68,7 +67,7 @@
         self.sessions = SessionTable()
         self.requests = RequestTable()
         self.announcement_relay = AnnouncementRelay(context)
-        self._replies = Replies(context, self.requests)
+        self.replies = Replies(context, self.requests)
         # The change handler needs the limiters and the monitor, and both call it. It is created
         # last, so they call it through this object.
         self.limiters = TargetLimiters(
@@ -85,23 +84,17 @@
         )
         # The link to control reports the use of credits, and the gate sends reports to its leader.
         self.cap_gate = CapGate(
-            context, self.sessions, self._replies, lambda: self.control_link.leader
+            context, self.sessions, self.replies, lambda: self.control_link.leader
         )
         self.executions = Executions(context, self.limiters, self.monitor, self.cap_gate)
         self._create_dependent_components()
 
-    def cancel_waiting_requests(self, session: Session) -> None:
-        """Refuse the requests of a closed session that wait to be sent."""
-        for request in self.requests.list_for_session(session):
-            if request.phase is RequestPhase.waiting:
-                self._replies.refuse(request, Reason.connection_lost, 'the session was closed')
-
     def _answer_waiting_sessions(self) -> None:
         # The dispatcher is created after the change handler that calls this.
         self.routed_request_dispatcher.answer_waiting_sessions()
 
     def _create_dependent_components(self) -> None:
-        context, monitor, replies = self.context, self.monitor, self._replies
+        context, monitor, replies = self.context, self.monitor, self.replies
         floors = SessionFloors(context, monitor)
         primary_dispatcher = PrimaryDispatcher(
             context, self.limiters, monitor, self.requests, replies
@@ -127,10 +120,12 @@
             self.limiters,
             freeze_acknowledgement,
             self.cap_gate,
-            self._on_state_update,
-            self.change_handler.on_lease_changed,
-            self.change_handler.on_lease_granted,
-            lambda: self.authentication.recheck(),
+            LinkCallbacks(
+                on_state_update=self._on_state_update,
+                on_lease_changed=self.change_handler.on_lease_changed,
+                on_lease_granted=self.change_handler.on_lease_granted,
+                on_document_changed=lambda: self.authentication.recheck(),
+            ),
         )
         self.request_handlers = build_request_handlers(
             RequestHandlerDependencies(
--- a/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_control_link.py
@@ -39,8 +39,8 @@
 _WHOLE_STATE_INTERVAL_S: Final = 2.0
 
 
-class ControlLink:
-    """Requests lease renewals and applies state updates.
+class LinkCallbacks(msgspec.Struct, frozen=True, kw_only=True):
+    """What is called when control has answered.
 
     :param on_state_update: called with the groups whose rows changed.
     :param on_lease_changed: called after each accepted grant and each request for a renewal.
@@ -49,6 +49,15 @@
         any request is sent.
     """
 
+    on_state_update: Callable[[list[str]], None]
+    on_lease_changed: Callable[[], None]
+    on_lease_granted: Callable[[messages.LeaseGrant], None]
+    on_document_changed: Callable[[], None]
+
+
+class ControlLink:
+    """Requests lease renewals and applies state updates."""
+
     __slots__ = (
         '_answer_due_at',
         '_cap_gate',
@@ -59,10 +68,7 @@
         '_monitor',
         '_needs_whole_state',
         '_next_asked',
-        '_on_lease_granted',
-        '_on_lease_changed',
-        '_on_document_changed',
-        '_on_state_update',
+        '_callbacks',
         '_redirects',
         '_renew_after_s',
         '_round_trip_s',
@@ -82,10 +88,7 @@
         limiters: TargetLimiters,
         freeze_acknowledgement: FreezeAcknowledgement,
         cap_gate: CapGate,
-        on_state_update: Callable[[list[str]], None],
-        on_lease_changed: Callable[[], None],
-        on_lease_granted: Callable[[messages.LeaseGrant], None],
-        on_document_changed: Callable[[], None],
+        callbacks: LinkCallbacks,
     ) -> None:
         """Create the link without a known leader; nothing is sent yet."""
         self._context = context
@@ -93,10 +96,7 @@
         self._limiters = limiters
         self._freeze_acknowledgement = freeze_acknowledgement
         self._cap_gate = cap_gate
-        self._on_state_update = on_state_update
-        self._on_lease_changed = on_lease_changed
-        self._on_lease_granted = on_lease_granted
-        self._on_document_changed = on_document_changed
+        self._callbacks = callbacks
         self._leader: tuple[str, str] | None = None
         self._renew_after_s = _DEFAULT_RENEWAL_INTERVAL_S
         self._requested_at = float('-inf')
@@ -139,7 +139,7 @@
         if not self._context.lease_valid:
             self._context.lease_watch.report_missing_lease(now, self._publish_missing_lease)
         self._schedule_renewal(min(self._answer_due_at - now, self._renew_after_s))
-        self._on_lease_changed()
+        self._callbacks.on_lease_changed()
 
     def report_change(self) -> None:
         """Send control a changed reachability or the start of draining as soon as limits allow."""
@@ -175,8 +175,8 @@
         if self._context.lease_valid:
             self._record_valid_lease(envelope.sender, was_valid=was_valid)
         self._report_delay()
-        self._on_lease_changed()
-        self._on_lease_granted(grant)
+        self._callbacks.on_lease_changed()
+        self._callbacks.on_lease_granted(grant)
         if grant.caps is not msgspec.UNSET:
             self._cap_gate.accept_loans(grant.control_term, grant.caps)
 
@@ -219,7 +219,7 @@
             self._refuse_update(update, 'bad_document', str(error))
             return
         if view.document is not document:
-            self._on_document_changed()
+            self._callbacks.on_document_changed()
         if applied:
             self._use_applied_state(before)
         self._freeze_acknowledgement.update()
@@ -274,10 +274,10 @@
         self._context.publish_decision('state', 'apply', 'update', detail=str(view.applied_index))
         self._limiters.update_limits()
         self._cap_gate.use_document()
-        self._on_state_update(changed)
+        self._callbacks.on_state_update(changed)
         self._context.lease.confirm_state(view.applied_index)
         self._report_delay()
-        self._on_lease_changed()
+        self._callbacks.on_lease_changed()
 
     def _refuse_update(self, update: messages.StateUpdate, reason: str, detail: str) -> None:
         """Request the whole state with the next renewal if an update had only changed rows."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_replies.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replies.py
@@ -3,6 +3,7 @@
 from bergamotcart.entry._actions import Reply
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._requests import Request, RequestPhase, RequestTable
+from bergamotcart.entry._sessions import Session
 from bergamotcart.outcomes import MayHaveRun, NotRun, Outcome, Reason, TargetError
 
 
@@ -57,6 +58,12 @@
             request.session.begun_transaction = None
         self.finish_request(request, outcome)
 
+    def refuse_waiting(self, session: Session) -> None:
+        """Refuse the requests of a closed session that wait to be sent."""
+        for request in self._requests.list_for_session(session):
+            if request.phase is RequestPhase.waiting:
+                self.refuse(request, Reason.connection_lost, 'the session was closed')
+
     def expire(self, request: Request) -> None:
         """End a request at its deadline; one that is executing has a time-out of its own."""
         if request.phase is RequestPhase.waiting:
