--- a/packages/bergamotcart/src/bergamotcart/entry/_components.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_components.py
@@ -26,7 +26,7 @@
 from bergamotcart.entry._session_authentication import SessionAuthentication
 from bergamotcart.entry._session_errors import SessionErrors
 from bergamotcart.entry._session_floors import SessionFloors
-from bergamotcart.entry._sessions import SessionTable
+from bergamotcart.entry._sessions import Session, SessionTable
 from bergamotcart.entry._target_limits import TargetLimiters
 
 
@@ -35,7 +35,7 @@
 
     __slots__ = (
         '_on_state_update',
-        'replies',
+        '_replies',
         'cap_gate',
         'control_link',
         'executions',
@@ -67,7 +67,7 @@
         self.sessions = SessionTable()
         self.requests = RequestTable()
         self.announcement_relay = AnnouncementRelay(context)
-        self.replies = Replies(context, self.requests)
+        self._replies = Replies(context, self.requests)
         # The change handler needs the limiters and the monitor, and both call it. It is created
         # last, so they call it through this object.
         self.limiters = TargetLimiters(
@@ -84,17 +84,21 @@
         )
         # The link to control reports the use of credits, and the gate sends reports to its leader.
         self.cap_gate = CapGate(
-            context, self.sessions, self.replies, lambda: self.control_link.leader
+            context, self.sessions, self._replies, lambda: self.control_link.leader
         )
         self.executions = Executions(context, self.limiters, self.monitor, self.cap_gate)
         self._create_dependent_components()
 
+    def refuse_waiting_requests(self, session: Session) -> None:
+        """Refuse the requests of a closed session that wait to be sent."""
+        self._replies.refuse_waiting(session)
+
     def _answer_waiting_sessions(self) -> None:
         # The dispatcher is created after the change handler that calls this.
         self.routed_request_dispatcher.answer_waiting_sessions()
 
     def _create_dependent_components(self) -> None:
-        context, monitor, replies = self.context, self.monitor, self.replies
+        context, monitor, replies = self.context, self.monitor, self._replies
         floors = SessionFloors(context, monitor)
         primary_dispatcher = PrimaryDispatcher(
             context, self.limiters, monitor, self.requests, replies
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -230,7 +230,7 @@
             if not session.is_over_connection_limit:
                 self._context.caller_limits.record_closed_connection(session.caller)
             self._components.request_handlers.transactions.abort(session, 'session_closed')
-            self._components.replies.refuse_waiting(session)
+            self._components.refuse_waiting_requests(session)
 
     def _finish_probe(self, finished: inputs.ProbeFinished) -> None:
         context = self._context
