Transport: let the messaging library accept the connections of peers again

The log of core-vale-central-b-1 shows OSError 9, Bad file descriptor, at the close of a descriptor that it had opened one statement before, so another thread closed it. Since the limits of clients, the process accepted connections of peers itself and passed their descriptors to the library; that the library closes one twice is likely and not proved. A descriptor of the storage could be hit as well.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -60,7 +60,6 @@
             translation,
             self._metrics,
             submit,
-            self._guard,
         )
         target_settings = TargetSettings(
             translation=translation,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
@@ -10,24 +10,20 @@
 
 from bergamotcart import messages
 from bergamotcart.actions import MessageReceived, Send
-from bergamotcart_daemon.addresses import Address, AddressTranslation
+from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.metrics import Metrics
-from bergamotcart_daemon.resources import ResourceGuard
 from bergamotcart_daemon.transport._acknowledgements import (
     ACKNOWLEDGEMENT_TIMEOUT_S,
     AcknowledgementTracker,
 )
 from bergamotcart_daemon.transport._compression import compress, decompress
 from bergamotcart_daemon.transport._identity import Identity
-from bergamotcart_daemon.transport._peer_connections import PeerConnections
 from bergamotcart_daemon.transport._peer_sockets import PeerSockets
 
 # Longer messages close the connection before memory is allocated for them. Messages between
 # the format's limit and this one are received, then rejected and counted.
 _RECEIVE_LIMIT_BYTES: Final = 2 * messages.MAX_MESSAGE_BYTES
 _RECEIVE_BUFFER_MESSAGES: Final = 256
-# Each message may be of the greatest size.
-_LIMITED_RECEIVE_BUFFER_MESSAGES: Final = 16
 # Limit of messages read in one iteration of the event loop, so that other callbacks can run.
 _MAX_MESSAGES_PER_ITERATION: Final = 64
 _IDLE_CHECK_INTERVAL_S: Final = 30.0
@@ -42,7 +38,6 @@
 
     :param listen: listening address, as ``host:port``.
     :param submit: called with each received message.
-    :param guard: limits of the process.
     """
 
     def __init__(
@@ -52,7 +47,6 @@
         translation: AddressTranslation,
         metrics: Metrics,
         submit: Callable[[MessageReceived], None],
-        guard: ResourceGuard | None = None,
     ) -> None:
         """Store the parameters; sockets are opened at start."""
         super().__init__()
@@ -61,8 +55,6 @@
         self._translation = translation
         self._metrics = metrics
         self._submit = submit
-        self._guard = guard or ResourceGuard.build_unlimited(metrics)
-        self._connections: PeerConnections | None = None
         self._peer_sockets = PeerSockets()
         self._acknowledgements = AcknowledgementTracker()
         self._pull_socket: pynng.Pull0 | None = None
@@ -70,23 +62,16 @@
 
     async def on_start(self) -> None:
         """Open the listening socket."""
-        is_limited = self._guard.is_limited
-        buffer_size = _LIMITED_RECEIVE_BUFFER_MESSAGES if is_limited else _RECEIVE_BUFFER_MESSAGES
         pull_socket = pynng.Pull0(
-            recv_buffer_size=buffer_size,
+            recv_buffer_size=_RECEIVE_BUFFER_MESSAGES,
             recv_max_size=_RECEIVE_LIMIT_BYTES,
         )
         self.exit_stack.callback(pull_socket.close)
         self.exit_stack.callback(self._peer_sockets.close)
-        loop = asyncio.get_running_loop()
-        if is_limited:
-            self._connections = PeerConnections(self._guard)
-            self.exit_stack.callback(self._connections.close)
-            self._connections.listen(Address.parse(self._listen), pull_socket)
-        else:
-            pull_socket.listen(f'tcp://{self._listen}')
+        pull_socket.listen(f'tcp://{self._listen}')
         self._pull_socket = pull_socket
         # The descriptor is readable while messages are queued, so no receiving thread is needed.
+        loop = asyncio.get_running_loop()
         descriptor = pull_socket.recv_fd
         loop.add_reader(descriptor, self._read_messages)
         self.exit_stack.callback(loop.remove_reader, descriptor)
@@ -128,7 +113,7 @@
     def _read_messages(self) -> None:
         for _ in range(_MAX_MESSAGES_PER_ITERATION):
             try:
-                received, pipe = self._receive()
+                received = self._pull_socket.recv(block=False)
             except pynng.TryAgain:
                 return
             except pynng.exceptions.NNGException as error:
@@ -138,33 +123,22 @@
                 # pynng raises this for a message of zero bytes.
                 self._report_event('message_malformed', 'empty message')
                 continue
-            is_valid = self._process_message(received)
-            if self._connections is not None:
-                self._connections.record_message(pipe, is_valid=is_valid)
-
-    def _receive(self) -> tuple[bytes, pynng.Pipe | None]:
-        """Return a message, and its connection if connections are limited."""
-        if self._connections is None:
-            return self._pull_socket.recv(block=False), None
-        received = self._pull_socket.recv_msg(block=False)
-        return received.bytes, received.pipe
+            self._process_message(received)
 
-    def _process_message(self, received: bytes) -> bool:
-        """Submit a message, unless it is malformed or for another process."""
+    def _process_message(self, received: bytes) -> None:
         try:
             envelope = messages.decode(decompress(received), self._identity.domain)
         except messages.DecodeError as error:
             self._report_event('message_malformed', str(error))
-            return False
+            return
         if envelope.recipient != self._identity.name:
             self._report_event(
                 'message_misdirected',
                 f'from {envelope.sender!r}, addressed to {envelope.recipient!r}',
             )
-            return True
+            return
         self._acknowledgements.record_received(envelope, asyncio.get_running_loop().time())
         self._submit(MessageReceived(envelope))
-        return True
 
     def _report_event(self, event: str, detail: str) -> None:
         # Every event is counted, but log lines are rate-limited, as bad input may be frequent.
