--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_mysql_driver.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_mysql_driver.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from bergamotcart.discovery import PositionReport, TargetKey
-from bergamotcart.entry import Execute, Probe
+from bergamotcart.entry import Execute, Probe, SessionState
 from bergamotcart.messages import Reachability
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.connections import ConnectError, ReportedError, TargetConnection
@@ -33,9 +33,13 @@
         self._connect_timeout_s = connect_timeout_s
 
     async def connect(
-        self, target: TargetKey, address: Address, workspace: str
+        self,
+        target: TargetKey,
+        address: Address,
+        workspace: str,
+        state: SessionState | None = None,
     ) -> TargetConnection:
-        """Connect and log in, with the group as the schema."""
+        """Connect and log in, with the group as the schema; executions apply the state."""
         return await MysqlConnection.open(address, target.group, self._connect_timeout_s)
 
     def prepare_execution(self, action: Execute, connection: TargetConnection) -> MysqlExecutionRun:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/simulated_group.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/simulated_group.py
@@ -243,7 +243,13 @@
         """Store the group."""
         self._group = group
 
-    async def connect(self, target: TargetKey, address: Address, workspace: str) -> Connection:
+    async def connect(
+        self,
+        target: TargetKey,
+        address: Address,
+        workspace: str,
+        state: entry.SessionState | None = None,
+    ) -> Connection:
         """Open a connection, which occupies a slot."""
         instance = self._group.instances[target.instance]
         instance.counts['connections'] += 1
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_connection_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_connection_pool.py
@@ -29,7 +29,7 @@
         self._closed = True
 
 
-async def _connect(workspace: str) -> _FakeConnection:
+async def _connect(workspace: str, _: object) -> _FakeConnection:
     return _FakeConnection()
 
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_workspace_connections.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/test_workspace_connections.py
@@ -60,7 +60,7 @@
         self.pool.release(connection)
         return connection
 
-    async def _connect(self, workspace: str) -> _Connection:
+    async def _connect(self, workspace: str, _: object) -> _Connection:
         await asyncio.sleep(_CONNECT_S)
         if len(self.open_connections) >= self.accepted:
             busy = TargetError(0, 'TOOMANY', 'full', ErrorKind.busy)
