--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection_pool.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_connection_pool.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bergamotcart.executions import SessionState
+from bergamotcart.entry import Execute
 from bergamotcart.outcomes import ErrorKind
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.connections import ConnectError, TargetConnection
@@ -51,13 +51,13 @@
     def __init__(
         self,
         address: Address,
-        connect: Callable[[str, SessionState | None], Awaitable[TargetConnection]],
+        connect: Callable[[str, Execute | None], Awaitable[TargetConnection]],
         on_count_change: Callable[[int], None],
     ) -> None:
         """Create a pool without connections.
 
         :param connect: opens a connection for the workspace with a name, which is empty for none,
-            and for a session state; raises ``ConnectError`` if that fails.
+            and for the first execution on it; raises ``ConnectError`` if that fails.
         """
         self._address = address
         self._connect = connect
@@ -110,11 +110,11 @@
                 return connection
         return None
 
-    async def acquire(self, workspace: str, state: SessionState | None = None) -> TargetConnection:
+    async def acquire(self, workspace: str, first: Execute | None = None) -> TargetConnection:
         """Return a connection for exclusive use, waiting for one if necessary.
 
         :param workspace: name of the workspace that the connection must belong to.
-        :param state: session state that a new connection is opened with.
+        :param first: execution that a new connection is opened for.
         :raises ConnectError: if a new connection cannot be opened.
         """
         idle = self.acquire_idle(workspace)
@@ -126,9 +126,9 @@
                 self.discard(self._idle[0])
             if self._connection_count < self._limit:
                 self._reserved_count += 1
-                return await self._open_connection(workspace, state)
+                return await self._open_connection(workspace, first)
         connection = await self._wait_for_grant(workspace)
-        return connection or await self._open_connection(workspace, state)
+        return connection or await self._open_connection(workspace, first)
 
     def release(self, connection: TargetConnection) -> None:
         """Return a connection without an open transaction to the pool.
@@ -194,12 +194,10 @@
         if is_unused and connection in self._idle and self._connection_count > self._kept:
             self.discard(connection)
 
-    async def _open_connection(
-        self, workspace: str, state: SessionState | None
-    ) -> TargetConnection:
+    async def _open_connection(self, workspace: str, first: Execute | None) -> TargetConnection:
         # This connection is already counted in ``_reserved_count``.
         try:
-            connection = await self._connect(workspace, state)
+            connection = await self._connect(workspace, first)
         except BaseException as error:
             self._reserved_count -= 1
             if isinstance(error, ConnectError):
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_executor.py
@@ -113,7 +113,7 @@
     async def _acquire(self, action: Execute, deadline: float) -> _Checkout:
         pool = self._get_pool(action)
         async with asyncio.timeout_at(deadline):
-            connection = await pool.acquire(action.workspace, action.state)
+            connection = await pool.acquire(action.workspace, action)
         return self._register_checkout(action, pool, connection)
 
     def _register_checkout(
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_interfaces.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_interfaces.py
@@ -3,7 +3,7 @@
 import abc
 
 from bergamotcart.discovery import PositionReport, TargetKey
-from bergamotcart.entry import Execute, ExecutionFinished, Probe, SessionState
+from bergamotcart.entry import Execute, ExecutionFinished, Probe
 from bergamotcart.messages import Reachability
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.connections import TargetConnection
@@ -35,14 +35,14 @@
         target: TargetKey,
         address: Address,
         workspace: str,
-        state: SessionState | None = None,
+        first: Execute | None = None,
     ) -> TargetConnection:
         """Open a connection.
 
         :param workspace: name of the workspace that it belongs to for its whole life; empty for
             none.
-        :param state: session state of the first execution, which may be sent while the connection
-            opens. The execution still applies what is missing.
+        :param first: execution that the connection is opened for. Its session state and the
+            beginning of its transaction may be sent while the connection opens.
         :raises ConnectError: if the connection cannot be opened.
         """
 
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_mysql_driver.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/_mysql_driver.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from bergamotcart.discovery import PositionReport, TargetKey
-from bergamotcart.entry import Execute, Probe, SessionState
+from bergamotcart.entry import Execute, Probe
 from bergamotcart.messages import Reachability
 from bergamotcart_daemon.addresses import Address
 from bergamotcart_daemon.connections import ConnectError, ReportedError, TargetConnection
@@ -37,9 +37,9 @@
         target: TargetKey,
         address: Address,
         workspace: str,
-        state: SessionState | None = None,
+        first: Execute | None = None,
     ) -> TargetConnection:
-        """Connect and log in, with the group as the schema; executions apply the state."""
+        """Connect and log in, with the group as the schema."""
         return await MysqlConnection.open(address, target.group, self._connect_timeout_s)
 
     def prepare_execution(self, action: Execute, connection: TargetConnection) -> MysqlExecutionRun:
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/simulated_group.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/targets/tests/simulated_group.py
@@ -248,7 +248,7 @@
         target: TargetKey,
         address: Address,
         workspace: str,
-        state: entry.SessionState | None = None,
+        first: entry.Execute | None = None,
     ) -> Connection:
         """Open a connection, which occupies a slot."""
         instance = self._group.instances[target.instance]
