--- a/packages/bergamotcart/src/bergamotcart/entry/_cap_gate.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_cap_gate.py
@@ -298,12 +298,14 @@
         """Report to the leader if it is known; else the next lease request carries the report."""
         now = self._context.now
         self._report_timer = None
-        self._reported_at = now
         desires = self._list_waiting({})
+        if not desires:
+            # Credits have come meanwhile, and the lease requests report what was spent.
+            return
+        self._reported_at = now
         leader = self._find_leader()
         if leader is not None:
             self._context.credits.record_term(self._context.lease.control_term)
             report = self._context.credits.build_report(now, desires)
             self._context.send(*leader, messages.CapRequest(report=report))
-        if desires:
-            self._schedule_report(now + _REPEAT_S)
+        self._schedule_report(now + _REPEAT_S)
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_caps.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_caps.py
@@ -109,6 +109,16 @@
     assert not harness.executions
 
 
+def test_report_is_not_repeated_once_credits_have_come() -> None:
+    """Each operation that waited for a credit cost a second report, half of the cap traffic."""
+    harness = _harness()
+    harness.send_statement(harness.open_capped_session(), READ)
+    harness.wait_for_credit()
+    harness.finish_execution(harness.next_execution())
+    harness.advance(0.2)
+    assert not harness.cap_requests
+
+
 def test_whole_transaction_costs_one_credit() -> None:
     """Guards against later statements or COMMIT that cost a credit each."""
     harness = _harness(rate=0.001, burst=1)
