Limits on clients: a caller's idle session gives way to its new one

Cause: if all places for sessions were taken by one caller, its new sessions were refused with TOOMANY for as long as the others stayed connected, idle or not. Change: a session that has been idle for at least 1 s, the longest first, gives way to a new one of its own caller.

The test of slots fails before (refused).

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection_limits.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/callers/_connection_limits.py
@@ -38,7 +38,8 @@
     def identify(self, connection: 'LimitedCaller', caller: str) -> bool:
         """Count a connection to its caller, or refuse it."""
         self.guard.budget.move(connection.key, caller)
-        admission = self.slots.identify(connection.key, caller)
+        now = asyncio.get_running_loop().time()
+        admission = self.slots.identify(connection.key, caller, now)
         return self._admit(connection, admission.evicted, is_admitted=admission.is_admitted)
 
     def start_message(self, connection: 'LimitedCaller') -> None:
--- a/packages/bergamotcart/src/bergamotcart/resources/_connection_slots.py
+++ b/packages/bergamotcart/src/bergamotcart/resources/_connection_slots.py
@@ -6,6 +6,8 @@
 
 # A connection that has not identified itself for this time gives way to a new one.
 _MIN_PENDING_S: Final = 1.0
+# A session that has been idle for this time gives way to a new one of its own caller.
+_MIN_IDLE_S: Final = 1.0
 # The rest is left for connections that have not identified themselves yet, so that a caller can
 # do so although all sessions are taken.
 _IDENTIFIED_SHARE: Final = 7 / 8
@@ -34,8 +36,9 @@
         # Times of their opening, oldest first.
         self._pending: dict[int, float] = {}
         self._identified: dict[int, str] = {}
-        # Connections of each share that wait for the client, the one idle for longest first.
-        self._shares: dict[str, dict[int, None]] = {}
+        # Connections of each share that wait for the client, the one idle for longest first, with
+        # the times since which they do.
+        self._shares: dict[str, dict[int, float]] = {}
 
     def __len__(self) -> int:
         """Return the number of connections."""
@@ -61,16 +64,19 @@
         self._pending[key] = now
         return Admission(is_admitted=True, evicted=evicted)
 
-    def identify(self, key: int, share: str) -> Admission:
+    def identify(self, key: int, share: str, now: float) -> Admission:
         """Count a pending connection to its caller or workspace.
 
         If there is no slot left, the connection that has been idle for longest in the share with
-        the most connections gives way, provided that the new connection's share has fewer.
+        the most connections gives way, provided that the new connection's share has fewer. Else
+        one of its own share gives way that has been idle for some time.
+
+        :param now: current time in seconds.
         """
         self._pending.pop(key)
         evicted = None
         if self._limit is not None and len(self._identified) >= self._limit * _IDENTIFIED_SHARE:
-            evicted = self._find_evictable(share)
+            evicted = self._find_evictable(share, now)
             if evicted is None:
                 return Admission(is_admitted=False)
             self.close(evicted)
@@ -90,13 +96,16 @@
         if self._identified.pop(key, None) is not None:
             self._pending[key] = now
 
-    def set_idle(self, key: int) -> None:
-        """Record that an identified connection waits for its client, so that it may give way."""
+    def set_idle(self, key: int, now: float) -> None:
+        """Record that an identified connection waits for its client, so that it may give way.
+
+        :param now: current time in seconds.
+        """
         if self._limit is None:
             return
         share = self._identified.get(key)
         if share is not None:
-            self._shares.setdefault(share, {})[key] = None
+            self._shares.setdefault(share, {})[key] = now
 
     def set_busy(self, key: int) -> None:
         """Record that an identified connection serves its client."""
@@ -117,11 +126,15 @@
             return True
         return self._pending_limit is not None and len(self._pending) >= self._pending_limit
 
-    def _find_evictable(self, share: str) -> int | None:
+    def _find_evictable(self, share: str, now: float) -> int | None:
         counts: dict[str, int] = {}
         for owner in self._identified.values():
             counts[owner] = counts.get(owner, 0) + 1
         greatest = max(counts, key=counts.__getitem__)
-        if counts[greatest] <= counts.get(share, 0) + 1:
+        if counts[greatest] > counts.get(share, 0) + 1:
+            return next(iter(self._shares.get(greatest, ())), None)
+        own_idle = self._shares.get(share, {})
+        oldest = next(iter(own_idle), None)
+        if oldest is None or now < own_idle[oldest] + _MIN_IDLE_S:
             return None
-        return next(iter(self._shares.get(greatest, ())), None)
+        return oldest
--- a/packages/bergamotcart/src/bergamotcart/resources/tests/test_connection_slots.py
+++ b/packages/bergamotcart/src/bergamotcart/resources/tests/test_connection_slots.py
@@ -24,13 +24,27 @@
     slots = ConnectionSlots(8)
     for key in range(7):
         slots.open(key, now=0.0)
-        assert slots.identify(key, 'greedy') == _ADMITTED
-        slots.set_idle(key)
+        assert slots.identify(key, 'greedy', now=0.0) == _ADMITTED
+        slots.set_idle(key, now=0.0)
     slots.set_busy(0)
     slots.open(7, now=0.0)
-    assert slots.identify(7, 'modest') == Admission(is_admitted=True, evicted=1)
+    assert slots.identify(7, 'modest', now=0.0) == Admission(is_admitted=True, evicted=1)
     slots.open(8, now=0.0)
-    assert slots.identify(8, 'greedy') == _REFUSED
+    assert slots.identify(8, 'greedy', now=0.0) == _REFUSED
+
+
+def test_session_that_is_idle_for_long_gives_way_to_its_own_caller():
+    """Idle sessions of a caller kept its new ones out for as long as they were connected."""
+    slots = ConnectionSlots(8)
+    for key in range(7):
+        slots.open(key, now=0.0)
+        assert slots.identify(key, 'client', now=0.0) == _ADMITTED
+        slots.set_idle(key, now=key / 10)
+    slots.set_busy(0)
+    slots.open(7, now=1.0)
+    assert slots.identify(7, 'client', now=1.0) == _REFUSED
+    slots.open(8, now=1.1)
+    assert slots.identify(8, 'client', now=1.1) == Admission(is_admitted=True, evicted=1)
 
 
 def test_served_connection_does_not_give_way():
