Count the age of a transaction's reads from its first statement

Cause: a read-only transaction on a route with a greatest age required the lowest position that was known at its BEGIN less that age. The entry answers BEGIN itself, and the connection is pinned only with the first statement. The caller's pause and the round trip between the two were added to the age that its reads were allowed, without a bound. Change: the age counts from the arrival of the first statement, as the design says of every read. The test failed before.

--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -92,9 +92,11 @@
         row = self._context.control_view.groups.get(request.group)
         group = self._context.groups.get(request.group)
         primary_positions = group.primary_positions
-        begun_transaction = request.session.begun_transaction
-        since = request.arrived_at if begun_transaction is None else begun_transaction.begun_at
-        primary_position = primary_positions.first_since(since - (request.max_age_s or 0))
+        # In a transaction this is the arrival of its first statement, since its caller may have
+        # paused after BEGIN.
+        primary_position = primary_positions.first_since(
+            request.arrived_at - (request.max_age_s or 0)
+        )
         own_write = request.session.own_writes.get(request.group)
         if primary_position is None or own_write is None or row is None:
             return primary_position
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -203,7 +203,7 @@
         if isinstance(resolved, NotRun):
             return resolved
         # The connection is pinned with the first statement, so that an idle caller holds none.
-        session.begun_transaction = BegunTransaction(statement.read_only, self._context.now)
+        session.begun_transaction = BegunTransaction(statement.read_only)
         return Ran()
 
     def _resolve_route(self, session: Session) -> ResolvedRoute | NotRun:
--- a/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
@@ -56,13 +56,9 @@
 
 
 class BegunTransaction(msgspec.Struct, frozen=True):
-    """A transaction that a caller has begun; its first statement pins a connection for it.
-
-    :param begun_at: time at which the caller began it, in seconds.
-    """
+    """A transaction that a caller has begun; its first statement pins a connection for it."""
 
     read_only: bool
-    begun_at: float
 
 
 class OwnWrite(msgspec.Struct, frozen=True):
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_routes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_routes.py
@@ -45,6 +45,17 @@
     assert harness.next_execution().steps[0].floor == Position(1, 20)
 
 
+def test_age_of_transaction_counts_from_its_first_statement():
+    """Guards against reads that are older than allowed because their caller paused after BEGIN."""
+    harness = RoutedEntryHarness()
+    session = harness.open_session('aged')
+    harness.send_statement(session, routed.BEGIN_READ, 'BEGIN READ')
+    harness.advance(routed.MAX_AGE_S)
+    harness.grant_lease(primary_position=20)
+    harness.send_statement(session, routed.READ)
+    assert harness.next_execution().steps[0].floor == Position(1, 20)
+
+
 def test_read_is_sent_elsewhere_if_replica_is_behind():
     """The caller must neither wait for the replica nor receive its error."""
     harness = RoutedEntryHarness()
