Log where the required position of a read comes from

Cause: the log line of a read named its required position and the allowed age, but not how and when the primary had been asked for it, so a read of old data could not be traced: the required position may come from a poll by control, a statement's answer or a probe, each with a time of its own. Whether it was the session's own write was guessed from equality. Change: the history of a primary's positions keeps their origin; the line shows it, with the time relative to the read's arrival. The number of lines is unchanged, and each is about as long as before. The test failed before.

--- a/packages/bergamotcart/src/bergamotcart/discovery/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/__init__.py
@@ -2,11 +2,12 @@
 
 from bergamotcart.discovery._announcement_relay import PeerAnnouncements, answer_pull
 from bergamotcart.discovery._branches import is_discarded, satisfies_floor
-from bergamotcart.discovery._position_history import PrimaryPositionHistory
+from bergamotcart.discovery._position_history import KnownPosition, PrimaryPositionHistory
 from bergamotcart.discovery._positions import Position, PositionReport, TargetKey, parse_count
 from bergamotcart.discovery._target_table import KnownTarget, TargetTable, has_same_content
 
 __all__ = (
+    'KnownPosition',
     'KnownTarget',
     'PeerAnnouncements',
     'Position',
--- a/packages/bergamotcart/src/bergamotcart/discovery/_position_history.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_position_history.py
@@ -2,7 +2,7 @@
 
 import bisect
 from collections.abc import Sequence
-from typing import Final
+from typing import Final, NamedTuple
 
 from bergamotcart.discovery._branches import is_discarded
 from bergamotcart.discovery._positions import Position
@@ -10,6 +10,18 @@
 _MIN_KEPT_POSITIONS: Final = 2048
 
 
+class KnownPosition(NamedTuple):
+    """Position that a primary had when it answered.
+
+    :param sent_at: time at which it was asked, in seconds.
+    :param source: how it was asked, for the log.
+    """
+
+    position: Position
+    sent_at: float
+    source: str
+
+
 class PrimaryPositionHistory:
     """Log positions of one group's primary, each with the time at which its probe was sent.
 
@@ -17,47 +29,58 @@
     and answered while the lease was valid.
     """
 
-    __slots__ = ('_positions', '_sent_at')
+    __slots__ = ('_positions', '_sent_at', '_sources')
 
     def __init__(self) -> None:
         """Initialize without positions."""
         self._positions: list[Position] = []
         self._sent_at: list[float] = []
+        self._sources: list[str] = []
 
     @property
     def newest(self) -> Position | None:
         """Last position, or ``None`` if there is none."""
         return self._positions[-1] if self._positions else None
 
+    @property
+    def newest_known(self) -> KnownPosition | None:
+        """Last position with its origin, or ``None`` if there is none."""
+        return self._build_known(-1) if self._positions else None
+
     @property
     def newest_sent_at(self) -> float:
         """Time in seconds at which the last probe was sent; minus infinity if there is none."""
         return self._sent_at[-1] if self._sent_at else float('-inf')
 
-    def add(self, sent_at: float, position: Position) -> None:
+    def add(self, sent_at: float, position: Position, source: str = 'probe of the primary') -> None:
         """Add a position; one that is older than the last is ignored.
 
         :param sent_at: time at which the probe was sent, in seconds.
         :param position: position of the last record of the primary.
+        :param source: how the primary was asked, for the log.
         """
         newest = self.newest
         if newest is not None and (sent_at <= self.newest_sent_at or position < newest):
             return
         if position == newest:
             self._sent_at[-1] = sent_at
+            self._sources[-1] = source
             return
         self._positions.append(position)
         self._sent_at.append(sent_at)
+        self._sources.append(source)
         if len(self._positions) > 2 * _MIN_KEPT_POSITIONS:
             self._positions = self._positions[_MIN_KEPT_POSITIONS:]
             self._sent_at = self._sent_at[_MIN_KEPT_POSITIONS:]
+            self._sources = self._sources[_MIN_KEPT_POSITIONS:]
 
     def clear(self) -> None:
         """Remove all positions, because another primary takes over."""
         self._positions.clear()
         self._sent_at.clear()
+        self._sources.clear()
 
-    def first_since(self, sent_since: float) -> Position | None:
+    def first_since(self, sent_since: float) -> KnownPosition | None:
         """Return the lowest position whose probe was sent at or after a time.
 
         It covers every write that was acknowledged before that time.
@@ -66,7 +89,7 @@
         :returns: the position, or ``None`` if no probe was sent since.
         """
         index = bisect.bisect_left(self._sent_at, sent_since)
-        return self._positions[index] if index < len(self._positions) else None
+        return self._build_known(index) if index < len(self._positions) else None
 
     def proved_at(
         self,
@@ -87,3 +110,6 @@
         while index >= 0 and self._positions[index].position > position.position:
             index -= 1
         return self._sent_at[index] if index >= 0 else None
+
+    def _build_known(self, index: int) -> KnownPosition:
+        return KnownPosition(self._positions[index], self._sent_at[index], self._sources[index])
--- a/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_change_handler.py
@@ -95,7 +95,7 @@
         # An answer to a statement that was sent before this entry knew of the open term proves
         # nothing about that term.
         if sent_at >= group.open_since:
-            group.primary_positions.add(sent_at, position)
+            group.primary_positions.add(sent_at, position, 'statement at the primary')
             _resume_requests(group.primary_waits.pop_answered(sent_at))
 
     def on_lease_granted(self, grant: LeaseGrant) -> None:
@@ -110,7 +110,8 @@
             sent_at = grant.echo_sent_at - reported.age_s
             group = self._context.groups.get(reported.group)
             if monitored is not None and self._context.lease_valid and sent_at >= group.open_since:
-                group.primary_positions.add(sent_at, Position(reported.log_term, reported.position))
+                position = Position(reported.log_term, reported.position)
+                group.primary_positions.add(sent_at, position, 'poll by control')
                 _resume_requests(group.primary_waits.pop_answered(sent_at))
         for name in grant.suspects:
             self._monitor.probe_suspect(
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -15,6 +15,7 @@
 from bergamotcart.entry._primary_dispatcher import PrimaryDispatcher, QueuedRequestHandler
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Request, RequestPhase
+from bergamotcart.entry._required_positions import RequiredPosition, find_required_position
 from bergamotcart.entry._retries import Retries
 from bergamotcart.entry._target_limits import TargetLimiters
 from bergamotcart.entry._transactions import TransactionHandler
@@ -73,40 +74,16 @@
         if request.route.consistency is Consistency.primary:
             self._primary_dispatcher.enqueue(request)
             return
-        floor = self._required_floor(request)
-        if floor is None:
+        required = find_required_position(self._context, request)
+        if required is None:
             self._wait_for_primary_position(request)
         else:
-            self._route(request, floor)
+            self._route(request, required)
 
     def dispatch(self, request: Request, target: TargetKey) -> None:
         """Send a read to the primary without a required position."""
         self._send_read(request, target, None, 'primary_only')
 
-    def _required_floor(self, request: Request) -> Position | None:
-        """Return the position that the read requires, or ``None`` if it is not known yet.
-
-        This is the lowest of its positions that is recent enough, since most replicas have already
-        reached it.
-        """
-        row = self._context.control_view.groups.get(request.group)
-        group = self._context.groups.get(request.group)
-        primary_positions = group.primary_positions
-        # In a transaction this is the arrival of its first statement, since its caller may have
-        # paused after BEGIN.
-        primary_position = primary_positions.first_since(
-            request.arrived_at - (request.max_age_s or 0)
-        )
-        own_write = request.session.own_writes.get(request.group)
-        if primary_position is None or own_write is None or row is None:
-            return primary_position
-        if own_write.term == row.term or group.open_term != row.term:
-            # Until the group opens, the known positions are those of the term of the write.
-            return max(primary_position, own_write.position)
-        # Positions of the open term include every record that was kept when the primary changed,
-        # so also the session's write if it was kept.
-        return primary_positions.newest
-
     def _wait_for_primary_position(self, request: Request) -> None:
         if self._primary_dispatcher.refuse_in_outage(request):
             return
@@ -120,11 +97,11 @@
             self._monitor.request_report_after(TargetKey(request.group, row.primary), oldest)
             self._primary_dispatcher.probe_for_primary(request.group)
 
-    def _route(self, request: Request, floor: Position) -> None:
+    def _route(self, request: Request, required: RequiredPosition) -> None:
         candidates = [
             candidate
             for target in self._context.targets.list_group(request.group)
-            if (candidate := self._build_candidate(request, target, floor)) is not None
+            if (candidate := self._build_candidate(request, target, required.position)) is not None
         ]
         chosen = self._context.zone_reads.choose(request, candidates, self._context.now)
         if chosen is None:
@@ -136,7 +113,7 @@
         if paced is None:
             self._refuse_paced_read(request, chosen.key)
         else:
-            self._send_read(request, paced.key, floor, paced.reason)
+            self._send_read(request, paced.key, required, paced.reason)
 
     def _pace_primary_read(
         self, request: Request, primary: InstanceCandidate, candidates: list[InstanceCandidate]
@@ -218,7 +195,7 @@
         self,
         request: Request,
         key: TargetKey,
-        floor: Position | None,
+        required: RequiredPosition | None,
         reason: str,
     ) -> None:
         limiter = self._limiters.get(key)
@@ -240,8 +217,9 @@
             target=key.instance,
             term=request.term,
             statement=request.statement_id,
-            detail='' if floor is None else _describe_floor(request, floor),
+            detail='' if required is None else required.description,
         )
+        floor = None if required is None else required.position
         if request.session.begun_transaction is not None:
             self._transactions.begin_at(request, key, floor)
             return
@@ -310,11 +288,3 @@
             self._retries.retry(request, Reason.replica_behind, was_sent=False)
         else:
             self._retries.retry(request, Reason.target_busy)
-
-
-def _describe_floor(request: Request, floor: Position) -> str:
-    """Return a required position and where it comes from, for the log."""
-    own_write = request.session.own_writes.get(request.group)
-    is_own = own_write is not None and own_write.position == floor
-    source = f'own write of term {own_write.term}' if is_own else 'position of the primary'
-    return f'floor {floor.log_term}.{floor.position}, {source}, age {request.max_age_s or 0} s'
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_routes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_routes.py
@@ -45,6 +45,22 @@
     assert harness.next_execution().steps[0].floor == Position(1, 20)
 
 
+def test_log_shows_origin_of_required_position():
+    """Without it, a read of old data cannot be traced to the position that allowed it."""
+    harness = RoutedEntryHarness()
+    session = harness.open_session('own')
+    harness.send_statement(session, routed.WRITE, _INSERT)
+    harness.finish_execution(harness.next_execution(), position=20)
+    for database in ('own', 'aged'):
+        session = session if database == 'own' else harness.open_session(database)
+        harness.send_statement(session, routed.READ)
+    details = [each.detail for each in harness.decisions if each.action == 'send_read']
+    assert details == [
+        'floor 1.20, own write of term 1, age 2.0 s',
+        'floor 1.10, poll by control, asked at -0.050 s, age 2.0 s',
+    ]
+
+
 def test_age_of_transaction_counts_from_its_first_statement():
     """Guards against reads that are older than allowed because their caller paused after BEGIN."""
     harness = RoutedEntryHarness()
