Admission: a queue that stays long does not grow again during the overload

Causes: the first request in time ended the state in which late requests are refused, so all callers were admitted for another objective and the queue grew to its deadline about once a second; requests were admitted up to the whole objective, so all were late by the time of their statement; callers without a place in the order came back until right before their time-out. A higher priority in time also ended the state for the lower ones.

Now the state is kept by priority and objective, ends when no request has been late for as long as the objective, and admits up to half of the objective; callers without a place come back with their objective left.

--- a/packages/bergamotcart/src/bergamotcart/admission/_queue_pace.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_queue_pace.py
@@ -12,10 +12,41 @@
 _MAX_DEVIATION: Final = 4.0
 # Intervals between departures for each caller that comes back.
 _RETURN_SPACING: Final = 2
+# Part of its objective that a request may wait in a queue that has been long for some time. The rest
+# is left for the statement itself and for waits that are longer than expected.
+_STANDING_SHARE: Final = 0.5
 # After a pause of this length, in seconds, the queue may be served at another rate.
 _FORGET_AFTER_S: Final = 10.0
 
 
+class _Lateness:
+    """Tells a peak of requests of one kind, which drains by itself, from a queue that stays long.
+
+    :ivar since: time in seconds at which they began to be late, or ``None``.
+    :ivar last_at: time in seconds at which one was last late.
+    """
+
+    __slots__ = ('last_at', 'since')
+
+    def __init__(self) -> None:
+        self.since: float | None = None
+        self.last_at = float('-inf')
+
+    def is_standing(self, now: float, wait_s: float, objective_s: float) -> bool:
+        if now >= self.last_at + objective_s:
+            # One request in time does not end an overload: if it did, all callers would be admitted
+            # for another objective, and the queue would again become as long as at the beginning.
+            self.since = None
+        is_standing = self.since is not None and now >= self.since + objective_s
+        longest_wait_s = objective_s * _STANDING_SHARE if is_standing else objective_s
+        if wait_s <= longest_wait_s:
+            return False
+        self.last_at = now
+        if self.since is None:
+            self.since = now
+        return is_standing
+
+
 class QueuePace:
     """Measures how fast a queue is served.
 
@@ -30,7 +61,7 @@
         '_is_draining',
         '_last_at',
         '_last_return_at',
-        '_late_since',
+        '_lateness',
     )
 
     def __init__(self) -> None:
@@ -40,7 +71,8 @@
         self._is_draining = False
         self._last_at = float('-inf')
         self._last_return_at = float('-inf')
-        self._late_since: float | None = None
+        # By priority and objective, since those of a higher priority do not wait for the others.
+        self._lateness: dict[tuple[int, float], _Lateness] = {}
 
     def record_arrival(self, now: float) -> None:
         """Record that a request has entered the empty queue.
@@ -50,7 +82,6 @@
         if now > self._last_at + _FORGET_AFTER_S:
             self._count = 0
         self._is_draining = False
-        self._late_since = None
 
     def record_departure(self, now: float) -> None:
         """Record that a request was sent from the queue.
@@ -75,22 +106,22 @@
         """
         return None if self._count < _MIN_DEPARTURES else ahead * self._interval_s
 
-    def is_standing(self, now: float, wait_s: float, objective_s: float) -> bool:
+    def is_standing(self, now: float, wait_s: float, objective_s: float, priority: int = 0) -> bool:
         """Tell whether new requests have been late for longer than their objective.
 
         Such a queue is no peak that drains by itself: it makes every request late, while the rate
-        of answers is the same with a queue that lets them be in time.
+        of answers is the same with a queue that lets them be in time. It ends when none has been
+        late for as long as the objective.
 
         :param now: current time in seconds.
         :param wait_s: expected wait of a new request, in seconds.
         :param objective_s: time within which it should be served, in seconds, or 0 for none.
+        :param priority: priority of the request.
         """
-        if wait_s <= objective_s or objective_s <= 0:
-            self._late_since = None
+        if objective_s <= 0:
             return False
-        if self._late_since is None:
-            self._late_since = now
-        return now >= self._late_since + objective_s
+        lateness = self._lateness.setdefault((priority, objective_s), _Lateness())
+        return lateness.is_standing(now, wait_s, objective_s)
 
     def return_after_s(
         self, now: float, wait_s: float, objective_s: float, limit_s: float, rng: random.Random
@@ -110,6 +141,9 @@
         drained_at = now + max(wait_s - objective_s, self._interval_s)
         return_at = max(drained_at, self._last_return_at + self._interval_s * _RETURN_SPACING)
         if return_at > now + limit_s:
-            return rng.uniform(min(drained_at - now, limit_s), limit_s)
+            # Without its objective left, a caller would come back only to be late again, and add to
+            # the load after the overload.
+            latest_s = max(limit_s - objective_s, limit_s / 2)
+            return rng.uniform(min(drained_at - now, latest_s), latest_s)
         self._last_return_at = return_at
         return return_at - now
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_queues.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_queues.py
@@ -73,7 +73,9 @@
         if request.route is None or wait_s is None:
             return False
         now = self._context.now
-        is_standing = queue.pace.is_standing(now, wait_s, request.route.target_latency_s)
+        is_standing = queue.pace.is_standing(
+            now, wait_s, request.route.target_latency_s, request.priority
+        )
         return now + wait_s > request.deadline or (is_standing and not request.was_queued)
 
     def _refuse_removed(self, queue: FairQueue, waiter: Waiter | None, reason: Reason) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_crowds.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_crowds.py
@@ -69,6 +69,19 @@
     assert max(each.took_s for each in served) <= _OBJECTIVE_S + _IN_FLIGHT_S
 
 
+def test_requests_are_in_time_during_a_long_crowd():
+    """A queue that stays as long as the objective serves as many requests, all of them too late."""
+    crowd = Crowd(_SERVICE_S, strict={'target_latency_s': _OBJECTIVE_S})
+    crowd.retries = 2
+    crowd.run(2, 3 * _CAPACITY_PER_S, 'strict', routed.WRITE)
+    crowd.callers.clear()
+    crowd.run(_CROWD_S, 3 * _CAPACITY_PER_S, 'strict', routed.WRITE)
+    crowd.run(1, 0, 'strict', routed.WRITE)
+    served = crowd.served(crowd.callers)
+    assert len(served) > 0.95 * _CROWD_S * _CAPACITY_PER_S
+    assert all(each.took_s <= _OBJECTIVE_S for each in served)
+
+
 def test_writes_are_served_during_a_crowd_of_reads():
     """Reads that arrived before a write must not delay it beyond its objective."""
     crowd = Crowd(
