--- a/packages/bergamotcart/src/bergamotcart/routing/__init__.py
+++ b/packages/bergamotcart/src/bergamotcart/routing/__init__.py
@@ -1,5 +1,11 @@
 """Selection of the instance that serves a read."""
 
+from bergamotcart.routing._instance_weights import (
+    InstanceWeights,
+    WeightChange,
+    WeightReason,
+    WeightSettings,
+)
 from bergamotcart.routing._read_routing import (
     REASON_CATCH_UP,
     REASON_PRIMARY_BUSY,
@@ -25,6 +31,7 @@
     'REASON_CATCH_UP',
     'REASON_PRIMARY_BUSY',
     'InstanceCandidate',
+    'InstanceWeights',
     'PrimaryAvailability',
     'ReadRequirements',
     'ReplicaCandidate',
@@ -33,6 +40,9 @@
     'ShareChange',
     'ShareReason',
     'SpilloverSettings',
+    'WeightChange',
+    'WeightReason',
+    'WeightSettings',
     'ZoneMeasure',
     'ZoneShare',
     'ZoneSpillover',
