Entry: reads of routes by the weights of their instances

The handler of routed reads asks the weights of the group after the load; answers and failures of single reads are recorded. Without a deviation, the choice is made once and as before.

--- a/packages/bergamotcart/src/bergamotcart/entry/_executions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_executions.py
@@ -241,6 +241,8 @@
             now = self._context.now
             answer_s = now - running.started_at
             self._context.zone_reads.record_answer(target, running.request, now, answer_s)
+        if running.is_single_read and running.request.route is not None:
+            self._record_served(running, finished)
         if finished.status is not ExecutionStatus.completed:
             self._publish_failed_attempt(running, finished)
         if finished.connection_refused and finished.status is ExecutionStatus.not_sent:
@@ -250,6 +252,18 @@
         elif finished.position is not None:
             self._monitor.record_answer(target, running.started_at, finished.position)
 
+    def _record_served(self, running: RunningExecution, finished: ExecutionFinished) -> None:
+        """Record how an instance served a read, which others could have served as well."""
+        request, target = running.request, running.plan.target
+        weights = self._context.groups.get(target.group).instance_weights
+        if finished.status is ExecutionStatus.completed:
+            answer_s = self._context.now - running.started_at
+            weights.record_answer(target, request.route_name, answer_s)
+        elif _is_failure(finished):
+            # All sessions of a workspace count as one caller.
+            caller = request.session.workspace or str(request.session.session_id)
+            weights.record_failure(target, caller)
+
     def _record_capacity_refusal(
         self, running: RunningExecution, finished: ExecutionFinished
     ) -> None:
@@ -298,6 +312,13 @@
     return finished.error is not None and finished.error.kind in _CAPACITY_ERRORS
 
 
+def _is_failure(finished: ExecutionFinished) -> bool:
+    """Tell whether an instance failed, as opposed to being full, behind or not responsible."""
+    if finished.error is not None:
+        return finished.error.kind is ErrorKind.ran
+    return finished.status in {ExecutionStatus.lost, ExecutionStatus.not_sent}
+
+
 def _session_state(request: Request) -> SessionState | None:
     if request.route is None:
         return None
--- a/packages/bergamotcart/src/bergamotcart/entry/_group_state.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_group_state.py
@@ -8,6 +8,7 @@
 from bergamotcart.admission import FairQueue
 from bergamotcart.discovery import Position, PrimaryPositionHistory, TargetKey
 from bergamotcart.entry._requests import Request
+from bergamotcart.routing import InstanceWeights
 
 MAX_PRIMARY_QUEUE_LENGTH: Final = 1000
 
@@ -105,6 +106,7 @@
     :param primary_waits: reads that wait for a report of the primary.
     :param instance_waits: reads that wait for a report of an instance, by instance.
     :param primary_positions: positions of the primary, with the times at which they were read.
+    :param instance_weights: what the instances serve, compared with each other.
     :param open_term: newest term at which this entry knew the group to be open.
     :param open_since: time at which this entry learnt of that term, in seconds.
     :param unusable_since: time at which the primary was first found unusable, in seconds, or
@@ -117,6 +119,7 @@
         'awaiting_lease',
         'primary_positions',
         'instance_waits',
+        'instance_weights',
         'name',
         'open_since',
         'open_term',
@@ -137,6 +140,7 @@
         self.awaiting_position = ReportWaits()
         self.instance_waits: dict[TargetKey, ReportWaits] = {}
         self.primary_positions = PrimaryPositionHistory()
+        self.instance_weights = InstanceWeights()
         self.open_term: int | None = None
         self.open_since = float('-inf')
         self.unusable_since: float | None = None
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -109,6 +109,11 @@
         """Priority of its route; 0 is served first."""
         return 0 if self.route is None else self.route.priority
 
+    @property
+    def route_name(self) -> str:
+        """Name of its route, or nothing without one."""
+        return '' if self.route is None else self.route.name
+
     @property
     def is_pinning(self) -> bool:
         """Whether it is the first statement of a transaction on a route."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -124,7 +124,7 @@
             for target in self._context.targets.list_group(request.group)
             if (candidate := self._build_candidate(request, target, floor)) is not None
         ]
-        chosen = self._context.zone_reads.choose(request, candidates, self._context.now)
+        chosen = self._choose(request, candidates)
         if chosen is None:
             self._wait_for_candidate(request)
             return
@@ -136,6 +136,26 @@
         else:
             self._send_read(request, paced.key, floor, paced.reason)
 
+    def _choose(
+        self, request: Request, candidates: list[InstanceCandidate]
+    ) -> InstanceCandidate | None:
+        """Choose an instance by load, among those whose weight lets them serve this read."""
+        context = self._context
+        weights = context.groups.get(request.group).instance_weights
+        serving = {each.key for each in candidates if not each.has_failed}
+        for change in weights.evaluate(context.now, serving):
+            context.publish_decision(
+                'routing',
+                'weigh' if change.after else 'eject',
+                change.reason.value,
+                group=request.group,
+                target=change.key.instance,
+                detail=f'weight {change.before:.2f} to {change.after:.2f}',
+            )
+        return weights.choose(
+            candidates, lambda usable: context.zone_reads.choose(request, usable, context.now)
+        )
+
     def _pace_primary_read(
         self, request: Request, primary: InstanceCandidate, candidates: list[InstanceCandidate]
     ) -> InstanceCandidate | None:
@@ -146,7 +166,7 @@
         pacer = self._limiters.get(primary.key).read_pacer
         if pacer.delay_s(self._context.now) > 0:
             replicas = [each for each in candidates if not each.is_primary]
-            replica = self._context.zone_reads.choose(request, replicas, self._context.now)
+            replica = self._choose(request, replicas)
             if replica is None or not self._is_only_primary_free(primary.key, replica.key):
                 return replica
         pacer.record_read(self._context.now, self._context.random)
