--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -11,6 +11,7 @@
 _FAIR_QUEUE: Final = 'bergamotcart/admission/tests/test_fair_queue.py'
 _CHECKS: Final = 'bergamotcart/documents/tests/test_checks.py'
 _SPILLOVER: Final = 'bergamotcart/routing/tests/test_zone_spillover.py'
+_INSTANCE_WEIGHTS: Final = 'bergamotcart/routing/tests/test_instance_weights.py'
 _ZONE_READS: Final = 'bergamotcart/entry/tests/test_zone_reads.py'
 _ZONE_TRAFFIC: Final = 'bergamotcart/control/tests/test_zone_traffic.py'
 _SYNCHRONOUS_ENTRY: Final = 'bergamotcart/entry/tests/test_synchronous_replicas.py'
@@ -502,6 +503,50 @@
         (Replacement('if self._is_hopeless(queue, request):', _NEVER),),
         'bergamotcart/entry/tests/test_crowds.py',
     ),
+    Fault(
+        'end an overload at the first request in time',
+        'bergamotcart/admission/_queue_pace.py',
+        (Replacement('if now >= self.last_at + objective_s:', 'if wait_s <= objective_s:'),),
+        'bergamotcart/entry/tests/test_crowds.py',
+    ),
+    Fault(
+        'let requests wait for their whole objective during an overload',
+        'bergamotcart/admission/_queue_pace.py',
+        (Replacement('_STANDING_SHARE: Final = 0.5', '_STANDING_SHARE: Final = 1.0'),),
+        'bergamotcart/entry/tests/test_crowds.py',
+    ),
+    Fault(
+        'eject the last serving instance',
+        'bergamotcart/routing/_instance_weights.py',
+        (
+            Replacement(
+                'if not any(self.weight(other) > 0 for other in serving if other != key):', _NEVER
+            ),
+        ),
+        _INSTANCE_WEIGHTS,
+    ),
+    Fault(
+        'eject all instances but one',
+        'bergamotcart/routing/_instance_weights.py',
+        (
+            Replacement(
+                'max(1, int(len(serving) * self._settings.max_ejected_share))', 'len(serving)'
+            ),
+        ),
+        _INSTANCE_WEIGHTS,
+    ),
+    Fault(
+        'take an instance back at once',
+        'bergamotcart/routing/_instance_weights.py',
+        (Replacement('record.raise_weight(min(target, raised))', 'record.raise_weight(target)'),),
+        _INSTANCE_WEIGHTS,
+    ),
+    Fault(
+        'eject failing instances although all fail',
+        'bergamotcart/routing/_instance_weights.py',
+        (Replacement('others or [0.0]) * settings.failing_ratio', 'others or [0.0])'),),
+        _INSTANCE_WEIGHTS,
+    ),
     Fault(
         'let transactions take the last connection',
         'bergamotcart/entry/_target_limits.py',
