Admission: queues with few requests a second are judged by their interval

An entry whose queue is served less often than once per objective got no request for that long, so the overload always seemed to end; and where one request ahead already exceeds half of the objective, the queue could run empty. An overload now lasts for four intervals between departures at least, and a request with one ahead is admitted.

--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -506,7 +506,12 @@
     Fault(
         'end an overload at the first request in time',
         'bergamotcart/admission/_queue_pace.py',
-        (Replacement('if now >= self.last_at + objective_s:', 'if wait_s <= objective_s:'),),
+        (
+            Replacement(
+                'if now >= self.last_at + max(objective_s, interval_s * _QUIET_INTERVALS):',
+                'if wait_s <= objective_s:',
+            ),
+        ),
         'bergamotcart/entry/tests/test_crowds.py',
     ),
     Fault(
--- a/packages/bergamotcart/src/bergamotcart/admission/_queue_pace.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/_queue_pace.py
@@ -15,6 +15,9 @@
 # Part of its objective that a request may wait in a queue that has been long for some time. The rest
 # is left for the statement itself and for waits that are longer than expected.
 _STANDING_SHARE: Final = 0.5
+# Intervals between departures without a late request that end an overload, if they are longer than
+# the objective. An entry with few requests gets none for so long during an overload.
+_QUIET_INTERVALS: Final = 4
 # After a pause of this length, in seconds, the queue may be served at another rate.
 _FORGET_AFTER_S: Final = 10.0
 
@@ -32,14 +35,15 @@
         self.since: float | None = None
         self.last_at = float('-inf')
 
-    def is_standing(self, now: float, wait_s: float, objective_s: float) -> bool:
-        if now >= self.last_at + objective_s:
+    def is_standing(self, now: float, wait_s: float, objective_s: float, interval_s: float) -> bool:
+        if now >= self.last_at + max(objective_s, interval_s * _QUIET_INTERVALS):
             # One request in time does not end an overload: if it did, all callers would be admitted
             # for another objective, and the queue would again become as long as at the beginning.
             self.since = None
         is_standing = self.since is not None and now >= self.since + objective_s
         longest_wait_s = objective_s * _STANDING_SHARE if is_standing else objective_s
-        if wait_s <= longest_wait_s:
+        # With one request ahead, the server is not idle before the next one arrives.
+        if wait_s <= max(longest_wait_s, interval_s):
             return False
         self.last_at = now
         if self.since is None:
@@ -111,7 +115,7 @@
 
         Such a queue is no peak that drains by itself: it makes every request late, while the rate
         of answers is the same with a queue that lets them be in time. It ends when none has been
-        late for as long as the objective.
+        late for as long as the objective, and for some intervals between departures.
 
         :param now: current time in seconds.
         :param wait_s: expected wait of a new request, in seconds.
@@ -121,7 +125,7 @@
         if objective_s <= 0:
             return False
         lateness = self._lateness.setdefault((priority, objective_s), _Lateness())
-        return lateness.is_standing(now, wait_s, objective_s)
+        return lateness.is_standing(now, wait_s, objective_s, self._interval_s)
 
     def return_after_s(
         self, now: float, wait_s: float, objective_s: float, limit_s: float, rng: random.Random
--- a/packages/bergamotcart/src/bergamotcart/admission/tests/test_queue_pace.py
+++ b/packages/bergamotcart/src/bergamotcart/admission/tests/test_queue_pace.py
@@ -67,6 +67,17 @@
     assert not pace.is_standing(2.45, 0.15, 0.3)
 
 
+def test_slow_queue_is_judged_by_its_interval():
+    """An entry with few requests has none for longer than the objective, and must not run idle."""
+    pace = QueuePace()
+    for number in range(10):
+        pace.record_departure(number * 0.5)
+    assert not pace.is_standing(5, 1, 0.3)
+    assert pace.is_standing(6, 1, 0.3)
+    assert not pace.is_standing(6.5, 0.5, 0.3)
+    assert pace.is_standing(7, 1, 0.3)
+
+
 def test_queue_stands_for_its_low_priority_only():
     """Writes that are served at once must not hide that the reads behind them are late."""
     pace = _build_pace(20)
