Caps: all operations wait for a credit equally long

Cause: an operation waited for a credit for half of its own latency objective.

Change: all wait for half of the shortest objective of the routes in force, 0.1 s at least, and the lender gives away no places further ahead.

The test of the gate fails before: the operation still waits.

--- a/packages/bergamotcart/src/bergamotcart/control/_caps.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_caps.py
@@ -8,7 +8,13 @@
 from bergamotcart.control._configuration import ControlConfiguration
 from bergamotcart.control._entry_table import EntryKey
 from bergamotcart.control._step_context import StepContext
-from bergamotcart.workspaces import Cap, CapLender, CapSettings, find_former_loans_end
+from bergamotcart.workspaces import (
+    Cap,
+    CapLender,
+    CapSettings,
+    find_credit_wait_s,
+    find_former_loans_end,
+)
 
 
 def find_cap_lender(context: StepContext) -> CapLender | None:
@@ -26,7 +32,8 @@
             return None
         local.cap_lender = _make_lender(context)
     local.caps_revision = context.state.revision
-    local.cap_lender.change_caps(context.now, caps)
+    max_wait_s = find_credit_wait_s(context.document.shortest_objective_s)
+    local.cap_lender.change_caps(context.now, caps, max_wait_s)
     return local.cap_lender
 
 
--- a/packages/bergamotcart/src/bergamotcart/documents/_document.py
+++ b/packages/bergamotcart/src/bergamotcart/documents/_document.py
@@ -120,6 +120,12 @@
         """Return the route of a database name, or ``None`` if there is none."""
         return self._routes.get(database)
 
+    @property
+    def shortest_objective_s(self) -> float | None:
+        """Shortest latency objective of all routes with one in seconds, or ``None``."""
+        objectives = (resolved.route.target_latency_s for resolved in self._routes.values())
+        return min(filter(None, objectives), default=None)
+
     @property
     def cross_zone_cost_ms(self) -> float | None:
         """Milliseconds that a read must save in another availability zone, or ``None``."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_cap_gate.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_cap_gate.py
@@ -16,12 +16,8 @@
 from bergamotcart.entry._timers import Timer
 from bergamotcart.outcomes import Reason
 from bergamotcart.statements import StatementKind
-from bergamotcart.workspaces import Cap, Desire
+from bergamotcart.workspaces import Cap, Desire, find_credit_wait_s
 
-# An operation waits for a credit for this share of its target latency, at least so long that a
-# lost request can be repeated once.
-_WAIT_SHARE: Final = 0.5
-_MIN_WAIT_S: Final = 0.1
 # Time that a request needs besides the wait before its deadline.
 _DEADLINE_RESERVE_S: Final = 0.05
 # Operations that arrive within this time are reported in one message.
@@ -48,6 +44,7 @@
         '_caps',
         '_context',
         '_find_leader',
+        '_max_wait_s',
         '_replies',
         '_report_timer',
         '_reported_at',
@@ -75,6 +72,7 @@
         self._use = CapUseMeter()
         self._caps: dict[str, Cap] = {}
         self._revision = 0
+        self._max_wait_s = find_credit_wait_s(None)
         self._waiting: dict[str, deque[Request]] = {}
         self._room_at: dict[str, float] = {}
         self._report_timer: Timer | None = None
@@ -159,6 +157,7 @@
         if document.revision == self._revision:
             return
         self._revision = document.revision
+        self._max_wait_s = find_credit_wait_s(document.shortest_objective_s)
         former = self._caps
         self._caps = {
             workspace.name: Cap(workspace.rate_per_s, workspace.burst)
@@ -201,8 +200,7 @@
         :returns: ``False``, since the request may not go on.
         """
         now, workspace = self._context.now, request.session.workspace
-        wait_s = max(_MIN_WAIT_S, request.route.target_latency_s * _WAIT_SHARE)
-        wait_until = min(now + wait_s, request.deadline - _DEADLINE_RESERVE_S)
+        wait_until = min(now + self._max_wait_s, request.deadline - _DEADLINE_RESERVE_S)
         request.credit_wait_until = wait_until
         if cap.admits_nothing:
             self._refuse(request, 'the cap admits nothing', math.inf)
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_caps.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_caps.py
@@ -164,6 +164,25 @@
     assert harness.refusal(request).reason is Reason.cap_reached
 
 
+def test_operations_wait_for_credits_as_long_as_the_most_urgent_ones() -> None:
+    """Operations of patient routes took all credits of a reached cap, and urgent ones none."""
+    harness = _harness()
+    body = msgspec.json.decode(harness.section.body, type=documents.RoutesBody)
+    routes = tuple(
+        msgspec.structs.replace(route, target_latency_s=objective_s)
+        for route, objective_s in zip(body.routes, (1.0, 0.25, 0.0), strict=False)
+    )
+    body = msgspec.structs.replace(body, routes=routes)
+    harness.section = msgspec.structs.replace(
+        harness.section, version=2, body=msgspec.json.encode(body).decode()
+    )
+    harness.configure()
+    database = body.routes[0].database
+    request = harness.send_statement(harness.open_capped_session(database), READ)
+    harness.advance(0.2)
+    assert harness.refusal(request).reason is Reason.cap_reached
+
+
 def test_refused_operation_gives_its_credit_back() -> None:
     """Guards against credits that are lost with operations that were never sent."""
     harness = _harness()
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_allowance.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_allowance.py
@@ -13,6 +13,24 @@
 # Length in seconds of the burst of a cap that states none.
 _DEFAULT_BURST_S: Final = 1.0
 _CREDIT_VALIDITY_S: Final = 3.0
+# Part of the shortest latency objective for which operations wait for a credit.
+_WAIT_SHARE: Final = 0.5
+# In this time a lost request for credits can be repeated once.
+_MIN_WAIT_S: Final = 0.1
+DEFAULT_WAIT_S: Final = 0.5
+
+
+def find_credit_wait_s(shortest_objective_s: float | None) -> float:
+    """Return the time in seconds for which any operation waits for a credit.
+
+    It is the same for all routes. If operations with a longer objective waited for longer, they
+    would take all places at a reached cap, and those with a shorter one would be refused.
+
+    :param shortest_objective_s: shortest latency objective of all routes, in seconds, if any.
+    """
+    if shortest_objective_s is None:
+        return DEFAULT_WAIT_S
+    return max(_MIN_WAIT_S, shortest_objective_s * _WAIT_SHARE)
 
 
 class Cap(msgspec.Struct, frozen=True):
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_lender.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_lender.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from bergamotcart.messages import CapLoan, CapLoans, CapReport, CapUse
-from bergamotcart.workspaces._allowance import Cap, CapSettings
+from bergamotcart.workspaces._allowance import DEFAULT_WAIT_S, Cap, CapSettings
 from bergamotcart.workspaces._workspace_loans import Loan, WorkspaceLoans
 
 
@@ -95,20 +95,26 @@
             loans.is_within_lasting_allowance for loans in self._workspaces.values()
         )
 
-    def change_caps(self, now: float, caps: Mapping[str, Cap]) -> None:
+    def change_caps(
+        self, now: float, caps: Mapping[str, Cap], max_wait_s: float = DEFAULT_WAIT_S
+    ) -> None:
         """Use other caps from now on.
 
         A workspace without a cap is kept until its loans have run out, because they would count if
         it got a cap again.
+
+        :param max_wait_s: seconds for which operations wait for a credit.
         """
         self._caps = caps
         for name, loans in tuple(self._workspaces.items()):
-            loans.change_cap(now, caps.get(name))
+            loans.change_cap(now, caps.get(name), max_wait_s)
             if loans.cap is None and loans.outstanding == 0:
                 self._forget_workspace(name)
         for name, cap in caps.items():
             if name not in self._workspaces:
-                self._workspaces[name] = WorkspaceLoans(now, cap, self._settings)
+                added = WorkspaceLoans(now, cap, self._settings)
+                added.change_cap(now, cap, max_wait_s)
+                self._workspaces[name] = added
 
     def answer_report(self, now: float, borrower: str, report: CapReport) -> CapLoans | None:
         """Record the report of an entry and lend it credits.
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_token_bucket.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_token_bucket.py
@@ -6,11 +6,8 @@
 
 import msgspec
 
-from bergamotcart.workspaces._allowance import Cap
+from bergamotcart.workspaces._allowance import DEFAULT_WAIT_S, Cap
 
-# Places are given away for this many seconds ahead. It is the longest time for which an operation
-# waits for a credit: half of the target latency of the slowest routes.
-_HORIZON_S: Final = 0.5
 # A place is for the tokens of this many seconds, divided among those that ask. Larger ones would
 # delay the first token until the last one is there.
 _PLACE_S: Final = 0.1
@@ -43,13 +40,17 @@
     """Tokens of one cap; whole ones are taken by borrowers.
 
     It starts empty, since a former leader may have given away all tokens until then.
+
+    :ivar max_wait_s: seconds for which operations wait for a credit; no places further ahead are
+        given away.
     """
 
-    __slots__ = ('_asking', '_cap', '_level', '_placed', '_places', '_updated_at')
+    __slots__ = ('_asking', '_cap', '_level', '_placed', '_places', '_updated_at', 'max_wait_s')
 
     def __init__(self, now: float, cap: Cap) -> None:
         """Create an empty bucket."""
         self._cap = cap
+        self.max_wait_s = DEFAULT_WAIT_S
         self._level = 0.0
         self._updated_at = now
         self._placed = 0
@@ -124,7 +125,7 @@
         place = self._places.get(borrower)
         if place is None:
             room_in_s = max(0.0, (self._placed + tokens - self._level) / rate)
-            if room_in_s > max(_HORIZON_S, 1 / rate):
+            if room_in_s > max(self.max_wait_s, 1 / rate):
                 return room_in_s
             place = _Place(now + room_in_s, 0)
         self._places[borrower] = _Place(place.due_at, tokens)
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_workspace_loans.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_workspace_loans.py
@@ -99,8 +99,12 @@
         """
         return now < self._scarce_until
 
-    def change_cap(self, now: float, cap: Cap | None) -> None:
-        """Use another cap from now on; credits beyond a lower one run out."""
+    def change_cap(self, now: float, cap: Cap | None, max_wait_s: float) -> None:
+        """Use another cap from now on; credits beyond a lower one run out.
+
+        :param max_wait_s: seconds for which operations wait for a credit.
+        """
+        self._bucket.max_wait_s = max_wait_s
         if cap == self._cap:
             return
         self._cap = cap
--- a/packages/bergamotcart/src/bergamotcart/workspaces/tests/test_caps.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/tests/test_caps.py
@@ -60,6 +60,21 @@
     assert entry.spend_all(0) == 0
 
 
+def test_no_place_is_kept_for_longer_than_operations_wait() -> None:
+    """A place of an operation that gave up kept others from the tokens of a reached cap."""
+    lender = _lender()
+    max_wait_s = 0.125
+    lender.change_caps(0, {_NAME: Cap(10, 1)}, max_wait_s)
+    patient, urgent = _Entry(lender, 'e1'), _Entry(lender, 'e2')
+    patient.report(0, waiting=1)
+    rooms = [
+        entry.report(now, waiting=1).loans[0].room_in_s
+        for entry, now in ((patient, 0.02), (urgent, 0.02), (urgent, 0.15))
+    ]
+    # The second one gets no place, since its operation would not wait for it.
+    assert [room_in_s <= max_wait_s for room_in_s in rooms] == [True, False, True]
+
+
 @pytest.mark.parametrize(('has_reserve', 'lent'), [(True, _ALLOWANCE.reserved), (False, 0)])
 def test_new_leader_lends_only_the_reserve(has_reserve: bool, lent: int) -> None:
     """Guards against loans beyond the allowance while those of a former leader may be in use."""
