Report the log terms of the simulated instances to control too

The simulation of reads reported positions to control with the log term 1, so after a change of the primary the positions that came with leases required nothing of the present term.

--- a/packages/bergamotcart/src/bergamotcart/control/tests/_reading_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_reading_group.py
@@ -266,6 +266,10 @@
         log = self.replicas[name].log
         return Position(self._commit_terms[log[-1]] if log else 1, len(log))
 
+    def _make_status(self, instance: Instance, *, accepted: bool) -> control.InstanceStatus:
+        status = super()._make_status(instance, accepted=accepted)
+        return msgspec.structs.replace(status, log_term=self._position(instance.name).log_term)
+
     def _draw_replication_delay_s(self) -> float:
         return self.lag_s
 
