Refuse what cannot be served at the first statement of a transaction, not at BEGIN

Cause: an entry answers BEGIN on a route by itself, and refused it while its state was behind or its route unconfirmed. Both pass within a renewal. A caller that goes on regardless, as those of the soak do and as pipelining ones must, then had its next statements run on their own: reads outside their transaction (PINNED), writes that took effect at once. Change: BEGIN is refused only while the entry drains, when all further statements are refused too. The first statement gets the refusal, which ends the transaction, as it did before for a refusal that began after BEGIN. The new test failed before: the write ran on a shared connection. One assertion of an existing test is replaced: BEGIN on a removed route is no longer refused itself; the first statement after it must be, must be retryable, must leave no transaction, and must not be sent.

--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -199,9 +199,11 @@
     def _begin_transaction(self, session: Session, statement: Statement) -> Outcome:
         if session.begun_transaction is not None or session.transaction is not None:
             return NotRun(Reason.unsupported_statement, 'a transaction is open')
-        resolved = self._resolve_route(session)
-        if isinstance(resolved, NotRun):
-            return resolved
+        if self._context.refuses_new_requests:
+            # All further statements of the session are refused too.
+            return NotRun(Reason.draining, retry_after=_DRAINING_RETRY_AFTER_S)
+        # A route that cannot be served now is refused at the first statement. If BEGIN were refused
+        # and the route were served again, that statement would run outside a transaction.
         # The connection is pinned with the first statement, so that an idle caller holds none.
         session.begun_transaction = BegunTransaction(statement.read_only)
         return Ran()
