Open a group only when no call for an earlier decision can replace its primary

Cause: a call of the authority that gets no answer may be carried out seconds later. If a new leader, or the same one, then chose an instance that was still the primary, the group opened as soon as that instance reported its role, although the authority might not have heard the newer token. The earlier call then promoted another instance under an open group: commits that had been acknowledged were discarded, and the answers of the former primary, by then a replica, counted as positions of the primary. Other failovers are not delayed. The test failed before: the group opened while both calls were unanswered.

--- a/packages/bergamotcart/src/bergamotcart/control/_authority_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_authority_group.py
@@ -29,6 +29,7 @@
 from bergamotcart.control._switchover import advance_catch_up, poll_statuses
 from bergamotcart.control._unfenced_group import (
     correct_other_primaries,
+    find_settled_at,
     has_taken_over,
     is_unfenced,
     order_step_downs,
@@ -161,6 +162,8 @@
         if settled is None:
             return
         chosen = settled
+    else:
+        progress.earlier_call_until = find_settled_at(context, row)
     command = PromoteGroup(
         group=row.name,
         frozen_term=row.term,
@@ -188,7 +191,9 @@
     context.request_step_at(context.now + POLL_INTERVAL_S)
     statuses = poll_statuses(context, row, progress.phase_started_at)
     status = statuses.get(row.primary or '')
-    if status is not None and _is_primary(status) and has_taken_over(context, row, statuses):
+    has_settled = not _may_be_replaced_by_earlier_call(context, row, progress)
+    is_serving = status is not None and _is_primary(status)
+    if is_serving and has_settled and has_taken_over(context, row, statuses):
         order_step_downs(context, row, statuses)
         unanswered_at = context.local.orders.find_unanswered_promotion(row.name)
         command = OpenGroup(group=row.name, term=row.term, settled=unanswered_at is None)
@@ -205,6 +210,20 @@
         propose_freeze(context, row, failure)
 
 
+def _may_be_replaced_by_earlier_call(
+    context: StepContext, row: messages.GroupRow, progress: GroupProgress
+) -> bool:
+    """Tell whether a call for an earlier decision may replace the chosen instance after it serves.
+
+    The chosen instance may serve since before this decision. Only a call that the authority has
+    accepted shows that it knows this decision's token, with which it refuses earlier ones.
+    """
+    key = OrderKey(OrderKind.promote, row.name, row.primary or '', row.term)
+    answer = context.local.orders.find_answer(key)
+    is_accepted = answer is not None and answer.accepted
+    return not is_accepted and context.now < progress.earlier_call_until
+
+
 def _order_promotion(
     context: StepContext, row: messages.GroupRow, progress: GroupProgress, chosen: KnownInstance
 ) -> str:
--- a/packages/bergamotcart/src/bergamotcart/control/_group_phases.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_group_phases.py
@@ -45,8 +45,12 @@
     # A new leader does not know when a group opened: it leaves ``opened_at`` unset, so the grace
     # period of a newly opened group does not apply.
     has_just_opened = existing is not None and row.phase == messages.GroupPhase.open
+    earlier_call_until = float('-inf')
+    if existing is not None and row.phase == messages.GroupPhase.promoting:
+        earlier_call_until = existing.earlier_call_until
     progress = GroupProgress(
         phase_and_term=phase_and_term,
+        earlier_call_until=earlier_call_until,
         phase_started_at=context.now,
         proposed_term=_find_newest_term(context, row) + 1,
         opened_at=context.now if has_just_opened else None,
--- a/packages/bergamotcart/src/bergamotcart/control/_group_progress.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_group_progress.py
@@ -36,6 +36,8 @@
     :param required_position: position of a leaving primary, once no entry could write any more.
     :param opened_at: time at which this leader found the group open after another phase, or
         ``None`` if it did not see the change.
+    :param earlier_call_until: time until which a call of the authority for an earlier decision may
+        take effect, if the authority has not answered a later one.
     :param waiting_for: what the phase waits for, as the status shows it.
     :param published_decisions: decisions that were already published in this phase.
     """
@@ -49,6 +51,7 @@
     stop_started_at: float | None = None
     required_position: Position | None = None
     opened_at: float | None = None
+    earlier_call_until: float = float('-inf')
     waiting_for: str = ''
     published_decisions: frozenset[OneTimeDecision] = frozenset()
 
--- a/packages/bergamotcart/src/bergamotcart/control/_unfenced_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/_unfenced_group.py
@@ -142,7 +142,7 @@
         call, else ``None`` until that call can no longer take effect.
     """
     chosen = _find_newest_lead(row, candidates) or chosen
-    settled_at = _find_settled_at(context, row)
+    settled_at = find_settled_at(context, row)
     if chosen.status.instance == row.primary or context.now >= settled_at:
         return chosen
     for candidate in candidates:
@@ -168,8 +168,12 @@
     return newest if is_lead and is_alone and newest.receives_requests else None
 
 
-def _find_settled_at(context: StepContext, row: messages.GroupRow) -> float:
-    """Return the time in seconds from which no earlier call can take effect."""
+def find_settled_at(context: StepContext, row: messages.GroupRow) -> float:
+    """Return the time in seconds from which no call for an earlier decision can take effect.
+
+    :param context: context of the current step.
+    :param row: a frozen group.
+    """
     if not row.promotion_unsettled:
         return float('-inf')
     if (row.decided_by, row.decided_in) != (context.configuration.name, context.leadership.term):
--- a/packages/bergamotcart/src/bergamotcart/control/tests/test_authority.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/test_authority.py
@@ -89,6 +89,28 @@
     assert len(set(world.authority_calls[earlier_calls - 1 :])) == 1
 
 
+def test_group_stays_closed_while_earlier_call_may_promote_another():
+    """Guards against a primary that a call of the former leader replaces after it has served.
+
+    Commits that it acknowledged would be lost, and reads at it would lack those of the new primary.
+    """
+    world = _start_world()
+    world.instances[_PRIMARY].position = 20
+    world.answers_calls = False
+    world.crash_instance(_PRIMARY)
+    world.run(1.0)
+    assert world.authority_calls[-1][0] != _PRIMARY
+    world.instances[_PRIMARY].is_running = True
+    world.unreachable.clear()
+    world.restart_control()
+    world.run(2.0)
+    assert world.authority_calls[-1][0] == _PRIMARY
+    assert world.group_row.phase is GroupPhase.promoting
+    world.answers_calls = True
+    world.run(2.0)
+    assert (world.group_row.phase, world.group_row.primary) == (GroupPhase.open, _PRIMARY)
+
+
 def test_leaving_primary_is_replaced_only_by_caught_up_replica():
     """A switchover must not lose a write."""
     world = _start_world()
