Transport: limits on the port for messages between processes

Cause: the messaging library accepts connections without a limit and holds each message that has arrived in part.

Change: where the settings name limits, the process receives the messages of peers itself, over the framing that the library uses; the library only sends. Connections are charged to the budget of the process, limited in number and in time, and give way like those of callers; a peer that has sent a valid message is not made to wait. Python owns all descriptors. Without limits, the library listens as before.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/control/_daemon.py
@@ -66,6 +66,7 @@
             translation,
             self._metrics,
             submit,
+            self._guard,
         )
         self._order_sender = OrderSender(adapters.build_admin(), submit)
         self._gateway = OperatorGateway(submit)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -60,6 +60,7 @@
             translation,
             self._metrics,
             submit,
+            self._guard,
         )
         target_settings = TargetSettings(
             translation=translation,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_transport.py
@@ -10,14 +10,16 @@
 
 from bergamotcart import messages
 from bergamotcart.actions import MessageReceived, Send
-from bergamotcart_daemon.addresses import AddressTranslation
+from bergamotcart_daemon.addresses import Address, AddressTranslation
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.resources import ResourceGuard
 from bergamotcart_daemon.transport._acknowledgements import (
     ACKNOWLEDGEMENT_TIMEOUT_S,
     AcknowledgementTracker,
 )
 from bergamotcart_daemon.transport._compression import compress, decompress
 from bergamotcart_daemon.transport._identity import Identity
+from bergamotcart_daemon.transport._peer_server import PeerServer
 from bergamotcart_daemon.transport._peer_sockets import PeerSockets
 
 # Longer messages close the connection before memory is allocated for them. Messages between
@@ -36,8 +38,11 @@
 class Transport(Service):
     """Owns one listening ``Pull0`` socket and one ``Push0`` socket per peer address.
 
+    Where limits are named, a server of its own takes the place of the ``Pull0`` socket.
+
     :param listen: listening address, as ``host:port``.
     :param submit: called with each received message.
+    :param guard: limits of the process.
     """
 
     def __init__(
@@ -47,6 +52,7 @@
         translation: AddressTranslation,
         metrics: Metrics,
         submit: Callable[[MessageReceived], None],
+        guard: ResourceGuard | None = None,
     ) -> None:
         """Store the parameters; sockets are opened at start."""
         super().__init__()
@@ -55,6 +61,7 @@
         self._translation = translation
         self._metrics = metrics
         self._submit = submit
+        self._guard = guard
         self._peer_sockets = PeerSockets()
         self._acknowledgements = AcknowledgementTracker()
         self._pull_socket: pynng.Pull0 | None = None
@@ -62,19 +69,13 @@
 
     async def on_start(self) -> None:
         """Open the listening socket."""
-        pull_socket = pynng.Pull0(
-            recv_buffer_size=_RECEIVE_BUFFER_MESSAGES,
-            recv_max_size=_RECEIVE_LIMIT_BYTES,
-        )
-        self.exit_stack.callback(pull_socket.close)
         self.exit_stack.callback(self._peer_sockets.close)
-        pull_socket.listen(f'tcp://{self._listen}')
-        self._pull_socket = pull_socket
-        # The descriptor is readable while messages are queued, so no receiving thread is needed.
-        loop = asyncio.get_running_loop()
-        descriptor = pull_socket.recv_fd
-        loop.add_reader(descriptor, self._read_messages)
-        self.exit_stack.callback(loop.remove_reader, descriptor)
+        if self._guard is None or not self._guard.is_limited:
+            self._open_pull_socket()
+            return
+        server = PeerServer(self._guard, self._process_message)
+        self.exit_stack.callback(server.stop)
+        await server.start(Address.parse(self._listen))
 
     @Service.timer(_IDLE_CHECK_INTERVAL_S)
     async def close_idle_sockets(self) -> None:
@@ -110,6 +111,20 @@
             return
         self._metrics.count_sent_message(type(action.body).__name__, len(encoded))
 
+    def _open_pull_socket(self) -> None:
+        pull_socket = pynng.Pull0(
+            recv_buffer_size=_RECEIVE_BUFFER_MESSAGES,
+            recv_max_size=_RECEIVE_LIMIT_BYTES,
+        )
+        self.exit_stack.callback(pull_socket.close)
+        pull_socket.listen(f'tcp://{self._listen}')
+        self._pull_socket = pull_socket
+        # The descriptor is readable while messages are queued, so no receiving thread is needed.
+        loop = asyncio.get_running_loop()
+        descriptor = pull_socket.recv_fd
+        loop.add_reader(descriptor, self._read_messages)
+        self.exit_stack.callback(loop.remove_reader, descriptor)
+
     def _read_messages(self) -> None:
         for _ in range(_MAX_MESSAGES_PER_ITERATION):
             try:
@@ -125,20 +140,25 @@
                 continue
             self._process_message(received)
 
-    def _process_message(self, received: bytes) -> None:
+    def _process_message(self, received: bytes) -> bool:
+        """Submit a message, unless it is malformed or for another process.
+
+        :returns: whether it is well-formed.
+        """
         try:
             envelope = messages.decode(decompress(received), self._identity.domain)
         except messages.DecodeError as error:
             self._report_event('message_malformed', str(error))
-            return
+            return False
         if envelope.recipient != self._identity.name:
             self._report_event(
                 'message_misdirected',
                 f'from {envelope.sender!r}, addressed to {envelope.recipient!r}',
             )
-            return
+            return True
         self._acknowledgements.record_received(envelope, asyncio.get_running_loop().time())
         self._submit(MessageReceived(envelope))
+        return True
 
     def _report_event(self, event: str, detail: str) -> None:
         # Every event is counted, but log lines are rate-limited, as bad input may be frequent.
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_transport.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_transport.py
@@ -8,8 +8,10 @@
 
 from bergamotcart import messages
 from bergamotcart.actions import MessageReceived, Send
+from bergamotcart.resources import ResourceLimits
 from bergamotcart_daemon.addresses import AddressTranslation
 from bergamotcart_daemon.metrics import Metrics
+from bergamotcart_daemon.resources import ResourceGuard
 from bergamotcart_daemon.transport import Identity, Transport
 from bergamotcart_daemon.transport._compression import compress, decompress
 
@@ -18,19 +20,22 @@
 _ADVERTISED_ADDRESS = '10.9.9.9:1'
 
 
-def _build_transport(name: str, address: str, peer: str, submit) -> Transport:
+def _build_transport(name: str, address: str, peer: str, submit, limits=None) -> Transport:
     identity = Identity('default', name, f'{name}-1', address)
     translation = AddressTranslation({_ADVERTISED_ADDRESS: peer})
-    return Transport(address, identity, translation, Metrics(dict), submit)
+    metrics = Metrics(dict)
+    guard = limits and ResourceGuard.build(limits, limits.control_shares, metrics)
+    return Transport(address, identity, translation, metrics, submit, guard)
 
 
-async def test_malformed_messages_are_dropped(addresses):
+@pytest.mark.parametrize('limits', [None, ResourceLimits(memory_mb=100, max_fds=100)])
+async def test_malformed_messages_are_dropped(addresses, limits):
     """One malformed message must not end or block the receiver."""
     first, second = (next(addresses) for _ in range(2))
     received: asyncio.Queue[MessageReceived] = asyncio.Queue()
 
     sender = _build_transport('e1', first, second, received.put_nowait)
-    receiver = _build_transport('c1', second, first, received.put_nowait)
+    receiver = _build_transport('c1', second, first, received.put_nowait, limits)
     async with sender, receiver:
         with pynng.Push0() as raw_socket:
             raw_socket.dial(f'tcp://{second}', block=False)
