--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_adapters.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_adapters.py
@@ -50,8 +50,11 @@
         """
 
     @abc.abstractmethod
-    def build_driver(self) -> TargetDriver:
-        """Build the driver for connections to targets."""
+    def build_driver(self, guard: ResourceGuard) -> TargetDriver:
+        """Build the driver for connections to targets.
+
+        :param guard: limits of the process.
+        """
 
     def build_routes(
         self,
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -65,7 +65,7 @@
         target_settings = TargetSettings(
             translation=translation,
             connect_timeout_s=settings.connect_timeout,
-            driver=adapters.build_driver(),
+            driver=adapters.build_driver(self._guard),
         )
         self._targets = Targets(target_settings, submit)
         self._caller_frontend = adapters.build_callers(self._metrics, submit, self._guard)
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/protocols.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/protocols.py
@@ -40,7 +40,7 @@
         """Build a MySQL server."""
         return CallerServer(self._settings.mysql_listen, metrics, submit, guard)
 
-    def build_driver(self) -> TargetDriver:
+    def build_driver(self, guard: ResourceGuard) -> TargetDriver:
         """Build a MySQL client."""
         return MysqlDriver(ReplicationPositionDialect(), self._settings.connect_timeout)
 
