--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/entry/_daemon.py
@@ -60,11 +60,12 @@
             translation,
             self._metrics,
             submit,
+            self._guard,
         )
         target_settings = TargetSettings(
             translation=translation,
             connect_timeout_s=settings.connect_timeout,
-            driver=adapters.build_driver(),
+            driver=adapters.build_driver(self._guard),
         )
         self._targets = Targets(target_settings, submit)
         self._caller_frontend = adapters.build_callers(self._metrics, submit, self._guard)
