--- a/packages/bergamotcart/src/bergamotcart/control/tests/_reading_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_reading_group.py
@@ -190,6 +190,7 @@
             self.reads.append(_Read(caller, caller.started_at or 0, instance, seen))
         elif caller.commit and not caller.script:
             self._acknowledged_at.setdefault(caller.commit, (self.now, caller.session))
+            self.acknowledged.add(caller.commit)
 
     # Entries
 
@@ -279,7 +280,7 @@
         due = self.now - self.lag_s
         received = [each for each in self.replicas[primary].log if self._committed_at[each] <= due]
         for newest in received[-1:]:
-            for name in self.instances:
+            for name in sorted(self.instances.keys() - {primary}):
                 self._replicate(primary, name, newest)
 
     def _execute_order(self, order: control.Order) -> control.InstanceStatus | None:
