--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_peer_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/tests/test_peer_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import os
 import random
 import socket
@@ -19,18 +18,16 @@
 
 _GREETING = b'\0SP\0\0\x50\0\0'
 _LONGEST = 1024 * 1024
-_HALF_BODY = bytes(_LONGEST * 9 // 10)
-_HALF = b''.join((_GREETING, struct.pack('>Q', _LONGEST), _HALF_BODY))
-_ROUNDS = 30
-_OPENED_AT_ONCE = 40
+_LENGTH = struct.pack('>Q', _LONGEST)
+_HALF = b''.join((_GREETING, _LENGTH, bytes(_LONGEST * 9 // 10)))
+_CONNECTIONS = 1200
 _WATCHED = 50
 
 
 @contextlib.asynccontextmanager
 async def _run(addresses, **limits):
     given = ResourceLimits(memory_mb=100, max_fds=100, **limits)
-    shares = given.control_shares
-    guard = ResourceGuard.build(given, shares, Metrics(dict))
+    guard = ResourceGuard.build(given, given.control_shares, Metrics(dict))
     received: asyncio.Queue[bytes] = asyncio.Queue()
     # All messages are valid.
     server = PeerServer(guard, lambda message: received.put_nowait(message) is None)
@@ -47,54 +44,52 @@
     return peer
 
 
-def _has_counted(guard, event):
+async def _connect(stack, address, sent):
+    _, writer = await asyncio.open_connection(address.host, address.port)
+    stack.callback(writer.close)
+    writer.write(sent)
+
+
+async def _wait_until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def _has_counted(guard, *events):
     rendered = guard.metrics.render('text/plain').body.decode()
-    return f'event="{event}"' in rendered
+    return all(f'event="peer_{event}"' in rendered for event in events)
 
 
 async def test_known_peer_is_served_beside_a_crowd_that_stops_half_way(addresses):
     """Each message that had arrived in part was kept for ever, so a crowd used up the memory."""
     async with contextlib.AsyncExitStack() as stack:
-        guard, address, received = await stack.enter_async_context(
-            _run(addresses, message_timeout_s=1)
-        )
+        running = _run(addresses, message_timeout_s=2)
+        guard, address, received = await stack.enter_async_context(running)
         peer = stack.enter_context(_dial(address))
         await peer.asend(b'first')
         assert await asyncio.wait_for(received.get(), 5) == b'first'
         for _ in range(30):
-            _, writer = await asyncio.open_connection(address.host, address.port)
-            stack.callback(writer.close)
-            writer.write(_HALF)
-        await asyncio.sleep(0.5)
+            await _connect(stack, address, _HALF)
+        await _wait_until(lambda: guard.budget.waiting)
         assert guard.budget.total <= guard.limits.connection_bytes
-        assert guard.budget.waiting
         await peer.asend(bytes(_LONGEST))
         assert await asyncio.wait_for(received.get(), 5) == bytes(_LONGEST)
-        assert _has_counted(guard, 'peer_closed_memory')
-        _, late_writer = await asyncio.open_connection(address.host, address.port)
-        stack.callback(late_writer.close)
-        late_writer.write(_HALF)
-        await asyncio.sleep(2)
-        assert _has_counted(guard, 'peer_message_timeout')
-        assert not guard.budget.total
+        await _connect(stack, address, _HALF)
+        await _wait_until(lambda: _has_counted(guard, 'closed_memory', 'message_timeout'))
+        await _wait_until(lambda: not guard.budget.total)
 
 
 async def test_unknown_peers_neither_fill_the_server_nor_exceed_a_message(addresses):
     """Idle connections used up the descriptors, and a length may name any size."""
     async with contextlib.AsyncExitStack() as stack:
-        guard, address, received = await stack.enter_async_context(
-            _run(addresses, startup_timeout_s=0.5)
-        )
-        for header in (b'GET / HT', _GREETING + b'\xff' * 8, b'', _GREETING):
+        running = _run(addresses, startup_timeout_s=0.5)
+        guard, address, received = await stack.enter_async_context(running)
+        for sent in (b'GET / HT', _GREETING + b'\xff' * 8, b'', _GREETING):
             for _ in range(30):
-                _, writer = await asyncio.open_connection(address.host, address.port)
-                stack.callback(writer.close)
-                writer.write(header)
-        await asyncio.sleep(1.1)
-        assert all(
-            _has_counted(guard, f'peer_{event}')
-            for event in ('refused', 'startup_timeout', 'closed_invalid')
-        )
+                await _connect(stack, address, sent)
+        events = ('refused', 'startup_timeout', 'closed_invalid')
+        await _wait_until(lambda: _has_counted(guard, *events))
         peer = stack.enter_context(_dial(address))
         await peer.asend(b'after the crowd')
         assert await asyncio.wait_for(received.get(), 5) == b'after the crowd'
@@ -141,7 +136,7 @@
         _, address, received = await stack.enter_async_context(_run(addresses))
         thread = asyncio.create_task(asyncio.to_thread(watched.run))
         stack.callback(watched.stop)
-        for number, _ in itertools.product(range(_ROUNDS), range(_OPENED_AT_ONCE)):
+        for number in range(_CONNECTIONS):
             with contextlib.suppress(OSError):
                 _, writer = await asyncio.open_connection(address.host, address.port)
                 writer.write(random.choice((_GREETING, _HALF[:9000], b'GET / HT')))
@@ -153,4 +148,4 @@
         watched.stop()
         await thread
     watched.close()
-    assert watched.turned_over > _ROUNDS * _OPENED_AT_ONCE
+    assert watched.turned_over > _CONNECTIONS
