--- a/packages/bergamotcart/src/bergamotcart/workspaces/_allowance.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_allowance.py
@@ -15,7 +15,7 @@
 _CREDIT_VALIDITY_S: Final = 3.0
 # Part of the shortest latency objective for which operations wait for a credit.
 _WAIT_SHARE: Final = 0.5
-# In this time a lost request for credits can be repeated once.
+# In this time a lost request for credits can be repeated once. It holds without an objective, too.
 _MIN_WAIT_S: Final = 0.1
 DEFAULT_WAIT_S: Final = 0.5
 
@@ -26,11 +26,9 @@
     It is the same for all routes. If operations with a longer objective waited for longer, they
     would take all places at a reached cap, and those with a shorter one would be refused.
 
-    :param shortest_objective_s: shortest latency objective of all routes, in seconds, if any.
+    :param shortest_objective_s: shortest latency objective of all routes in seconds, if any.
     """
-    if shortest_objective_s is None:
-        return DEFAULT_WAIT_S
-    return max(_MIN_WAIT_S, shortest_objective_s * _WAIT_SHARE)
+    return max(_MIN_WAIT_S, (shortest_objective_s or 0) * _WAIT_SHARE)
 
 
 class Cap(msgspec.Struct, frozen=True):
