--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_faults.py
@@ -595,11 +595,7 @@
     Fault(
         'let a caller with more sessions displace one with fewer',
         'bergamotcart/resources/_connection_slots.py',
-        (
-            Replacement(
-                'if counts[greatest] <= counts.get(share, 0) + 1:', 'if share not in counts:'
-            ),
-        ),
+        (Replacement('if counts[greatest] > counts.get(share, 0) + 1:', 'if share in counts:'),),
         _CONNECTION_SLOTS,
     ),
     Fault(
