--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_copies.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_copies.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 import bergamotcart
-from bergamotcart_testkit.mutants._faults import Fault
+from bergamotcart_testkit.mutants._fault import Fault
 
 # Shrinking a failing example takes minutes and is not needed to detect a fault.
 _CONFTEST: Final = """\
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_program.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_program.py
@@ -8,7 +8,8 @@
 from cleo.io.inputs.option import Option
 
 from bergamotcart_testkit.mutants._copies import MutantError, apply_fault, library_source
-from bergamotcart_testkit.mutants._faults import FAULTS, Fault
+from bergamotcart_testkit.mutants._fault import Fault
+from bergamotcart_testkit.mutants._faults import FAULTS
 from bergamotcart_testkit.mutants._trial import Trial, run_fault_tests, run_unchanged_tests
 
 
--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_trial.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_trial.py
@@ -12,7 +12,7 @@
 import pytest
 
 from bergamotcart_testkit.mutants._copies import copy_library
-from bergamotcart_testkit.mutants._faults import Fault
+from bergamotcart_testkit.mutants._fault import Fault
 
 # The slowest test of the table takes 10 s on an idle core; the limit allows for a busy machine.
 TIME_LIMIT_S: Final = 240
