Discovery, caps and a test model: state and code that stood twice

The history of a primary's positions kept three lists in step and built a KnownPosition for each read; it keeps one list of them now, built when a position is added. A bucket of credits is created with the time for which operations wait, instead of being changed right after. Both models of a group submit a statement with the same method. No behaviour changes; the tests are unchanged.

--- a/packages/bergamotcart/src/bergamotcart/control/tests/_reading_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_reading_group.py
@@ -166,15 +166,7 @@
         caller.sent = text
         if caller.started_at is None and statement.kind is not StatementKind.begin:
             caller.started_at = self.now
-        caller.request = next(self._numbers)
-        arrived = entry.RequestArrived(
-            caller.request,
-            caller.session,
-            text,
-            statement=statement,
-            statement_id=str(caller.request),
-        )
-        self._entry_inputs[caller.entry].append(arrived)
+        self._submit(caller, statement, text)
         is_begin = statement.kind is StatementKind.begin
         if is_begin and self.random.random() < _LONG_PAUSE_PROBABILITY:
             caller.pause_until = self.now + _LONG_PAUSE_S
--- a/packages/bergamotcart/src/bergamotcart/control/tests/_replicated_group.py
+++ b/packages/bergamotcart/src/bergamotcart/control/tests/_replicated_group.py
@@ -179,16 +179,18 @@
     def _send_statements(self) -> None:
         for caller in self._callers.values():
             if caller.request is None and self.random.random() < _SEND_PROBABILITY:
-                statement, text = _SCRIPT[caller.step]
-                caller.request = next(self._numbers)
-                arrived = entry.RequestArrived(
-                    caller.request,
-                    caller.session,
-                    text,
-                    statement=statement,
-                    statement_id=str(caller.request),
-                )
-                self._entry_inputs[caller.entry].append(arrived)
+                self._submit(caller, *_SCRIPT[caller.step])
+
+    def _submit(self, caller: _Caller, statement: Statement, text: str) -> None:
+        caller.request = next(self._numbers)
+        arrived = entry.RequestArrived(
+            caller.request,
+            caller.session,
+            text,
+            statement=statement,
+            statement_id=str(caller.request),
+        )
+        self._entry_inputs[caller.entry].append(arrived)
 
     def _finish_request(self, reply: entry.Reply) -> None:
         caller = next(each for each in self._callers.values() if each.request == reply.request_id)
--- a/packages/bergamotcart/src/bergamotcart/discovery/_position_history.py
+++ b/packages/bergamotcart/src/bergamotcart/discovery/_position_history.py
@@ -1,6 +1,7 @@
 """History of a primary's log positions, which proves the age of a replica's data."""
 
 import bisect
+import operator
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
@@ -8,6 +9,8 @@
 from bergamotcart.discovery._positions import Position
 
 _MIN_KEPT_POSITIONS: Final = 2048
+_get_position: Final = operator.attrgetter('position')
+_get_sent_at: Final = operator.attrgetter('sent_at')
 
 
 class KnownPosition(NamedTuple):
@@ -29,28 +32,27 @@
     and answered while the lease was valid.
     """
 
-    __slots__ = ('_positions', '_sent_at', '_sources')
+    __slots__ = ('_known',)
 
     def __init__(self) -> None:
         """Initialize without positions."""
-        self._positions: list[Position] = []
-        self._sent_at: list[float] = []
-        self._sources: list[str] = []
+        # Ordered by position and by time.
+        self._known: list[KnownPosition] = []
 
     @property
     def newest(self) -> Position | None:
         """Last position, or ``None`` if there is none."""
-        return self._positions[-1] if self._positions else None
+        return self._known[-1].position if self._known else None
 
     @property
     def newest_known(self) -> KnownPosition | None:
         """Last position with its origin, or ``None`` if there is none."""
-        return self._build_known(-1) if self._positions else None
+        return self._known[-1] if self._known else None
 
     @property
     def newest_sent_at(self) -> float:
         """Time in seconds at which the last probe was sent; minus infinity if there is none."""
-        return self._sent_at[-1] if self._sent_at else float('-inf')
+        return self._known[-1].sent_at if self._known else float('-inf')
 
     def add(self, sent_at: float, position: Position, source: str = 'probe of the primary') -> None:
         """Add a position; one that is older than the last is ignored.
@@ -63,22 +65,14 @@
         if newest is not None and (sent_at <= self.newest_sent_at or position < newest):
             return
         if position == newest:
-            self._sent_at[-1] = sent_at
-            self._sources[-1] = source
-            return
-        self._positions.append(position)
-        self._sent_at.append(sent_at)
-        self._sources.append(source)
-        if len(self._positions) > 2 * _MIN_KEPT_POSITIONS:
-            self._positions = self._positions[_MIN_KEPT_POSITIONS:]
-            self._sent_at = self._sent_at[_MIN_KEPT_POSITIONS:]
-            self._sources = self._sources[_MIN_KEPT_POSITIONS:]
+            self._known.pop()
+        self._known.append(KnownPosition(position, sent_at, source))
+        if len(self._known) > 2 * _MIN_KEPT_POSITIONS:
+            self._known = self._known[_MIN_KEPT_POSITIONS:]
 
     def clear(self) -> None:
         """Remove all positions, because another primary takes over."""
-        self._positions.clear()
-        self._sent_at.clear()
-        self._sources.clear()
+        self._known.clear()
 
     def first_since(self, sent_since: float) -> KnownPosition | None:
         """Return the lowest position whose probe was sent at or after a time.
@@ -88,8 +82,8 @@
         :param sent_since: time in seconds.
         :returns: the position, or ``None`` if no probe was sent since.
         """
-        index = bisect.bisect_left(self._sent_at, sent_since)
-        return self._build_known(index) if index < len(self._positions) else None
+        index = bisect.bisect_left(self._known, sent_since, key=_get_sent_at)
+        return self._known[index] if index < len(self._known) else None
 
     def proved_at(
         self,
@@ -106,10 +100,7 @@
         if is_discarded(position, branch_points):
             return None
         # On branches that are not discarded, positions are ordered by (log term, position).
-        index = bisect.bisect_right(self._positions, position) - 1
-        while index >= 0 and self._positions[index].position > position.position:
+        index = bisect.bisect_right(self._known, position, key=_get_position) - 1
+        while index >= 0 and self._known[index].position.position > position.position:
             index -= 1
-        return self._sent_at[index] if index >= 0 else None
-
-    def _build_known(self, index: int) -> KnownPosition:
-        return KnownPosition(self._positions[index], self._sent_at[index], self._sources[index])
+        return self._known[index].sent_at if index >= 0 else None
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_lender.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_lender.py
@@ -112,9 +112,7 @@
                 self._forget_workspace(name)
         for name, cap in caps.items():
             if name not in self._workspaces:
-                added = WorkspaceLoans(now, cap, self._settings)
-                added.change_cap(now, cap, max_wait_s)
-                self._workspaces[name] = added
+                self._workspaces[name] = WorkspaceLoans(now, cap, self._settings, max_wait_s)
 
     def answer_report(self, now: float, borrower: str, report: CapReport) -> CapLoans | None:
         """Record the report of an entry and lend it credits.
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_token_bucket.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_token_bucket.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bergamotcart.workspaces._allowance import DEFAULT_WAIT_S, Cap
+from bergamotcart.workspaces._allowance import Cap
 
 # A place is for the tokens of this many seconds, divided among those that ask. Larger ones would
 # delay the first token until the last one is there.
@@ -47,10 +47,10 @@
 
     __slots__ = ('_asking', '_cap', '_level', '_placed', '_places', '_updated_at', 'max_wait_s')
 
-    def __init__(self, now: float, cap: Cap) -> None:
+    def __init__(self, now: float, cap: Cap, max_wait_s: float) -> None:
         """Create an empty bucket."""
         self._cap = cap
-        self.max_wait_s = DEFAULT_WAIT_S
+        self.max_wait_s = max_wait_s
         self._level = 0.0
         self._updated_at = now
         self._placed = 0
--- a/packages/bergamotcart/src/bergamotcart/workspaces/_workspace_loans.py
+++ b/packages/bergamotcart/src/bergamotcart/workspaces/_workspace_loans.py
@@ -50,6 +50,7 @@
     """Lends the credits of one workspace within its cap and its allowance.
 
     :param settings: settings of all caps.
+    :param max_wait_s: seconds for which operations wait for a credit.
     """
 
     __slots__ = (
@@ -64,11 +65,11 @@
         '_spent',
     )
 
-    def __init__(self, now: float, cap: Cap, settings: CapSettings) -> None:
+    def __init__(self, now: float, cap: Cap, settings: CapSettings, max_wait_s: float) -> None:
         """Create it without loans and with an empty bucket."""
         self._settings = settings
         self._cap: Cap | None = cap
-        self._bucket = TokenBucket(now, cap)
+        self._bucket = TokenBucket(now, cap, max_wait_s)
         self._allowance = Allowance.of(cap, settings)
         self._outstanding = 0
         self._holders = 0
