Limits: the budget itself skips a charge that has not changed

The budget knows it, so MemoryBudget.set_held tells whether the size changed, and ConnectionBudget.charge stops there. The connections of HTTP and MySQL clients charge only on changes already.

--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/resources/_connection_budget.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/resources/_connection_budget.py
@@ -75,9 +75,8 @@
 
     def charge(self, key: int, size: int) -> None:
         """Set the bytes that a connection holds; the one that holds most gives way if needed."""
-        if key not in self._members:
+        if key not in self._members or not self._budget.set_held(key, size):
             return
-        self._budget.set_held(key, size)
         excess = self._budget.find_excess()
         while excess is not None:
             member = self._members[excess]
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_connection.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_connection.py
@@ -68,7 +68,6 @@
 
     :ivar key: key of the connection in the server.
     :ivar budget_key: key of the connection in the budget of the process.
-    :ivar charged_bytes: bytes with which it is charged there.
     :ivar has_reservation: whether memory for the next message is reserved.
     :ivar is_waiting: whether reading stops until memory for the next message is reserved.
     :ivar is_proven: whether a valid message has come.
@@ -81,7 +80,6 @@
         '_owner',
         '_transport',
         'budget_key',
-        'charged_bytes',
         'has_reservation',
         'is_proven',
         'is_waiting',
@@ -92,7 +90,6 @@
         """Prepare a connection that is not open yet."""
         self.key = key
         self.budget_key = 0
-        self.charged_bytes = 0
         self.has_reservation = False
         self.is_proven = False
         self.is_waiting = False
--- a/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_server.py
+++ b/packages/bergamotcart-daemon/src/bergamotcart_daemon/transport/_peer_server.py
@@ -149,9 +149,7 @@
         held = 0
         if not connection.has_reservation and connection.buffered_bytes >= _MIN_CHARGE_BYTES:
             held = _COPIES * connection.buffered_bytes
-        if held != connection.charged_bytes:
-            connection.charged_bytes = held
-            self._guard.budget.charge(connection.budget_key, held)
+        self._guard.budget.charge(connection.budget_key, held)
 
     def _build_connection(self) -> PeerConnection:
         return PeerConnection(next(self._keys), self)
--- a/packages/bergamotcart/src/bergamotcart/resources/_memory_budget.py
+++ b/packages/bergamotcart/src/bergamotcart/resources/_memory_budget.py
@@ -84,11 +84,16 @@
         self.release(key)
         self._holders.pop(key)
 
-    def set_held(self, key: int, size: int) -> None:
-        """Set the bytes that a connection holds without a reservation."""
+    def set_held(self, key: int, size: int) -> bool:
+        """Set the bytes that a connection holds without a reservation.
+
+        :returns: whether it held another number of bytes before.
+        """
         holder = self._holders[key]
+        is_changed = size != holder.held
         self._total += size - holder.held
         holder.held = size
+        return is_changed
 
     def reserve(self, key: int, size: int, now: float) -> bool:
         """Reserve memory for a long message, or wait for it.
