--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -779,6 +779,62 @@
         raise CaseError(f'{database} was not served within {limit_s} s')
 
 
+def read_memory_mb(pid):
+    """Return the resident memory of a process in MB (2**20 bytes), or 0 without it."""
+    try:
+        for line in Path(f'/proc/{pid}/status').read_text().splitlines():
+            if line.startswith('VmRSS:'):
+                return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0.0
+
+
+class MemoryLimit:
+    """Does as the platform does: ends a process above ``memory_mb``, and starts it again.
+
+    :ivar ends: number of ends, by machine.
+    :ivar peaks: highest resident memory in MB, by machine.
+    """
+
+    def __init__(self, deployment, machines, limit_mb):
+        self._deployment, self._limit_mb = deployment, limit_mb
+        self.ends = {machine.name: 0 for machine in machines}
+        self.peaks = {machine.name: 0.0 for machine in machines}
+        for machine in machines:
+            deployment.run_task(self._watch(machine))
+
+    def judge(self):
+        """Apply the rule 'Fault': three ends each on at least two machines, with no impairment."""
+        record = self._deployment.record
+        for name, count in self.ends.items():
+            record.note(f'{name}: {count} ends, peak {self.peaks[name]:.0f} MB')
+        often = sorted(name for name, count in self.ends.items() if count >= 3)
+        if len(often) >= 2:
+            record.broken(
+                'Fault',
+                f'processes ended by themselves (memory over the limit) three times on '
+                f'{", ".join(often)}, with no impairment',
+            )
+
+    async def _watch(self, machine):
+        while True:
+            await asyncio.sleep(0.005)
+            if machine.process is None or machine.process.returncode is not None:
+                continue
+            memory_mb = read_memory_mb(machine.process.pid)
+            self.peaks[machine.name] = max(self.peaks[machine.name], memory_mb)
+            if memory_mb > self._limit_mb:
+                self._deployment.record.note(
+                    f'platform: {machine.name} uses {memory_mb:.0f} MB of {self._limit_mb}'
+                )
+                machine.signal(signal.SIGKILL)
+                await machine.wait(5)
+                self.ends[machine.name] += 1
+                await asyncio.sleep(0.3)
+                await machine.start()
+
+
 def make_config(version, services, routes, tx_idle_ms=3000, **others):
     """Return a config; routes are (host, kind, service, timeout_ms)."""
     return {
