--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -250,6 +250,7 @@
         self.is_running = self.receives = True
         self.leaving = False
         self.sequence = 0
+        self.confirmed_state = ''
         self.born = int(time.time() * 1000)
         self.slots, self.max_conns = 5, 34
         self.work_s = 0.003
@@ -733,6 +734,7 @@
                     address = f'{control.host}:{self.ports["control"]}'
                     status, _, _ = await http_call(address, 'POST', path, json.dumps(form).encode())
                     if 200 <= status < 300:
+                        instance.confirmed_state = form['state']
                         break
             await asyncio.sleep(1.2)
 
