Entry: a begun transaction outlasts the withdrawal of its key

Cause: the withdrawal cleared the mark of a begun transaction without a connection, and no answer reported it. The state was in three fields that some dozen places wrote one by one.

Change: SessionTransaction owns the state. Each transition says which answer reports the end of the transaction, or keeps the end until one does. A begun transaction without a connection has nothing to roll back and is kept: its first statement is refused while the key is missing, and runs in the transaction otherwise. A first statement that is repeated (BEGIN READ, key withdrawn and given back meanwhile) stays in the transaction too.

--- a/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_entry_faults.py
+++ b/packages/bergamotcart-testkit/src/bergamotcart_testkit/mutants/_entry_faults.py
@@ -62,20 +62,33 @@
     Fault(
         'begin a transaction anew at the drain limit',
         'bergamotcart/entry/_transactions.py',
-        (Replacement('if self._context.draining:', NEVER),),
+        (Replacement('if transaction is None and self._context.draining:', NEVER),),
         'bergamotcart/entry/tests/test_rolled_back_sessions.py',
     ),
     Fault(
-        'keep the mark of a rolled back transaction when it is begun anew',
+        'mark a session as rolled back while the first statement of its transaction runs',
         'bergamotcart/entry/_transactions.py',
+        (Replacement('if transaction.phase is TransactionPhase.opening:\n', f'{NEVER}\n'),),
+        'bergamotcart/entry/tests/test_rolled_back_sessions.py',
+    ),
+    Fault(
+        'forget a begun transaction when its key is withdrawn',
+        'bergamotcart/entry/_session_authentication.py',
         (
             Replacement(
-                '                return\n            session.rolled_back = False',
-                '                return\n            session.rolled_back = True',
+                '        self._transactions.abort(session, Reason.unauthenticated.value)',
+                '        session.transaction.end()\n'
+                '        self._transactions.abort(session, Reason.unauthenticated.value)',
             ),
         ),
         'bergamotcart/entry/tests/test_rolled_back_sessions.py',
     ),
+    Fault(
+        'forget that the caller does not know of a rollback',
+        'bergamotcart/entry/_session_transaction.py',
+        (Replacement('self._has_unreported_end = True', 'self._has_unreported_end = False'),),
+        'bergamotcart/entry/tests/test_transaction_state.py',
+    ),
     Fault(
         'call a database unknown without a confirmed state',
         'bergamotcart/entry/_context.py',
--- a/packages/bergamotcart/src/bergamotcart/entry/_cap_gate.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_cap_gate.py
@@ -173,7 +173,7 @@
     def _find_cap(self, request: Request) -> Cap | None:
         """Return the cap of the workspace that a request costs a credit of, or ``None``."""
         session = request.session
-        if request.route is None or not session.workspace or session.transaction is not None:
+        if request.route is None or not session.workspace or session.transaction.pinned is not None:
             return None
         if request.statement.kind in _FREE_KINDS:
             return None
--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -214,7 +214,7 @@
     def _select_group(self, selected: inputs.GroupSelected) -> None:
         session = self._components.sessions.get(selected.session_id)
         if session is not None:
-            if session.transaction is not None and session.group != selected.group:
+            if session.transaction.pinned is not None and session.group != selected.group:
                 self._components.request_handlers.transactions.abort(session, 'group_changed')
             session.group = selected.group
 
@@ -274,14 +274,17 @@
         for session in self._components.sessions:
             self._components.request_handlers.transactions.abort(session, Reason.draining.value)
 
-    def _has_begun_transaction(self) -> bool:
-        return any(session.begun_transaction is not None for session in self._components.sessions)
+    def _is_awaited(self, session: Session) -> bool:
+        """Tell whether a session delays the end of the drain until its caller sends a statement."""
+        return session.transaction.begun is not None
 
     def _check_drained(self) -> None:
         is_idle = (
             not len(self._components.requests)
             and not self._components.request_handlers.transactions.open_count
         )
-        if is_idle and self._context.refuses_new_requests and not self._has_begun_transaction():
+        if not is_idle or not self._context.refuses_new_requests:
+            return
+        if not any(self._is_awaited(session) for session in self._components.sessions):
             self._is_drained = True
             self._context.actions.append(Drained())
--- a/packages/bergamotcart/src/bergamotcart/entry/_replies.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_replies.py
@@ -36,7 +36,7 @@
             self._context.credits.release(
                 self._context.now, request.session.workspace, request.credit
             )
-        state = request.session.transaction_state
+        state = request.session.transaction.state
         self._context.actions.append(Reply(request.request_id, outcome, state))
 
     def refuse(
@@ -53,9 +53,8 @@
         else:
             outcome = NotRun(reason, detail, retry_after, error)
         self.publish_refusal(request, reason, detail)
-        if request.session.transaction is None:
-            # The first statement of the transaction was refused, so the transaction has not begun.
-            request.session.begun_transaction = None
+        # If it is the first statement of a transaction, that has not begun.
+        request.session.transaction.cancel_begun()
         self.finish_request(request, outcome)
 
     def refuse_waiting(self, session: Session) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from bergamotcart import documents
-from bergamotcart.entry._actions import Reply
+from bergamotcart.entry._actions import Reply, TransactionState
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._inputs import RequestArrived
 from bergamotcart.entry._replies import Replies
@@ -94,8 +94,7 @@
     def _handle_unrouted(self, session: Session, arrived: RequestArrived) -> None:
         key_refusal = self._context.find_key_refusal(session)
         if key_refusal is not None:
-            # The refusal also tells the caller that a transaction was rolled back.
-            session.rolled_back = False
+            session.transaction.report_end()
             self._reply(arrived, key_refusal)
             return
         try:
@@ -141,7 +140,9 @@
             request=arrived.request_id,
             session=arrived.session_id,
         )
-        self._context.actions.append(Reply(arrived.request_id, outcome))
+        session = self._sessions.get(arrived.session_id)
+        state = TransactionState.none if session is None else session.transaction.state
+        self._context.actions.append(Reply(arrived.request_id, outcome, state))
 
     def _answer_locally(self, session: Session, statement: Statement) -> Outcome:
         if statement.kind is StatementKind.refused:
@@ -149,7 +150,7 @@
         if statement.kind is StatementKind.autocommit_off:
             session.autocommit = False
         if statement.kind is StatementKind.use:
-            if session.transaction is not None:
+            if session.transaction.pinned is not None:
                 return NotRun(
                     Reason.unsupported_statement, f'USE {statement.detail} inside a transaction'
                 )
@@ -161,7 +162,7 @@
     def _find_refusal(self, session: Session, statement: Statement) -> NotRun | None:
         """Return the refusal of a request that must not start at all, or ``None``."""
         refusal = self._context.find_state_refusal()
-        if refusal is not None and session.transaction is None:
+        if refusal is not None and session.transaction.pinned is None:
             return refusal
         if statement.kind in _TRANSACTION_END_KINDS or statement.kind is StatementKind.show_session:
             return None
@@ -169,9 +170,9 @@
             return NotRun(Reason.unknown_group, 'no group is selected')
         if not self._is_known_group(session.group):
             return self._context.refuse_unknown_name(session.group)
-        if session.rolled_back and statement.kind is not StatementKind.begin:
+        if session.transaction.has_unreported_end and statement.kind is not StatementKind.begin:
             return NotRun(Reason.rolled_back, 'the transaction was rolled back')
-        if session.transaction is None and self._context.draining:
+        if session.transaction.pinned is None and self._context.draining:
             return NotRun(Reason.draining, retry_after=0.0)
         return self._check_connection_limit(session, session.group)
 
@@ -199,7 +200,7 @@
         statement: Statement,
         directives: Directives,
     ) -> Request:
-        transaction = session.transaction
+        transaction = session.transaction.pinned
         group = transaction.group if transaction else (session.group or '')
         policy = self._context.control_view.policy(session.caller, group)
         deadline = policy.deadline_s if directives.deadline_s is None else directives.deadline_s
@@ -246,12 +247,12 @@
         if kind is StatementKind.show_session:
             return self._request_handlers.tokens
         if kind is StatementKind.begin:
-            session.rolled_back = False
-            if session.transaction is None:
+            session.transaction.report_end()
+            if session.transaction.pinned is None:
                 return self._request_handlers.transactions
             self._replies.refuse(request, Reason.unsupported_statement, 'a transaction is open')
             return None
-        if session.transaction is not None:
+        if session.transaction.pinned is not None:
             return self._request_handlers.transactions
         if not session.autocommit and request.statement.transactional:
             return self._request_handlers.transactions
@@ -276,7 +277,11 @@
         :returns: whether the request may go on; otherwise it has been refused.
         """
         identifier = request.directives.request
-        if identifier is None or request.repeatable or request.session.transaction is not None:
+        if (
+            identifier is None
+            or request.repeatable
+            or request.session.transaction.pinned is not None
+        ):
             return True
         if not request.statement.transactional:
             detail = 'the statement cannot share a transaction with its ledger row'
--- a/packages/bergamotcart/src/bergamotcart/entry/_requests.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_requests.py
@@ -117,8 +117,7 @@
     @property
     def is_pinning(self) -> bool:
         """Whether it is the first statement of a transaction on a route."""
-        session = self.session
-        return session.begun_transaction is not None and session.transaction is None
+        return self.session.transaction.is_awaiting_connection
 
     def may_take_last(self, now: float) -> bool:
         """Tell whether it may take the last connection that is left for single statements.
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_reads.py
@@ -240,7 +240,7 @@
             detail='' if required is None else required.description,
         )
         floor = None if required is None else required.position
-        if request.session.begun_transaction is not None:
+        if request.session.transaction.begun is not None:
             self._transactions.begin_at(request, key, floor)
             return
         steps: tuple[Step, ...] = (request.step_with_floor(floor),)
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from bergamotcart.documents import ResolvedRoute
-from bergamotcart.entry._actions import CloseSession, Reply, SessionAnswer
+from bergamotcart.entry._actions import CloseSession, Reply, SessionAnswer, TransactionState
 from bergamotcart.entry._cap_gate import CapGate
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._inputs import RequestArrived
@@ -12,7 +12,7 @@
 from bergamotcart.entry._request_handlers import RequestHandlers
 from bergamotcart.entry._requests import Request, RequestHandler, RequestTable
 from bergamotcart.entry._retries import Retries
-from bergamotcart.entry._sessions import BegunTransaction, Session
+from bergamotcart.entry._sessions import Session
 from bergamotcart.executions import PreparedShape
 from bergamotcart.outcomes import NotRun, Outcome, Ran, Reason
 from bergamotcart.statements import Directives, Statement, StatementKind
@@ -84,7 +84,7 @@
             return
         resolved = self._resolve_route(session)
         if isinstance(resolved, NotRun):
-            session.begun_transaction = None
+            session.transaction.cancel_begun()
             self._reply(session, arrived, statement, resolved)
             return
         request = self._build_request(session, arrived, statement, resolved)
@@ -99,7 +99,7 @@
 
         :returns: whether the connection is closed.
         """
-        is_busy = session.transaction is not None or session.begun_transaction is not None
+        is_busy = session.transaction.state is TransactionState.open
         if session.database is None or is_busy or self._requests.list_for_session(session):
             return False
         self._context.actions.append(CloseSession(session.session_id))
@@ -147,10 +147,8 @@
 
     def _refuse_unknown_key(self, session: Session) -> NotRun | None:
         refusal = self._context.find_key_refusal(session)
-        if refusal is not None and session.transaction is None:
-            # The refusal also tells the caller that a transaction was rolled back.
-            session.rolled_back = False
-            session.begun_transaction = None
+        if refusal is not None:
+            session.transaction.report_end()
         return refusal
 
     def _may_be_confirmed(self, refusal: NotRun) -> bool:
@@ -176,8 +174,8 @@
     def _answer_locally(self, session: Session, statement: Statement) -> Outcome | None:
         """Return the outcome of a statement that needs no instance, or ``None`` for others."""
         kind = statement.kind
-        if session.rolled_back:
-            session.rolled_back = False
+        if session.transaction.has_unreported_end:
+            session.transaction.report_end()
             if kind is StatementKind.rollback:
                 return Ran()
             return NotRun(Reason.rolled_back, 'the transaction was rolled back', retry_after=0)
@@ -185,19 +183,16 @@
             return NotRun(Reason.unsupported_statement, statement.detail)
         if kind is StatementKind.begin:
             return self._begin_transaction(session, statement)
-        if kind is StatementKind.rollback and session.transaction is None:
-            session.begun_transaction = None
+        is_unpinned = session.transaction.pinned is None
+        if kind is StatementKind.rollback and is_unpinned:
+            session.transaction.report_end()
             return Ran()
-        if (
-            kind is StatementKind.commit
-            and session.transaction is None
-            and session.begun_transaction is None
-        ):
+        if kind is StatementKind.commit and session.transaction.state is TransactionState.none:
             return NotRun(Reason.unsupported_statement, 'no transaction is open')
         return _change_session_state(session, statement)
 
     def _begin_transaction(self, session: Session, statement: Statement) -> Outcome:
-        if session.begun_transaction is not None or session.transaction is not None:
+        if session.transaction.state is not TransactionState.none:
             return NotRun(Reason.unsupported_statement, 'a transaction is open')
         if self._context.refuses_new_requests:
             # All further statements of the session are refused too.
@@ -205,11 +200,11 @@
         # A route that cannot be served now is refused at the first statement. If BEGIN were refused
         # and the route were served again, that statement would run outside a transaction.
         # The connection is pinned with the first statement, so that an idle caller holds none.
-        session.begun_transaction = BegunTransaction(statement.read_only)
+        session.transaction.begin(read_only=statement.read_only)
         return Ran()
 
     def _resolve_route(self, session: Session) -> ResolvedRoute | NotRun:
-        if session.transaction is not None:
+        if session.transaction.pinned is not None:
             resolved = session.resolved_route
             if resolved is not None:
                 return resolved
@@ -268,7 +263,7 @@
             request.deadline,
             lambda: self._replies.expire(request),
         )
-        if request.statement.kind is StatementKind.commit and request.session.transaction:
+        if request.statement.kind is StatementKind.commit and request.session.transaction.pinned:
             self._request_handlers.transactions.commit(request)
         elif request.statement.kind is StatementKind.rollback:
             self._request_handlers.transactions.roll_back(request)
@@ -278,17 +273,13 @@
                 request.handler.resume(request)
 
     def _find_handler(self, request: Request) -> RequestHandler:
-        session = request.session
+        transaction = request.session.transaction
         is_read = request.statement.kind is StatementKind.read
-        if session.transaction is not None:
+        if transaction.pinned is not None:
             return self._request_handlers.transactions
-        if session.begun_transaction is not None:
+        if transaction.begun is not None:
             reads = self._request_handlers.routed_reads
-            return (
-                reads
-                if session.begun_transaction.read_only
-                else self._request_handlers.transactions
-            )
+            return reads if transaction.begun.read_only else self._request_handlers.transactions
         return self._request_handlers.routed_reads if is_read else self._request_handlers.writes
 
     def _reply(
@@ -306,8 +297,8 @@
             session=arrived.session_id,
             statement=arrived.statement_id,
         )
-        state = session.transaction_state
-        self._context.actions.append(Reply(arrived.request_id, outcome, state))
+        reply = Reply(arrived.request_id, outcome, session.transaction.state)
+        self._context.actions.append(reply)
 
 
 def _change_session_state(session: Session, statement: Statement) -> Outcome | None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_transaction_failures.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_transaction_failures.py
@@ -7,7 +7,7 @@
 from bergamotcart.entry._replies import Replies
 from bergamotcart.entry._requests import Request
 from bergamotcart.entry._retries import Retries
-from bergamotcart.entry._sessions import Transaction
+from bergamotcart.entry._session_transaction import Transaction
 from bergamotcart.entry._writes import NOT_RUN_ERRORS
 from bergamotcart.executions import ExecutionStatus, StepKind
 from bergamotcart.outcomes import ErrorKind, NotRun, Outcome, Ran, Reason, TargetError
@@ -34,7 +34,7 @@
         if finished.failed_step is StepKind.commit:
             self.handle_failed_commit(request, finished, transaction)
         elif error is not None and error.kind not in NOT_RUN_ERRORS:
-            request.session.begun_transaction = None
+            request.session.transaction.end()
             self._replies.finish_request(request, _build_failure_outcome(error))
         else:
             reason = Reason.connection_lost if error is None else Reason.target_busy
@@ -43,7 +43,7 @@
 
     def handle_failed_statement(self, request: Request, finished: ExecutionFinished) -> None:
         """Reply to a statement that failed, which has rolled back its transaction."""
-        request.session.rolled_back = False
+        request.session.transaction.report_end()
         if finished.error is None:
             self._replies.refuse(request, Reason.rolled_back, 'connection lost')
         else:
@@ -56,7 +56,7 @@
         transaction: Transaction,
     ) -> None:
         """Reply to a failed COMMIT; it is in doubt only if the transaction has written."""
-        request.session.begun_transaction = None
+        request.session.transaction.end()
         error = finished.error
         was_refused = error is not None and error.kind is not ErrorKind.ran
         was_sent = finished.status is not ExecutionStatus.not_sent
--- a/packages/bergamotcart/src/bergamotcart/entry/_session_authentication.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_session_authentication.py
@@ -110,7 +110,7 @@
         for request in self._requests.list_for_session(session):
             if refusal is not None and request.phase is RequestPhase.waiting:
                 self._replies.refuse(request, refusal.reason, refusal.detail, refusal.retry_after)
-        session.begun_transaction = None
+        # A transaction without a connection goes on if the key is valid again by its first statement.
         self._transactions.abort(session, Reason.unauthenticated.value)
 
     def _change_caller(self, session: Session, caller: str) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/_session_errors.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_session_errors.py
@@ -70,7 +70,7 @@
 
     def _end_requests(self, session: Session, *, was_sent: bool) -> None:
         self._transactions.abort(session, Reason.internal_error.value)
-        session.begun_transaction = None
+        session.transaction.cancel_begun()
         for request in self._requests.list_for_session(session):
             self._end_request(request, was_sent=was_sent)
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_sessions.py
@@ -1,15 +1,13 @@
-"""Sessions of callers: the positions that they have seen, and their open transactions."""
+"""Sessions of callers: the positions that they have seen, and their transactions."""
 
-import enum
 from collections.abc import Iterator
 
 import msgspec
 
 from bergamotcart.discovery import Position, TargetKey
 from bergamotcart.documents import ResolvedRoute
-from bergamotcart.entry._actions import TransactionState
-from bergamotcart.entry._timers import Timer
-from bergamotcart.executions import LedgerKey, PreparedShape
+from bergamotcart.entry._session_transaction import SessionTransaction
+from bergamotcart.executions import PreparedShape
 from bergamotcart.sessions import Floors
 
 
@@ -25,42 +23,6 @@
     ended_at: float
 
 
-@enum.unique
-class TransactionPhase(enum.Enum):
-    """Progress of a transaction."""
-
-    opening = enum.auto()
-    open = enum.auto()
-    ending = enum.auto()
-
-
-class Transaction(msgspec.Struct):
-    """A transaction on a pinned connection.
-
-    :param term: term of the group when it began.
-    :param ledger: identifier under which its outcome is recorded, if any.
-    :param is_routed: whether the session uses a route. The target itself then refuses the
-        statements once it is replaced as primary, so continuing needs no lease.
-    :param has_written: whether a write was sent in the transaction.
-    """
-
-    target: TargetKey
-    term: int
-    group: str
-    ledger: LedgerKey | None = None
-    phase: TransactionPhase = TransactionPhase.opening
-    limit_timer: Timer | None = None
-    idle_timer: Timer | None = None
-    is_routed: bool = False
-    has_written: bool = False
-
-
-class BegunTransaction(msgspec.Struct, frozen=True):
-    """A transaction that a caller has begun; its first statement pins a connection for it."""
-
-    read_only: bool
-
-
 class OwnWrite(msgspec.Struct, frozen=True):
     """Position of the newest write of a session.
 
@@ -78,13 +40,9 @@
         primary that was probed after the session was opened.
     :param last_reads: per group, the last read, whose position has not raised the floor yet.
     :param is_over_connection_limit: set when the caller has too many connections.
-    :param rolled_back: set when a transaction was rolled back by the proxy; its remaining
-        statements must not run on their own.
     :param database: name of the route that the caller selected, if it uses one.
     :param settings: session settings that the caller has set.
     :param prepared: statements that the caller has prepared, by the caller's names.
-    :param begun_transaction: transaction that the caller has begun, until it ends or has failed to
-        start.
     :param resolved_route: route and policy of the newest statement; they stay in force until an
         open transaction ends.
     :param own_writes: newest write per group, for sessions that use a route.
@@ -100,30 +58,20 @@
     opened_at: float
     autocommit: bool = True
     is_over_connection_limit: bool = False
-    rolled_back: bool = False
     closed: bool = False
-    transaction: Transaction | None = None
+    transaction: SessionTransaction = msgspec.field(default_factory=SessionTransaction)
     floors: Floors = msgspec.field(default_factory=Floors)
     initial_floors: dict[str, Position] = msgspec.field(default_factory=dict)
     last_reads: dict[str, LastRead] = msgspec.field(default_factory=dict)
     database: str | None = None
     settings: dict[str, str] = msgspec.field(default_factory=dict)
     prepared: dict[str, PreparedShape] = msgspec.field(default_factory=dict)
-    begun_transaction: BegunTransaction | None = None
     resolved_route: ResolvedRoute | None = None
     own_writes: dict[str, OwnWrite] = msgspec.field(default_factory=dict)
     workspace: str = ''
     key_digest: str = ''
     is_unauthenticated: bool = False
 
-    @property
-    def transaction_state(self) -> TransactionState:
-        """Transaction state that replies to the caller carry."""
-        if self.rolled_back:
-            return TransactionState.failed
-        is_open = self.begun_transaction is not None or self.transaction is not None
-        return TransactionState.open if is_open else TransactionState.none
-
 
 class SessionTable:
     """Sessions by identifier."""
--- a/packages/bergamotcart/src/bergamotcart/entry/_statement_repeats.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_statement_repeats.py
@@ -7,7 +7,7 @@
 from bergamotcart.entry._context import EngineContext
 from bergamotcart.entry._inputs import ExecutionFinished
 from bergamotcart.entry._requests import Request, RequestPhase
-from bergamotcart.entry._sessions import Transaction
+from bergamotcart.entry._session_transaction import Transaction
 from bergamotcart.executions import StepKind
 from bergamotcart.outcomes import ErrorKind, Reason
 
--- a/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_transactions.py
@@ -19,7 +19,8 @@
     RoutedTransactionFailures,
     rollback_reason,
 )
-from bergamotcart.entry._sessions import LastRead, Session, Transaction, TransactionPhase
+from bergamotcart.entry._session_transaction import Transaction, TransactionPhase
+from bergamotcart.entry._sessions import LastRead, Session
 from bergamotcart.entry._statement_repeats import StatementRepeats, may_repeat_statement
 from bergamotcart.entry._writes import (
     BEGIN,
@@ -91,10 +92,11 @@
 
     def resume(self, request: Request) -> None:
         """Queue a request that begins a transaction, or run a statement in the open one."""
-        if request.session.transaction is None:
+        transaction = request.session.transaction.pinned
+        if transaction is None:
             self._primary_dispatcher.enqueue(request)
         else:
-            self._run_statement(request, request.session.transaction)
+            self._run_statement(request, transaction)
 
     def dispatch(self, request: Request, target: TargetKey) -> None:
         """Pin a connection to the primary and begin a transaction on it."""
@@ -110,7 +112,7 @@
             return
         transaction = Transaction(target, request.term, request.group, request.ledger)
         transaction.is_routed = request.route is not None
-        request.session.transaction = transaction
+        request.session.transaction.pin(transaction)
         self._open_count += 1
         steps: tuple[Step, ...] = (BEGIN,)
         if floor is not None:
@@ -131,11 +133,15 @@
 
     def abort(self, session: Session, reason: str) -> None:
         """Roll back a session's transaction by closing its connection."""
-        transaction = session.transaction
+        transaction = session.transaction.pinned
         if transaction is None or transaction.phase is TransactionPhase.ending:
             return
-        self._end_transaction(session, transaction)
-        session.rolled_back = not session.closed
+        self._release(transaction)
+        if transaction.phase is TransactionPhase.opening:
+            # The answer to its first statement, which is in progress, tells the caller.
+            session.transaction.unpin()
+        else:
+            session.transaction.end_unreported()
         self._context.actions.append(ReleasePin(session.session_id))
         self._context.publish_decision(
             'transactions',
@@ -149,13 +155,12 @@
 
     def commit(self, request: Request) -> None:
         """Commit the open transaction, or reply at once if there is none."""
-        session = request.session
-        transaction = session.transaction
+        transaction = request.session.transaction.pinned
         if transaction is None:
             self._commit_without_transaction(request)
             return
         if not self._may_continue(request, transaction, needs_primary=transaction.has_written):
-            session.rolled_back = False
+            request.session.transaction.report_end()
             return
         self._publish_dispatch(request, transaction)
         transaction.phase = TransactionPhase.ending
@@ -171,10 +176,9 @@
 
     def roll_back(self, request: Request) -> None:
         """Roll back the open transaction, or reply at once if there is none."""
-        session = request.session
-        transaction = session.transaction
-        session.rolled_back = False
+        transaction = request.session.transaction.pinned
         if transaction is None:
+            request.session.transaction.report_end()
             self._replies.finish_request(request, Ran())
         elif transaction.phase is TransactionPhase.open:
             self._publish_dispatch(request, transaction)
@@ -201,8 +205,8 @@
         )
 
     def _commit_without_transaction(self, request: Request) -> None:
-        if request.session.rolled_back:
-            request.session.rolled_back = False
+        if request.session.transaction.has_unreported_end:
+            request.session.transaction.report_end()
             self._replies.refuse(request, Reason.rolled_back)
         else:
             self._replies.finish_request(request, Ran())
@@ -246,13 +250,13 @@
         reason = Reason.group_not_open if self._context.lease_valid else Reason.no_lease
         self.abort(request.session, reason.value)
         if transaction.is_routed:
-            request.session.rolled_back = False
+            request.session.transaction.report_end()
         self._replies.refuse(request, Reason.rolled_back, reason.value, retry_after=0.5)
         return False
 
     def _finish_begin(self, running: RunningExecution, finished: ExecutionFinished) -> None:
         request = running.request
-        session, transaction = request.session, request.session.transaction
+        session, transaction = request.session, request.session.transaction.pinned
         is_opening = transaction is not None and transaction.phase is TransactionPhase.opening
         if finished.status is ExecutionStatus.completed and is_opening and not session.closed:
             self._complete_begin(request, session, transaction, finished)
@@ -263,16 +267,14 @@
             return
         self._context.actions.append(ReleasePin(session.session_id))
         if is_opening:
-            self._end_transaction(session, transaction)
+            self._release(transaction)
+            session.transaction.unpin()
         if request.done:
             return
-        if transaction is None and request.statement.kind is not StatementKind.commit:
-            # It was rolled back meanwhile. Its caller knows nothing of that yet.
-            if self._context.draining:
-                self._refuse_ended(request)
-                return
-            session.rolled_back = False
-        if transaction is not None and transaction.is_routed:
+        if transaction is None and self._context.draining:
+            # It was rolled back meanwhile, and a new one could not be completed.
+            self._refuse_ended(request)
+        elif transaction is not None and transaction.is_routed:
             self._routed_failures.handle_failed_begin(request, finished, transaction)
         else:
             self._finish_failed_begin(request, finished)
@@ -296,8 +298,8 @@
         finished: ExecutionFinished,
     ) -> None:
         if request.statement.kind is StatementKind.commit:
-            self._end_transaction(session, transaction)
-            session.begun_transaction = None
+            self._release(transaction)
+            session.transaction.end()
             self._complete_commit(request, finished, transaction)
             return
         self._open_transaction(request, session, transaction)
@@ -307,7 +309,7 @@
     def _open_transaction(
         self, request: Request, session: Session, transaction: Transaction
     ) -> None:
-        transaction.phase = TransactionPhase.open
+        session.transaction.confirm_open()
         transaction.limit_timer = self._context.call_later(
             request.policy.transaction_limit_s,
             lambda: self._abort_if_current(session, transaction, Reason.transaction_limit.value),
@@ -330,7 +332,7 @@
 
     def _finish_statement(self, running: RunningExecution, finished: ExecutionFinished) -> None:
         request = running.request
-        session, transaction = request.session, request.session.transaction
+        session, transaction = request.session, request.session.transaction.pinned
         if request.done:
             return
         if transaction is None:
@@ -362,14 +364,13 @@
 
     def _refuse_ended(self, request: Request) -> None:
         """Refuse a statement whose transaction has ended meanwhile."""
-        # This refusal tells the caller of the rollback, so a routed session may continue without
-        # sending ROLLBACK.
-        session = request.session
-        session.rolled_back = session.rolled_back and request.route is None
+        if request.route is not None:
+            # The answer carries the state of the session, so its caller need not send ROLLBACK.
+            request.session.transaction.report_end()
         self._replies.refuse(request, Reason.rolled_back)
 
     def _repeat_statement(self, request: Request, transaction: Transaction) -> None:
-        if request.session.transaction is transaction:
+        if request.session.transaction.pinned is transaction:
             self._run_statement(request, transaction)
         else:
             self._refuse_ended(request)
@@ -381,9 +382,10 @@
     def _finish_commit(self, running: RunningExecution, finished: ExecutionFinished) -> None:
         request = running.request
         session = request.session
-        transaction = session.transaction
+        transaction = session.transaction.pinned
         if transaction:
-            self._end_transaction(session, transaction)
+            self._release(transaction)
+            session.transaction.end()
         if request.done:
             return
         status, step = finished.status, finished.failed_step
@@ -417,8 +419,10 @@
 
     def _finish_rollback(self, running: RunningExecution, finished: ExecutionFinished) -> None:
         request = running.request
-        if request.session.transaction:
-            self._end_transaction(request.session, request.session.transaction)
+        transaction = request.session.transaction.pinned
+        if transaction:
+            self._release(transaction)
+            request.session.transaction.end()
         # Closing the connection also makes the target roll back.
         if finished.status != ExecutionStatus.completed:
             self._context.actions.append(ReleasePin(request.session.session_id))
@@ -442,13 +446,11 @@
         )
 
     def _abort_if_current(self, session: Session, transaction: Transaction, reason: str) -> None:
-        if session.transaction is transaction:
+        if session.transaction.pinned is transaction:
             self.abort(session, reason)
 
-    def _end_transaction(self, session: Session, transaction: Transaction) -> None:
-        session.transaction = None
-        if transaction.phase is not TransactionPhase.opening:
-            session.begun_transaction = None
+    def _release(self, transaction: Transaction) -> None:
+        """Release what a transaction holds besides its connection."""
         self._open_count -= 1
         for timer in (transaction.limit_timer, transaction.idle_timer):
             if timer is not None:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
@@ -312,13 +312,13 @@
         return self.executions.pop(0)
 
     def finish_execution(
-        self, action: entry.Execute, position: int = 10, **changed: object
+        self, action: entry.Execute, position: int | None = 10, **changed: object
     ) -> None:
         """Report an execution as completed, or as given by changed fields."""
         fields: dict[str, object] = {
             'status': entry.ExecutionStatus.completed,
             'result': RequestResult(rows=(('row',),), signature='signature'),
-            'position': Position(1, position),
+            'position': None if position is None else Position(1, position),
         }
         self.step(entry.ExecutionFinished(execution_id=action.execution_id, **(fields | changed)))
 
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_rolled_back_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_rolled_back_sessions.py
@@ -1,4 +1,6 @@
-"""Tests of transactions that are rolled back while their first statement runs."""
+"""Tests of transactions that end while their callers rely on them."""
+
+import pytest
 
 from bergamotcart import entry
 from bergamotcart.entry.tests import routed_entry_harness as routed
@@ -6,6 +8,13 @@
 from bergamotcart.outcomes import Ran, Reason
 
 _INSERT = 'WRITE x 1'
+_KEY = 'client'
+
+
+def _withdraw_key(harness: RoutedEntryHarness, *, is_given_back: bool) -> None:
+    for held in ('other', _KEY)[: 1 + is_given_back]:
+        harness.more_sections = (routed.make_workspaces(north=held),)
+        harness.update()
 
 
 def test_transaction_is_not_begun_anew_at_the_drain_limit():
@@ -47,3 +56,35 @@
     commit = harness.send_statement(session, routed.COMMIT, 'COMMIT')
     harness.finish_execution(harness.next_execution(), position=11)
     assert isinstance(harness.replies[commit].outcome, Ran)
+
+
+@pytest.mark.parametrize(
+    ('begin', 'statement'), [(routed.BEGIN, routed.WRITE), (routed.BEGIN_READ, routed.READ)]
+)
+def test_begun_transaction_outlasts_a_key_that_is_withdrawn_and_given_back(begin, statement):
+    """A write was committed on its own, and the ROLLBACK after it was answered with success."""
+    harness = RoutedEntryHarness()
+    _withdraw_key(harness, is_given_back=True)
+    session = open_strict_session(harness)
+    harness.send_statement(session, begin, 'BEGIN')
+    _withdraw_key(harness, is_given_back=True)
+    first = harness.send_statement(session, statement, _INSERT)
+    sent = harness.next_execution()
+    assert sent.use is entry.ConnectionUse.pin
+    assert sent.steps[0].kind is entry.StepKind.begin
+    harness.finish_execution(sent)
+    assert harness.replies[first].transaction is entry.TransactionState.open
+
+
+def test_first_statement_is_not_repeated_outside_its_transaction():
+    """A read was repeated on its own if its key was withdrawn and given back while it ran."""
+    harness = RoutedEntryHarness()
+    _withdraw_key(harness, is_given_back=True)
+    session = open_strict_session(harness)
+    harness.send_statement(session, routed.BEGIN_READ, 'BEGIN')
+    harness.send_statement(session, routed.READ)
+    first = harness.next_execution()
+    _withdraw_key(harness, is_given_back=True)
+    harness.lose_connection(first)
+    harness.advance(0.5)
+    assert harness.next_execution().use is entry.ConnectionUse.pin
