Entry: a session is not closed before its caller knows of a rollback

Callers saw: a transaction that had ended between two statements (connection lost, idle, time limit) counted as idle, so the withdrawal of its key or a drain closed the connection. A COMMIT on its way was lost without an answer, and may not be repeated.

Cause: only a transaction that was still open kept the connection.

Change: it is kept until an answer reports the end. A drain waits for that up to the limit at which it rolls back transactions, if it has one.

--- a/packages/bergamotcart/src/bergamotcart/entry/_engine.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_engine.py
@@ -38,6 +38,7 @@
     """
 
     __slots__ = (
+        '_awaits_unreported_ends',
         '_input_handlers',
         '_is_drained',
         '_is_started',
@@ -52,6 +53,7 @@
         self._context = self._components.context
         self._is_started = False
         self._is_drained = False
+        self._awaits_unreported_ends = False
         self._input_handlers = {
             MessageReceived: self._receive_message,
             inputs.AnnouncementReceived: self._receive_announcement,
@@ -253,6 +255,7 @@
             self._components.control_link.report_change()
             self._context.call_later(requested.notice_s, self._refuse_new_requests)
             if requested.limit_s is not None:
+                self._awaits_unreported_ends = True
                 self._context.call_later(requested.limit_s, self._roll_back_transactions)
 
     def _change_contact_points(self, changed: inputs.ContactPointsChanged) -> None:
@@ -271,12 +274,16 @@
         self._context.call_later(_IDLE_CHECK_INTERVAL_S, self._close_idle_sessions)
 
     def _roll_back_transactions(self) -> None:
+        self._awaits_unreported_ends = False
         for session in self._components.sessions:
             self._components.request_handlers.transactions.abort(session, Reason.draining.value)
 
     def _is_awaited(self, session: Session) -> bool:
         """Tell whether a session delays the end of the drain until its caller sends a statement."""
-        return session.transaction.begun is not None
+        transaction = session.transaction
+        return transaction.begun is not None or (
+            transaction.has_unreported_end and self._awaits_unreported_ends
+        )
 
     def _check_drained(self) -> None:
         is_idle = (
--- a/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_routed_request_dispatcher.py
@@ -97,9 +97,12 @@
     def close_if_idle(self, session: Session) -> bool:
         """Close the connection of a session with a route if it has no request and no transaction.
 
+        A caller that has not been told of the end of its transaction still has to be, so that it
+        knows that nothing is kept.
+
         :returns: whether the connection is closed.
         """
-        is_busy = session.transaction.state is TransactionState.open
+        is_busy = session.transaction.state is not TransactionState.none
         if session.database is None or is_busy or self._requests.list_for_session(session):
             return False
         self._context.actions.append(CloseSession(session.session_id))
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_rolled_back_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_rolled_back_sessions.py
@@ -17,6 +17,15 @@
         harness.update()
 
 
+def _open_transaction(harness: RoutedEntryHarness) -> int:
+    """Return a session with an open transaction whose first statement was answered."""
+    session = open_strict_session(harness)
+    harness.send_statement(session, routed.BEGIN, 'BEGIN')
+    harness.send_statement(session, routed.WRITE, _INSERT)
+    harness.finish_execution(harness.next_execution())
+    return session
+
+
 def test_transaction_is_not_begun_anew_at_the_drain_limit():
     """A caller went on inside a transaction whose COMMIT was then refused.
 
@@ -88,3 +97,32 @@
     harness.lose_connection(first)
     harness.advance(0.5)
     assert harness.next_execution().use is entry.ConnectionUse.pin
+
+
+def test_session_is_not_closed_before_its_caller_knows_of_a_rollback():
+    """The caller saw its connection close, and could not tell whether its COMMIT had run."""
+    harness = RoutedEntryHarness()
+    _withdraw_key(harness, is_given_back=True)
+    session = _open_transaction(harness)
+    harness.step(entry.PinLost(session))
+    _withdraw_key(harness, is_given_back=False)
+    assert not harness.closed_sessions
+    commit = harness.send_statement(session, routed.COMMIT, 'COMMIT')
+    assert harness.replies[commit].outcome.reason is Reason.unauthenticated
+    assert harness.replies[commit].transaction is entry.TransactionState.none
+
+
+def test_drain_waits_until_the_caller_knows_of_a_rollback():
+    """The sessions of transactions that had ended by themselves were closed as idle."""
+    harness = RoutedEntryHarness()
+    session = _open_transaction(harness)
+    harness.step(entry.PinLost(session))
+    harness.step(entry.DrainRequested(notice_s=0.1, limit_s=3.0))
+    harness.advance(0.3)
+    assert not harness.closed_sessions
+    assert not harness.drained
+    commit = harness.send_statement(session, routed.COMMIT, 'COMMIT')
+    assert harness.replies[commit].outcome.reason is Reason.rolled_back
+    harness.advance(0.1)
+    assert session in harness.closed_sessions
+    assert harness.drained
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_transaction_state.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_transaction_state.py
@@ -140,7 +140,7 @@
     def _on_closesession(self, action: entry.CloseSession) -> None:
         super()._on_closesession(action)
         caller = self.callers.get(action.session_id)
-        assert caller is None or not caller.sent, 'closed with a statement in progress'
+        assert caller is None or not (caller.relies or caller.sent), 'closed in its transaction'
 
 
 class TransactionMachine(RuleBasedStateMachine):
