Entry: errors that say nothing of a rollback do not end a MySQL transaction

Callers saw: after a transaction was rolled back between two statements, a statement refused for want of a key, or a BEGIN that failed, ended it silently, and the next INSERT ran on its own.

Cause: both cleared the mark of the rollback. MySQL answers carry no state, so only the answer to COMMIT or ROLLBACK, or a BEGIN that succeeds, reports the end.

Change: only those clear it.

--- a/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/_request_dispatcher.py
@@ -94,7 +94,6 @@
     def _handle_unrouted(self, session: Session, arrived: RequestArrived) -> None:
         key_refusal = self._context.find_key_refusal(session)
         if key_refusal is not None:
-            session.transaction.report_end()
             self._reply(arrived, key_refusal)
             return
         try:
@@ -247,7 +246,6 @@
         if kind is StatementKind.show_session:
             return self._request_handlers.tokens
         if kind is StatementKind.begin:
-            session.transaction.report_end()
             if session.transaction.pinned is None:
                 return self._request_handlers.transactions
             self._replies.refuse(request, Reason.unsupported_statement, 'a transaction is open')
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_rolled_back_sessions.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_rolled_back_sessions.py
@@ -9,6 +9,7 @@
 
 _INSERT = 'WRITE x 1'
 _KEY = 'client'
+_MYSQL_SESSION = 101
 
 
 def _withdraw_key(harness: RoutedEntryHarness, *, is_given_back: bool) -> None:
@@ -26,6 +27,13 @@
     return session
 
 
+def _send_to_mysql_session(harness: RoutedEntryHarness, request: int, sql: str) -> entry.Reply:
+    harness.step(entry.RequestArrived(request, _MYSQL_SESSION, sql))
+    if harness.executions:
+        harness.finish_execution(harness.next_execution())
+    return harness.replies[request]
+
+
 def test_transaction_is_not_begun_anew_at_the_drain_limit():
     """A caller went on inside a transaction whose COMMIT was then refused.
 
@@ -126,3 +134,35 @@
     harness.advance(0.1)
     assert session in harness.closed_sessions
     assert harness.drained
+
+
+def test_refusal_for_want_of_a_key_does_not_end_a_mysql_transaction():
+    """An error that says nothing of a rollback ended it, and the next INSERT ran on its own."""
+    harness = RoutedEntryHarness()
+    _withdraw_key(harness, is_given_back=True)
+    harness.step(entry.SessionOpened(_MYSQL_SESSION, _KEY, routed.GROUP))
+    for request, sql in ((201, 'BEGIN'), (202, 'INSERT INTO t VALUES (1)')):
+        assert isinstance(_send_to_mysql_session(harness, request, sql).outcome, Ran)
+    _withdraw_key(harness, is_given_back=False)
+    refused = _send_to_mysql_session(harness, 203, 'INSERT INTO t VALUES (2)')
+    assert refused.outcome.reason is Reason.unauthenticated
+    _withdraw_key(harness, is_given_back=True)
+    late = _send_to_mysql_session(harness, 204, 'INSERT INTO t VALUES (3)')
+    assert late.outcome.reason is Reason.rolled_back
+    assert isinstance(_send_to_mysql_session(harness, 205, 'ROLLBACK').outcome, Ran)
+
+
+def test_failed_begin_does_not_hide_a_rollback_of_a_mysql_transaction():
+    """After the error of the second BEGIN, the INSERT of the first transaction ran on its own."""
+    harness = RoutedEntryHarness()
+    harness.step(entry.SessionOpened(_MYSQL_SESSION, _KEY, routed.GROUP))
+    _send_to_mysql_session(harness, 201, 'BEGIN')
+    harness.step(entry.PinLost(_MYSQL_SESSION))
+    harness.update(phase=routed.messages.GroupPhase.frozen)
+    harness.step(entry.RequestArrived(202, _MYSQL_SESSION, 'BEGIN'))
+    harness.advance(10.0)
+    assert harness.replies[202].outcome.reason is Reason.deadline
+    harness.grant_lease(primary_position=10)
+    harness.update(phase=routed.messages.GroupPhase.open)
+    late = _send_to_mysql_session(harness, 203, 'INSERT INTO t VALUES (1)')
+    assert late.outcome.reason is Reason.rolled_back
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_transaction_state.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_transaction_state.py
@@ -35,7 +35,7 @@
 _ENDS = ('ok', 'ok', 'ok', 'lost', 'not_run', 'busy', 'ran', 'read_only')
 _PINNED = frozenset((entry.ConnectionUse.pinned, entry.ConnectionUse.unpin))
 _DRAIN_SHARE = 10
-_DATABASES = ('strict', 'aged', 'own')
+_DATABASES = ('strict', 'aged', None)
 _ANY_PIN = _PINNED | {entry.ConnectionUse.pin}
 
 
