--- a/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/routed_entry_harness.py
@@ -7,7 +7,7 @@
 from bergamotcart import documents, entry, messages
 from bergamotcart.actions import Decision, MessageReceived, Send
 from bergamotcart.discovery import Position, PositionReport, TargetKey
-from bergamotcart.outcomes import RequestResult, TargetError
+from bergamotcart.outcomes import ErrorKind, RequestResult, TargetError
 from bergamotcart.statements import Statement, StatementKind
 
 GROUP = 'ledger'
@@ -392,6 +392,23 @@
     return harness.open_session('strict')
 
 
+def end_execution(harness: RoutedEntryHarness, end: str, number: int) -> None:
+    """Report the end of an execution, if there is one without an answer.
+
+    :param end: ``ok``, ``lost``, or the kind of the instance's error.
+    :param number: selects the execution, modulo their number.
+    """
+    if not harness.executions:
+        return
+    action = harness.executions.pop(number % len(harness.executions))
+    if end == 'ok':
+        harness.finish_execution(action)
+    elif end == 'lost':
+        harness.lose_connection(action)
+    else:
+        harness.fail_execution(action, TargetError(0, 'X', 'x', ErrorKind(end)))
+
+
 def key(name: str) -> TargetKey:
     """Return the key of an instance of the group."""
     return TargetKey(GROUP, name)
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_key_changes.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_key_changes.py
@@ -15,7 +15,7 @@
 from bergamotcart.actions import Decision
 from bergamotcart.entry.tests import routed_entry_harness as routed
 from bergamotcart.entry.tests.routed_entry_harness import RoutedEntryHarness
-from bergamotcart.outcomes import ErrorKind, Reason, TargetError
+from bergamotcart.outcomes import Reason
 
 _EXAMPLES = int(os.environ.get('BERGAMOTCART_FUZZ_EXAMPLES', '60'))
 _SEED = os.environ.get('BERGAMOTCART_FUZZ_SEED')
@@ -219,16 +219,7 @@
     @rule(end=st.sampled_from(_ENDS), number=st.integers(0, 3))
     def finish_execution(self, end: str, number: int) -> None:
         """Report the end of an execution."""
-        executions = self.engine.executions
-        if not executions:
-            return
-        action = executions.pop(number % len(executions))
-        if end == 'ok':
-            self.engine.finish_execution(action)
-        elif end == 'lost':
-            self.engine.lose_connection(action)
-        else:
-            self.engine.fail_execution(action, TargetError(0, 'X', 'x', ErrorKind(end)))
+        routed.end_execution(self.engine, end, number)
 
     @invariant()
     def end_closed_and_refused_sessions(self) -> None:
--- a/packages/bergamotcart/src/bergamotcart/entry/tests/test_transaction_state.py
+++ b/packages/bergamotcart/src/bergamotcart/entry/tests/test_transaction_state.py
@@ -14,7 +14,7 @@
 from bergamotcart.actions import Decision
 from bergamotcart.entry.tests import routed_entry_harness as routed
 from bergamotcart.entry.tests.routed_entry_harness import RoutedEntryHarness
-from bergamotcart.outcomes import ErrorKind, Ran, Reason, TargetError
+from bergamotcart.outcomes import Ran, Reason
 from bergamotcart.statements import Statement, StatementKind
 
 _EXAMPLES = int(os.environ.get('BERGAMOTCART_FUZZ_EXAMPLES', '200'))
@@ -168,16 +168,7 @@
     @rule(end=st.sampled_from(_ENDS), number=st.integers(0, 2))
     def finish_execution(self, end: str, number: int) -> None:
         """Report the end of an execution."""
-        executions = self.engine.executions
-        if not executions:
-            return
-        action = executions.pop(number % len(executions))
-        if end == 'ok':
-            self.engine.finish_execution(action)
-        elif end == 'lost':
-            self.engine.lose_connection(action)
-        else:
-            self.engine.fail_execution(action, TargetError(0, 'X', 'x', ErrorKind(end)))
+        routed.end_execution(self.engine, end, number)
 
     @rule(is_given_back=st.booleans(), is_moved=st.booleans())
     def change_key(self, is_given_back: bool, is_moved: bool) -> None:
