--- a/review/lib-3/bench3.py
+++ b/review/lib-3/bench3.py
@@ -415,17 +415,21 @@
         self.tasks: list[asyncio.Task] = []
         self.version = 0
         self.cloud_hook = None
-        self.exits: list[tuple[str, int]] = []
+        self.start_gaps_s: dict[str, float] = {}
+        self.seeds: list[str] = []
 
-    def control_addresses(self, shuffle=True):
-        found = [f'{self.hosts[name]}:{self.ports["control"]}' for name in self.cores]
-        return random.sample(found, len(found)) if shuffle else found
+    def control_address(self, core: str) -> str:
+        return f'{self.hosts[core]}:{self.ports["control"]}'
+
+    def control_addresses(self) -> list[str]:
+        found = [self.control_address(core) for core in self.cores]
+        return random.sample(found, len(found))
 
     def write_settings(self, name: str) -> Path:
         role, number = name.split('-')
         host = self.hosts[name]
         zone = self.zones[int(number) % 3]
-        seeds = [f'{self.hosts[core]}:{self.ports["control"]}' for core in self.cores]
+        seeds = self.seeds or [self.control_address(core) for core in self.cores]
         disk = self.temp / name / 'data'
         lines = [
             f'node_name = "{name}"', f'role = "{"control" if role == "core" else "entry"}"',
@@ -481,7 +485,8 @@
                 await instance.start()
         host, port = self.cloud.split(':')
         self._cloud_server = await asyncio.start_server(self._serve_cloud, host, int(port))
-        for name in self.cores + self.fronts:
+        for name in self.fronts + self.cores:
+            await asyncio.sleep(self.start_gaps_s.get(name, 0))
             await self.start_process(name)
         for service in self.services.values():
             for instance in service.instances.values():
