--- a/review/lib-3/bench3.py
+++ b/review/lib-3/bench3.py
@@ -287,7 +287,8 @@
                 answer = [*answer, f'READY {mark} {self.position()}', '']
                 writer.write('\r\n'.join(answer).encode('utf-8', 'surrogateescape'))
                 await writer.drain()
-        except (OSError, EOFError, ValueError):
+        except (OSError, EOFError, ValueError, asyncio.CancelledError):
+            # The connection has broken, or the case is over.
             pass
         finally:
             state['tx'] = None
@@ -386,7 +387,7 @@
 class Deployment:
     """Three core machines, some fronts, one or more databases, the promotion service."""
 
-    def __init__(self, folder: Path, services=(('ledger', 0),), fronts=1, bounds=None, limits=True,
+    def __init__(self, folder: Path, services=(('ledger', 0),), fronts=1, bounds=None, memory_mb=300,
                  routes=None) -> None:
         self.record = Record(folder)
         self.network = Network()
@@ -400,7 +401,7 @@
         self.cloud = f'{self.network.host(5)}:7804'
         self.bounds = {'fencing_required': True, 'grace_s': GRACE_S, 'stable_window_ms': 4000,
                        'config_apply_ms': 3000, 'drain_ms': 7000, **(bounds or {})}
-        self.limits = limits
+        self.memory_mb = memory_mb
         self.services: dict[str, Service] = {}
         for index, (name, sync) in enumerate(services):
             service = Service(name, self.record, sync)
@@ -447,9 +448,8 @@
             lines.append(f'control = "{host}:{self.ports["control"]}"')
         else:
             lines += [f'front = "{host}:{self.ports["front"]}"', f'ready = "{host}:{self.ports["ready"]}"']
-        if self.limits:
-            lines += ['[limits]', 'cpu_share = 0.537', 'cores = 2', 'memory_mb = 300',
-                      'max_fds = 4200', 'link_mbps = 1000.0', 'disk_mb = 0']
+        lines += ['[limits]', 'cpu_share = 0.537', 'cores = 2', f'memory_mb = {self.memory_mb}',
+                  'max_fds = 4200', 'link_mbps = 1000.0', 'disk_mb = 0']
         lines += ['[fault_tolerance]', 'machines = 1', 'zones = 0', 'regions = 0', '[bounds]']
         lines += [f'{key} = {json.dumps(value)}' for key, value in self.bounds.items()]
         lines += ['[cloud_api]', f'address = "{self.cloud}"', 'rate_per_s = 50.0',
@@ -473,6 +473,14 @@
         self.processes[name] = process
         self.record.add(f'{name} started')
 
+    def resident_mb(self, name: str) -> float:
+        """Return the resident memory of a process in units of 2**20 bytes."""
+        try:
+            text = Path(f'/proc/{self.processes[name].pid}/status').read_text()
+        except OSError:
+            return 0
+        return int(text.split('VmRSS:')[1].split()[0]) / 1024 if 'VmRSS:' in text else 0
+
     def signal(self, name: str, number: int) -> None:
         process = self.processes[name]
         if process.returncode is None:
