--- a/review/lib-3/bench3.py
+++ b/review/lib-3/bench3.py
@@ -12,6 +12,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import sys
@@ -515,6 +516,9 @@
             for instance in service.instances.values():
                 instance.crash()
         self.network.close()
+        # Logs and data of the processes are kept only if asked for.
+        if 'KEEP' not in os.environ:
+            shutil.rmtree(self.temp, ignore_errors=True)
 
     # The promotion service
     async def _serve_cloud(self, reader, writer) -> None:
