--- a/review/lib-3/bench3.py
+++ b/review/lib-3/bench3.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -690,7 +691,9 @@
     folder = Path(sys.argv[0]).resolve().parent
     try:
         broken = asyncio.run(asyncio.wait_for(case(folder), 115))
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:
+        # Exit 1 says that the rule was broken, so no other error may end with it.
+        traceback.print_exc()
         print(f'could not run: {error!r}')
         sys.exit(2)
     for line in broken:
